--- /dev/null
+++ b/packages/error/src/routerError.ts
@@ -0,0 +1,155 @@
+/** Typed errors of rhubarbwheel: a stable code, a message, and a hint that names the remedy. */
+
+export interface ErrorKind {
+    readonly code: string;
+    /** HTTP status with which callers and operators see the error. */
+    readonly status: number;
+    readonly message: string;
+    /** What the reader can do about it. */
+    readonly hint: string;
+}
+
+const kinds = {
+    CREDENTIAL_MISSING: [
+        401,
+        "The request has no bearer token.",
+        "Send the workspace's token in the Authorization header.",
+    ],
+    CREDENTIAL_UNKNOWN: [
+        401,
+        "The bearer token belongs to no workspace.",
+        "Check the token, or ask an operator to add its hash to the workspace.",
+    ],
+    OPERATOR_CREDENTIAL_INVALID: [
+        401,
+        "The operator token is missing or wrong.",
+        "Send the token from the router's --operator-token-file setting.",
+    ],
+    SERVICE_UNKNOWN: [404, "The service does not exist.", "List the services with: rhubarbwheel get services"],
+    MODEL_UNKNOWN: [404, "No service answers to this model.", "Use a model that is listed in a service's spec.models."],
+    ROUTE_UNKNOWN: [
+        404,
+        "The path is not served here.",
+        "See the list of routes in the README of @rhubarbwheel/http-server.",
+    ],
+    METHOD_NOT_ALLOWED: [
+        405,
+        "The method is not allowed on this path.",
+        "See the list of routes in the README of @rhubarbwheel/http-server.",
+    ],
+    RESOURCE_NOT_FOUND: [404, "The resource does not exist.", "List the resources of this kind to see its name."],
+    RESOURCE_INVALID: [400, "The resource is not valid.", "Correct the named fields and send it again."],
+    VERSION_CONFLICT: [
+        409,
+        "The resource has changed since it was read.",
+        "Read the current version, apply the change to it and send it again.",
+    ],
+    PRECONDITION_MISSING: [
+        428,
+        "The write names no version.",
+        "Send If-Match with the version that was read, or If-None-Match: * to create.",
+    ],
+    BODY_TOO_LARGE: [
+        413,
+        "The request body is over the limit.",
+        "Send a smaller body, or raise --max-body-bytes on the routers.",
+    ],
+    BODY_MALFORMED: [
+        400,
+        "The request body is not valid JSON of the expected shape.",
+        "Correct the body; the message names the field.",
+    ],
+    HEADER_INVALID: [400, "A header is not acceptable.", "Remove the header that the message names."],
+    QUEUE_FULL: [429, "Too many requests of this workspace are waiting.", "Retry after the time in Retry-After."],
+    QUEUE_TIMEOUT: [503, "No capacity became free in time.", "Retry after the time in Retry-After."],
+    NO_TARGET: [
+        503,
+        "No target of the service may take new work.",
+        "Check failure domains and targets with: rhubarbwheel status",
+    ],
+    CONFIGURATION_EMPTY: [503, "The router has no confirmed configuration yet.", "Retry at another router."],
+    CONFIGURATION_STALE: [
+        503,
+        "The router cannot confirm that its configuration is current.",
+        "Retry at another router.",
+    ],
+    DRAINING: [503, "The router is shutting down.", "Retry at another router."],
+    OVERLOADED: [503, "The router holds too many open requests.", "Retry after the time in Retry-After."],
+    TARGET_REFUSED: [503, "The target refused the call before it was sent.", "Retry after the time in Retry-After."],
+    TARGET_BROKEN: [
+        502,
+        "The connection to the target broke before the answer was complete.",
+        "Check whether the call took effect before it is sent again.",
+    ],
+    TARGET_TIMEOUT: [
+        504,
+        "The target did not answer in time.",
+        "Check whether the call took effect before it is sent again.",
+    ],
+    TARGET_ANSWER_INVALID: [
+        502,
+        "The target's answer is not valid.",
+        "Check whether the call took effect before it is sent again.",
+    ],
+    KEY_MALFORMED: [
+        400,
+        "The idempotency key is not valid.",
+        "Use 1 to 128 characters from A-Z a-z 0-9 . _ - or a key from POST /v1/keys.",
+    ],
+    KEY_REUSED: [422, "The idempotency key was used for another call.", "Use a new key for each distinct call."],
+    KEY_OWNER_GONE: [
+        502,
+        "The router that owns the idempotency key is gone.",
+        "Check whether the call took effect; then use a new key.",
+    ],
+    KEY_OWNER_UNREACHABLE: [
+        502,
+        "The router that owns the idempotency key cannot be reached.",
+        "Retry with the same key, or check whether the call took effect.",
+    ],
+    KEY_RECORD_EVICTED: [
+        502,
+        "The recorded answer of the idempotency key is no longer held.",
+        "Check whether the call took effect; then use a new key.",
+    ],
+    KEY_STORE_UNAVAILABLE: [
+        503,
+        "The idempotency key could not be bound because the platform's store is not reachable.",
+        "Retry later, or use a key from POST /v1/keys.",
+    ],
+    PLATFORM_UNAVAILABLE: [503, "The platform's store is not reachable; the change was not accepted.", "Retry later."],
+    PLATFORM_UNKNOWN: [
+        504,
+        "It could not be determined whether the change took effect.",
+        "Read the resource before sending the change again.",
+    ],
+    SETTINGS_INVALID: [500, "The settings are not valid.", "Correct the named settings; see --help."],
+    INTERNAL: [500, "An internal error occurred.", "Report the log lines with this request id."],
+} as const satisfies Record<string, readonly [number, string, string]>;
+
+export type ErrorCode = keyof typeof kinds;
+
+export const errorCodes = Object.keys(kinds) as readonly ErrorCode[];
+
+/** Looks up the kind of an error by its code; unknown codes yield `INTERNAL`. */
+export function getErrorKind(code: string): ErrorKind {
+    const known = code in kinds ? (code as ErrorCode) : "INTERNAL";
+    const [status, message, hint] = kinds[known];
+    return { code: known, status, message, hint };
+}
+
+/** An error with a kind from the catalogue. `detail` is appended to the message. */
+export class RouterError extends Error {
+    readonly code: ErrorCode;
+    readonly status: number;
+    readonly hint: string;
+
+    constructor(code: ErrorCode, opts: { readonly detail?: string; readonly cause?: unknown; } = {}) {
+        const kind = getErrorKind(code);
+        super(opts.detail === undefined ? kind.message : `${kind.message} ${opts.detail}`, { cause: opts.cause });
+        this.name = "RouterError";
+        this.code = code;
+        this.status = kind.status;
+        this.hint = kind.hint;
+    }
+}
--- /dev/null
+++ b/packages/types/src/ports.ts
@@ -0,0 +1,194 @@
+/** Interfaces between the daemon and the packages that do I/O. The daemon connects them to the reducer. */
+import type { AttemptResult, LoadReport } from "./events.js";
+import type { PeerMessage } from "./peer-messages.js";
+import type { HostEntry, Resource, ResourceKind, ResourceOf, ResourceSpecs } from "./resources.js";
+
+/** A call as the HTTP server received it, authenticated and checked. */
+export interface Call {
+    readonly id: string;
+    readonly workspace: string;
+    readonly service: string;
+    readonly serviceKind: "model" | "plain";
+    readonly idempotent: boolean;
+    readonly method: string;
+    /** Path and query to request at the target, starting with `/`. */
+    readonly path: string;
+    /** End-to-end headers to pass on; names in lower case. Hop-by-hop headers and credentials are removed. */
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Buffer;
+    /** Whether the caller asked for a stream of server-sent events. */
+    readonly streaming: boolean;
+    /** Idempotency key sent by the caller. */
+    readonly callerKey?: string;
+    /** Router that forwarded this call, if any. */
+    readonly forwardedBy?: string;
+    readonly inputCost: number;
+    readonly outputCostHint?: number;
+    readonly prefixHash?: number;
+    readonly responder: CallResponder;
+}
+
+/** Where the answer to a call goes. Exactly one of `finish` and `fail` ends it. */
+export interface CallResponder {
+    /** Sends status and headers. Only the attempt that answers first calls it, once. */
+    readonly begin: (status: number, headers: Readonly<Record<string, string>>) => void;
+    /** Passes on bytes of the answer; false means that the caller reads slowly: await `waitForDrain`. */
+    readonly write: (chunk: Uint8Array) => boolean;
+    /** Resolves when more may be written, rejects when the caller has gone or read nothing for too long. */
+    readonly waitForDrain: () => Promise<void>;
+    /** Ends a complete answer. */
+    readonly finish: () => void;
+    /** Ends the call without a complete answer. After `begin`, the connection is broken so that the answer cannot look complete. */
+    readonly fail: (failure: CallFailure) => void;
+}
+
+export interface CallFailure {
+    /** Code from `@rhubarbwheel/error`. */
+    readonly code: string;
+    readonly outcome: "notRun" | "unknown";
+    readonly retryAfterMs?: number;
+    readonly detail?: string;
+}
+
+/** What an attempt tells the daemon. `onEnded` comes exactly once and last. */
+export interface AttemptObserver {
+    readonly onAccepted: (startId: string | undefined) => void;
+    /** Cumulative cost so far, at most every 100 ms. */
+    readonly onProgress: (cost: number) => void;
+    readonly onEnded: (end: AttemptEnd) => void;
+}
+
+export interface AttemptEnd {
+    readonly result: AttemptResult;
+    readonly sent: boolean;
+    readonly answered: boolean;
+    readonly cost: number;
+    readonly startId?: string;
+    readonly reason?: string;
+}
+
+export interface AttemptOptions {
+    readonly attempt: number;
+    readonly address: string;
+    readonly answerTimeoutMs: number;
+    readonly costPerCall: number;
+    /** Resume a broken stream after the output units that were already passed on. */
+    readonly resume: boolean;
+    readonly observer: AttemptObserver;
+}
+
+export interface TargetClient {
+    /** Sends the call; bytes of the answer go to `call.responder`. Does not call `finish` or `fail`: the daemon does. */
+    readonly startAttempt: (call: Call, opts: AttemptOptions) => { readonly cancel: () => void; };
+    readonly pollLoad: (target: string, address: string) => Promise<PollResult>;
+    readonly close: () => Promise<void>;
+}
+
+export type PollResult =
+    | { readonly type: "reported"; readonly report: LoadReport; }
+    | { readonly type: "unavailable"; readonly refused: boolean; };
+
+/** A conditional write of one resource. */
+export interface ResourceWrite<K extends ResourceKind = ResourceKind> {
+    readonly kind: K;
+    readonly name: string;
+    /** 0 creates; otherwise the version that must be current. */
+    readonly expectedVersion: number;
+    /** Missing for a deletion. */
+    readonly spec?: ResourceSpecs[K];
+    /** Identifies this write, so that a lost answer can be resolved. */
+    readonly writeId: string;
+}
+
+export type WriteResult =
+    | { readonly type: "accepted"; readonly resource: Resource; }
+    | { readonly type: "conflict"; readonly currentVersion: number | undefined; }
+    /** Provably not applied. */
+    | { readonly type: "unavailable"; }
+    /** May or may not have been applied. */
+    | { readonly type: "unknown"; };
+
+export type ReadResult<T> =
+    | { readonly type: "read"; readonly value: T; }
+    | { readonly type: "unavailable"; };
+
+export interface ResourceList {
+    readonly revision: number;
+    /** Includes tombstones. */
+    readonly resources: readonly Resource[];
+}
+
+export interface LeaseResult {
+    readonly result: "held" | "taken" | "unavailable";
+    /** Duration left, counted from when the call was sent. */
+    readonly validForMs: number;
+    readonly fencingNumber: number;
+}
+
+export interface PlatformClient {
+    readonly readConfiguration: () => Promise<ReadResult<ResourceList>>;
+    readonly readResource: <K extends ResourceKind>(
+        kind: K,
+        name: string,
+    ) => Promise<ReadResult<ResourceOf<K> | undefined>>;
+    readonly watchConfiguration: (
+        afterRevision: number,
+        timeoutMs: number,
+    ) => Promise<
+        { readonly type: "changed"; readonly list: ResourceList; } | { readonly type: "unavailable"; } | {
+            readonly type: "revisionGone";
+        }
+    >;
+    readonly writeResource: (write: ResourceWrite) => Promise<WriteResult>;
+    readonly listHosts: () => Promise<ReadResult<readonly HostEntry[]>>;
+    readonly acquireLease: (lease: string, holder: string, durationMs: number) => Promise<LeaseResult>;
+    readonly releaseLease: (lease: string, holder: string) => Promise<void>;
+    /** Binds a caller's key to `mintedKey` by a conditional create, or returns the key it is bound to. */
+    readonly bindKey: (
+        workspace: string,
+        callerKey: string,
+        mintedKey: string,
+    ) => Promise<{ readonly type: "bound"; readonly mintedKey: string; } | { readonly type: "unavailable"; }>;
+    /** Calls made so far, for metrics and capacity figures. */
+    readonly countCalls: () => number;
+    readonly close: () => Promise<void>;
+}
+
+/** A keyed call on its way to the router that minted the key. */
+export interface ForwardedCall {
+    readonly requestId: string;
+    readonly forwardedBy: string;
+    readonly mintedKey: string;
+    readonly workspace: string;
+    readonly service: string;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Uint8Array;
+}
+
+export interface ForwardedAnswer {
+    readonly outcome: "complete" | "notRun" | "unknown";
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Uint8Array;
+    /** Set when the outcome is not `complete`. */
+    readonly code?: string;
+    readonly retryAfterMs?: number;
+}
+
+export type ForwardResult =
+    | { readonly type: "answered"; readonly answer: ForwardedAnswer; }
+    /** The call may have reached the peer. */
+    | { readonly type: "broken"; }
+    /** No byte of the call reached the peer. */
+    | { readonly type: "unreachable"; };
+
+export interface PeerTransport {
+    /** Queues a message; messages to one peer that are queued in the same turn of the loop go out as one batch. */
+    readonly send: (router: string, address: string, message: PeerMessage) => void;
+    readonly forwardCall: (router: string, address: string, call: ForwardedCall) => Promise<ForwardResult>;
+    /** Control traffic so far, both directions. */
+    readonly countTraffic: () => { readonly messages: number; readonly bytes: number; };
+    readonly close: () => Promise<void>;
+}
