--- /dev/null
+++ b/packages/daemon/src/createCallGate.ts
@@ -0,0 +1,40 @@
+/** Where calls enter the reducer: from callers and from peers that forward keyed calls. */
+import { computeFingerprint } from "@rhubarbwheel/at-most-once/computeFingerprint";
+import type { AnswerStore } from "@rhubarbwheel/at-most-once/createAnswerStore";
+import type { RequestSummary } from "@rhubarbwheel/types/events";
+import type { Call } from "@rhubarbwheel/types/ports";
+import type { CallRegistry } from "./createCallRegistry.js";
+import type { Dispatch } from "./createLoop.js";
+
+export interface CallGateOptions {
+    readonly dispatch: Dispatch;
+    readonly registry: CallRegistry;
+    readonly answerStore: AnswerStore;
+}
+
+export function createCallGate(opts: CallGateOptions) {
+    return {
+        submitCall: (call: Call) => {
+            const { callerKey } = call;
+            if (callerKey === undefined) {
+                opts.registry.add(call);
+                opts.dispatch({ type: "requestArrived", request: summarizeCall(call) });
+                return;
+            }
+            opts.registry.add({ ...call, responder: opts.answerStore.wrapResponder(call.id, call.responder) });
+            opts.dispatch({
+                type: "keyedRequest",
+                request: summarizeCall(call),
+                callerKey,
+                fingerprint: computeFingerprint(call),
+                forwardedBy: call.forwardedBy,
+            });
+        },
+        cancelCall: (requestId: string) => opts.dispatch({ type: "requestCancelled", requestId }),
+    };
+}
+
+function summarizeCall(call: Call): RequestSummary {
+    const { id, workspace, service, idempotent, inputCost, outputCostHint, prefixHash } = call;
+    return { id, workspace, service, idempotent, inputCost, outputCostHint, prefixHash };
+}
