Add the codec and the transport between routers

Routers need authenticated, ordered and batched messages, and calls that are forwarded at most once. The package defines the protocol, converts messages with checks of every field, and keeps one gRPC stream per pair of routers. Codec properties cover every kind of message; the transport has first tests for order, use of the peer's stream and forwarded calls.

--- /dev/null
+++ b/packages/peer-protocol/src/createPeerTransport.ts
@@ -0,0 +1,164 @@
+/** Transport of messages and forwarded calls between routers, over one gRPC stream per pair of routers. */
+import { ChannelCredentials, ServerCredentials } from "@grpc/grpc-js";
+import type { PeerMessage } from "@rhubarbwheel/types/peer-messages";
+import type { ForwardedAnswer, ForwardedCall, PeerTransport } from "@rhubarbwheel/types/ports";
+import type { RouterIdentity } from "@rhubarbwheel/types/slices";
+import { createAuthenticator } from "./authentication.js";
+import type { PeerConnection } from "./peerConnection.js";
+import { createPeerConnection } from "./peerConnection.js";
+import type { PeerLink } from "./peerLink.js";
+import { createPeerLink } from "./peerLink.js";
+import { createPeerServer } from "./peerServer.js";
+
+/** PEM files of this router and of the authority that signs the certificates of all routers. */
+export interface PeerTls {
+    readonly certificate: Buffer;
+    readonly key: Buffer;
+    readonly authority: Buffer;
+}
+
+export interface PeerLimits {
+    /** Messages that may wait for one peer. */
+    readonly maxQueuedMessages: number;
+    /** Size of a batch or a forwarded call, in bytes. A batch that would be larger is split. */
+    readonly maxMessageBytes: number;
+    /** Longest time that a forwarded call may take. */
+    readonly forwardTimeoutMs: number;
+    /** A stream without messages for this long is closed. */
+    readonly idleMs: number;
+}
+
+export const defaultPeerLimits: PeerLimits = {
+    maxQueuedMessages: 1_024,
+    maxMessageBytes: 4 * 1_024 * 1_024,
+    forwardTimeoutMs: 120_000,
+    idleMs: 60_000,
+};
+
+export interface PeerTransportOptions {
+    readonly identity: RouterIdentity;
+    readonly fleetSecret: string;
+    readonly tls?: PeerTls;
+    readonly limits?: Partial<PeerLimits>;
+    /** Monotonic milliseconds. */
+    readonly getTime?: () => number;
+    /** Milliseconds since 1970, for signatures. */
+    readonly getWallTime?: () => number;
+    readonly onMessage: (from: string, message: PeerMessage) => void;
+    /** A message to the router was or may have been lost. */
+    readonly onUnreachable: (router: string) => void;
+    readonly onForwardedCall: (call: ForwardedCall) => Promise<ForwardedAnswer>;
+    /** Something that a peer should not have done, or a message that could not be used. The router may be unknown. */
+    readonly onProblem?: (router: string | undefined, problem: string) => void;
+}
+
+export interface ListeningPeerTransport extends PeerTransport {
+    /** Listens on `ip:port`; port 0 picks one. Rejects when the address can't be bound. */
+    readonly listen: (address: string) => Promise<{ readonly port: number; }>;
+    /** Streams that are open now. */
+    readonly countStreams: () => number;
+}
+
+export function createPeerTransport(opts: PeerTransportOptions): ListeningPeerTransport {
+    const { identity } = opts;
+    const limits = { ...defaultPeerLimits, ...opts.limits };
+    const getTime = opts.getTime ?? (() => performance.now());
+    const authenticator = createAuthenticator(identity, opts.fleetSecret, opts.getWallTime ?? Date.now);
+    const credentials = createCredentials(opts.tls);
+    const links = new Map<string, PeerLink>();
+    const connections = new Map<string, PeerConnection>();
+    const traffic = { messages: 0, bytes: 0 };
+    let closing = false;
+
+    const reportProblem = (router: string, problem: string): void =>
+        opts.onProblem?.(router === "" ? undefined : router, problem);
+
+    const getConnection = (address: string): PeerConnection => {
+        const existing = connections.get(address);
+        if (existing !== undefined) return existing;
+        const connection = createPeerConnection({
+            address,
+            self: identity.router,
+            credentials: credentials.client,
+            authenticator,
+            maxMessageBytes: limits.maxMessageBytes,
+            forwardTimeoutMs: limits.forwardTimeoutMs,
+            onProblem: reportProblem,
+        });
+        connections.set(address, connection);
+        return connection;
+    };
+
+    const getLink = (router: string): PeerLink => {
+        const existing = links.get(router);
+        if (existing !== undefined) return existing;
+        const link = createPeerLink({
+            self: identity.router,
+            incarnation: identity.incarnation,
+            router,
+            maxQueuedMessages: limits.maxQueuedMessages,
+            maxBatchBytes: limits.maxMessageBytes,
+            getTime,
+            openStream: (address, observer) => getConnection(address).openStream(router, observer),
+            onMessage: message => opts.onMessage(router, message),
+            onUnreachable: () => opts.onUnreachable(router),
+            onProblem: problem => reportProblem(router, problem),
+            onTraffic: (messages, bytes) => {
+                traffic.messages += messages;
+                traffic.bytes += bytes;
+            },
+        });
+        links.set(router, link);
+        return link;
+    };
+
+    const server = createPeerServer({
+        self: identity.router,
+        credentials: credentials.server,
+        authenticator,
+        maxMessageBytes: limits.maxMessageBytes,
+        getObserver: router => getLink(router).observer,
+        onStream: stream => !closing && getLink(stream.peer.router).addStream(stream),
+        onForwardedCall: opts.onForwardedCall,
+        onProblem: reportProblem,
+    });
+
+    const closeIdle = (): void => {
+        for (const [router, link] of links) {
+            link.closeIdle(getTime() - limits.idleMs);
+            if (link.isEmpty()) links.delete(router);
+        }
+        for (const [address, connection] of connections) {
+            if (connection.isInUse()) continue;
+            connection.close();
+            connections.delete(address);
+        }
+    };
+    const idleTimer = setInterval(closeIdle, Math.max(limits.idleMs / 4, 10));
+    idleTimer.unref();
+
+    return {
+        send: (router, address, message) => getLink(router).send(address, message),
+        forwardCall: (router, address, call) => getConnection(address).forwardCall(router, call),
+        countTraffic: () => ({ ...traffic }),
+        countStreams: () => [...links.values()].reduce((sum, link) => sum + link.countStreams(), 0),
+        listen: address => server.listen(address),
+        close: async () => {
+            closing = true;
+            clearInterval(idleTimer);
+            await Promise.all([...links.values()].map(link => link.close()));
+            await server.close();
+            for (const connection of connections.values()) connection.close();
+        },
+    };
+}
+
+function createCredentials(tls: PeerTls | undefined): { client: ChannelCredentials; server: ServerCredentials; } {
+    if (tls === undefined)
+        return { client: ChannelCredentials.createInsecure(), server: ServerCredentials.createInsecure() };
+    const pair = { private_key: tls.key, cert_chain: tls.certificate };
+    return {
+        client: ChannelCredentials.createSsl(tls.authority, tls.key, tls.certificate),
+        server: ServerCredentials.createSsl(tls.authority, [pair], true),
+    };
+}
--- /dev/null
+++ b/packages/peer-protocol/src/peerCodec.ts
@@ -0,0 +1,117 @@
+/** Converts between the TypeScript shapes of messages between routers and their bytes. */
+import { rhubarbwheel } from "#generated/peer";
+import type { PeerMessage } from "@rhubarbwheel/types/peer-messages";
+import type { ForwardedAnswer, ForwardedCall } from "@rhubarbwheel/types/ports";
+import protobuf from "protobufjs/minimal.js";
+import { forwardedAnswerField, forwardedCallField, messageFields } from "./messageFields.js";
+import type { WireField } from "./wireFields.js";
+
+const wire = rhubarbwheel.peer;
+
+export interface PeerBatch {
+    readonly from: string;
+    readonly incarnation: number;
+    readonly messages: readonly PeerMessage[];
+}
+
+export interface DecodedPeerBatch extends PeerBatch {
+    /** One entry for each message that was dropped, or a single one when the batch could not be read at all. */
+    readonly problems: readonly string[];
+}
+
+export type Decoded<T> =
+    | { readonly type: "decoded"; readonly value: T; }
+    | { readonly type: "malformed"; readonly problem: string; };
+
+interface GeneratedType {
+    readonly encode: (message: never) => protobuf.Writer;
+    readonly decode: (reader: protobuf.Reader) => object;
+}
+
+function encodeWith(type: GeneratedType, message: unknown): Buffer {
+    const encoded = type.encode(message as never).finish();
+    return Buffer.from(encoded.buffer, encoded.byteOffset, encoded.byteLength);
+}
+
+function decodeWith(type: GeneratedType, encoded: Uint8Array): object {
+    const reader = protobuf.Reader.create(encoded);
+    reader.discardUnknown = true;
+    return type.decode(reader);
+}
+
+/** Throws `WireError` for a message that can't be represented, for example with a fractional count. */
+export function encodePeerBatch(batch: PeerBatch): Buffer {
+    return encodeWith(wire.PeerBatch, {
+        from: batch.from,
+        incarnation: batch.incarnation,
+        messages: batch.messages.map(toEnvelope),
+    });
+}
+
+function toEnvelope(message: PeerMessage): object {
+    return { [message.type]: (messageFields[message.type] as WireField<unknown>).toWire(message) };
+}
+
+/** Never throws: unknown and malformed messages are dropped and listed in `problems`. */
+export function decodePeerBatch(encoded: Uint8Array): DecodedPeerBatch {
+    const messages: PeerMessage[] = [];
+    const problems: string[] = [];
+    try {
+        const batch = decodeWith(wire.PeerBatch, encoded) as rhubarbwheel.peer.PeerBatch;
+        for (const envelope of batch.messages) readEnvelope(envelope, messages, problems);
+        return { from: batch.from, incarnation: Number(batch.incarnation), messages, problems };
+    }
+    catch (error) {
+        return {
+            from: "",
+            incarnation: 0,
+            messages: [],
+            problems: [`The batch is malformed: ${describeError(error)}`],
+        };
+    }
+}
+
+function readEnvelope(envelope: object, messages: PeerMessage[], problems: string[]): void {
+    const kind = (envelope as { kind?: string; }).kind;
+    if (kind === undefined || !Object.hasOwn(messageFields, kind)) {
+        problems.push("A message is of an unknown kind.");
+        return;
+    }
+    try {
+        const type = kind as PeerMessage["type"];
+        const fields = messageFields[type].fromWire((envelope as Record<string, unknown>)[type]);
+        messages.push({ type, ...fields } as PeerMessage);
+    }
+    catch (error) {
+        problems.push(`A message of kind ${kind} is malformed: ${describeError(error)}`);
+    }
+}
+
+export function encodeForwardedCall(call: ForwardedCall): Buffer {
+    return encodeWith(wire.ForwardedCall, forwardedCallField.toWire(call));
+}
+
+export function decodeForwardedCall(encoded: Uint8Array): Decoded<ForwardedCall> {
+    return decodeField(wire.ForwardedCall, forwardedCallField, encoded);
+}
+
+export function encodeForwardedAnswer(answer: ForwardedAnswer): Buffer {
+    return encodeWith(wire.ForwardedAnswer, forwardedAnswerField.toWire(answer));
+}
+
+export function decodeForwardedAnswer(encoded: Uint8Array): Decoded<ForwardedAnswer> {
+    return decodeField(wire.ForwardedAnswer, forwardedAnswerField, encoded);
+}
+
+function decodeField<T>(type: GeneratedType, field: WireField<T>, encoded: Uint8Array): Decoded<T> {
+    try {
+        return { type: "decoded", value: field.fromWire(decodeWith(type, encoded)) };
+    }
+    catch (error) {
+        return { type: "malformed", problem: describeError(error) };
+    }
+}
+
+function describeError(error: unknown): string {
+    return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/packages/peer-protocol/test/arbitraries.ts
@@ -0,0 +1,128 @@
+/** Random messages of every kind between routers. */
+import type { PeerMessage } from "@rhubarbwheel/types/peer-messages";
+import type { ForwardedAnswer, ForwardedCall } from "@rhubarbwheel/types/ports";
+import * as fc from "fast-check";
+
+const text = fc.string({ unit: "binary", maxLength: 12 });
+const integer = fc.maxSafeNat();
+const double = fc.double({ noNaN: true }).map(value => value + 0);
+const durations = { confirmedAgeMs: double, storeCheckedAgeMs: double };
+const list = <T>(item: fc.Arbitrary<T>) => fc.array(item, { maxLength: 4 });
+const record = <T extends object>(fields: { [K in keyof T]: fc.Arbitrary<T[K]>; }) =>
+    fc.record(fields, { noNullPrototype: true });
+const choose = <T extends string>(...values: T[]) => fc.constantFrom(...values);
+
+/** Leaves out each of `optional` at random; a missing property must not come back as a property without a value. */
+function shape<R extends object, O extends object>(
+    required: { [K in keyof R]: fc.Arbitrary<R[K]>; },
+    optional: { [K in keyof O]: fc.Arbitrary<O[K]>; },
+): fc.Arbitrary<R & Partial<O>> {
+    return fc.tuple(record(required), fc.record(optional, { requiredKeys: [] }))
+        .map(([first, second]) => ({ ...first, ...second }) as R & Partial<O>);
+}
+
+const update = record({
+    router: text,
+    incarnation: integer,
+    state: choose("alive", "suspect", "dead", "left"),
+    address: text,
+    failureDomain: text,
+});
+const digest = shape({ revision: integer, storeUnreachable: fc.boolean() }, durations);
+const virtualTime = record({ workspace: text, virtualTime: double });
+const granted = list(record({ target: text, generation: integer, total: integer }));
+const observation = shape(
+    { target: text, generation: integer, kind: choose("refused", "broken", "startIdChanged", "slow") },
+    { startId: text },
+);
+
+const workspaceSpec = shape({ share: double, credentialHashes: list(text) }, { maxQueuedPerRouter: integer });
+const serviceSpec = shape({
+    kind: choose("model", "plain"),
+    targets: list(record({ name: text, address: text, failureDomain: text })),
+    targetLimit: integer,
+    coldLimit: integer,
+}, {
+    models: list(text),
+    idempotentRoutes: list(record({ method: text, pathPrefix: text })),
+    costPerCall: double,
+    queueTimeoutMs: double,
+    answerTimeoutMs: double,
+});
+const resource = fc.oneof(
+    ...([
+        ["workspaces", workspaceSpec],
+        ["services", serviceSpec],
+        ["failuredomains", record({ state: choose("in", "out") })],
+    ] as const).map(([kind, spec]) =>
+        shape(
+            {
+                kind: fc.constant(kind),
+                name: text,
+                version: integer,
+                revision: integer,
+                spec: spec as fc.Arbitrary<unknown>,
+            },
+            { deleted: fc.boolean() },
+        )
+    ),
+);
+
+const bodies: Record<PeerMessage["type"], fc.Arbitrary<object>> = {
+    probe: record({ sequence: integer, updates: list(update), digest }),
+    probeAck: record({ sequence: integer, router: text, updates: list(update), digest }),
+    probeRequest: record({ sequence: integer, router: text, updates: list(update) }),
+    leaving: record({ update }),
+    poolReport: shape({
+        pool: text,
+        incarnation: integer,
+        sequence: integer,
+        usage: list(record({ workspace: text, totalCost: double, queued: integer, estimatedCost: double })),
+        slots: list(record({ target: text, generation: integer, held: integer, inUse: integer })),
+        granted,
+        observations: list(observation),
+        totalsInCopy: list(record({ workspace: text, totalCost: double })),
+    }, { copy: record({ version: integer, poolVirtualTime: double, entries: list(virtualTime) }) }),
+    poolAnnouncement: record({
+        pool: text,
+        incarnation: integer,
+        version: integer,
+        reportSequence: integer,
+        granted,
+        poolVirtualTime: double,
+        virtualTimes: list(virtualTime),
+        ceiling: double,
+        contended: fc.boolean(),
+        targets: list(
+            record({ target: text, generation: integer, condition: choose("warm", "cold", "closed") }),
+        ),
+    }),
+    configurationUpdate: record({ resources: list(resource), fromRevision: integer, revision: integer, digest }),
+    configurationRequest: record({ revision: integer }),
+};
+
+export const messageKinds = Object.keys(bodies) as PeerMessage["type"][];
+
+export function makeMessage(type: PeerMessage["type"]): fc.Arbitrary<PeerMessage> {
+    return bodies[type].map(body => ({ type, ...body }) as PeerMessage);
+}
+
+const headers = fc.dictionary(text, text, { noNullPrototype: true });
+const body = fc.uint8Array({ maxLength: 64 }).map(value => Buffer.from(value));
+
+export const forwardedCall: fc.Arbitrary<ForwardedCall> = record({
+    requestId: text,
+    forwardedBy: text,
+    mintedKey: text,
+    workspace: text,
+    service: text,
+    method: text,
+    path: text,
+    headers,
+    body,
+});
+
+export const forwardedAnswer: fc.Arbitrary<ForwardedAnswer> = shape(
+    { outcome: choose("complete", "notRun", "unknown"), status: fc.nat({ max: 599 }), headers, body },
+    { code: text, retryAfterMs: double },
+);
