--- /dev/null
+++ b/packages/telemetry/src/createLogger.ts
@@ -0,0 +1,92 @@
+/** Logger of numbered events, over loglevel. Secrets are redacted by the names of their fields. */
+import loglevel from "loglevel";
+import type { EventKind, EventLevel } from "./eventCatalogue.js";
+import { eventCatalogue } from "./eventCatalogue.js";
+
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+export interface LoggerOptions {
+    readonly level: EventLevel | "silent";
+    readonly format: "json" | "text";
+    /** Receives one line, which ends with a line feed. */
+    readonly write: (line: string) => void;
+    /** Time of a line; the clock of the host by default. */
+    readonly getTime?: () => Date;
+    readonly catalogue?: Readonly<Record<number, EventKind>>;
+}
+
+export interface Logger {
+    /** Never throws; an unknown number is logged as `event-<number>` with level info. */
+    readonly logEvent: (event: number, fields?: LogFields) => void;
+    readonly setLevel: (level: EventLevel | "silent") => void;
+}
+
+const hidden = "[hidden]";
+const secretWords = new Set(["token", "secret", "authorization", "password"]);
+
+export function createLogger(opts: LoggerOptions): Logger {
+    const catalogue = opts.catalogue ?? eventCatalogue;
+    const getTime = opts.getTime ?? (() => new Date());
+    const formatLine = opts.format === "json" ? formatJson : formatText;
+    // A symbol keeps loggers apart, because loglevel shares those of the same name.
+    const logger = loglevel.getLogger(Symbol("rhubarbwheel"));
+    // loglevel replaces the methods below the level by empty ones, so only lines that are written are formatted.
+    logger.methodFactory = () => (event: number, kind: EventKind, fields: LogFields) =>
+        opts.write(formatLine({ time: getTime().toISOString(), event, kind }, redactFields(fields)));
+    logger.setLevel(opts.level, false);
+
+    return {
+        logEvent: (event, fields = {}) => {
+            const kind = catalogue[event] ?? makeUnknownKind(event);
+            try {
+                logger[kind.level](event, kind, fields);
+            }
+            catch {
+                // A log that can't be written must not fail the request that it describes.
+            }
+        },
+        setLevel: level => logger.setLevel(level, false),
+    };
+}
+
+function makeUnknownKind(event: number): EventKind {
+    return { name: `event-${event}`, level: "info", message: "An event that is not in the catalogue.", fields: [] };
+}
+
+/** Replaces values of fields such as `operatorToken`, and bearer credentials within other values. */
+function redactFields(fields: LogFields): LogFields {
+    return Object.fromEntries(
+        Object.entries(fields).map(([name, value]) => {
+            const words = name.split(/[^A-Za-z]+|(?=[A-Z])/).map(word => word.toLowerCase());
+            const isSecret = words.some(word => secretWords.has(word)) || secretWords.has(name.toLowerCase());
+            if (isSecret && value !== undefined) return [name, hidden];
+            return [name, typeof value === "string" ? value.replace(/\bBearer\s+\S+/gi, `Bearer ${hidden}`) : value];
+        }),
+    );
+}
+
+interface LineHead {
+    readonly time: string;
+    readonly event: number;
+    readonly kind: EventKind;
+}
+
+function formatJson(head: LineHead, fields: LogFields): string {
+    const { time, event, kind } = head;
+    const reserved = { time, level: kind.level, event, name: kind.name, message: kind.message };
+    return `${JSON.stringify({ ...reserved, ...fields, ...reserved })}\n`;
+}
+
+function formatText(head: LineHead, fields: LogFields): string {
+    const { time, event, kind } = head;
+    const pairs = Object.entries(fields)
+        .filter(([, value]) => value !== undefined)
+        .map(([name, value]) => ` ${name}=${formatValue(value)}`);
+    return `${time} ${kind.level.toUpperCase().padEnd(5)} ${event} ${kind.name}: ${kind.message}${pairs.join("")}\n`;
+}
+
+/** Quotes anything that could be read as another field or another line. */
+function formatValue(value: string | number | boolean | undefined): string {
+    const text = String(value);
+    return /^[\w./:@+-]+$/.test(text) ? text : JSON.stringify(text);
+}
