Add the stand-ins and the clients of targets and platform

Cause: the daemon and the bench need something to talk to, and the other packages need the ports of types/ports.ts to be implemented.

Change: stand-ins for the platform, a model engine and a plain service, each as a factory and as a program; the target client over undici; the platform client with conditional writes, leases and bound keys.

--- /dev/null
+++ b/packages/stand-ins/src/createObjectStore.ts
@@ -0,0 +1,105 @@
+/** The objects of the platform stand-in: versions, conditional updates, tombstones and a bounded history. */
+
+export interface StoredObject {
+    readonly kind: string;
+    readonly name: string;
+    /** Starts at 1 and grows by exactly one with each change of this object, deletions included. */
+    readonly version: number;
+    /** Revision of the whole store at this change. */
+    readonly revision: number;
+    /** Identifies the write that made this change. */
+    readonly writeId: string;
+    /** Marks a tombstone, which keeps the last value. */
+    readonly deleted?: boolean;
+    readonly value: unknown;
+}
+
+export interface ObjectWrite {
+    readonly kind: string;
+    readonly name: string;
+    /** Version that must be current; 0 when neither an object nor a tombstone may exist. */
+    readonly expectedVersion: number;
+    readonly writeId: string;
+    /** Missing for a deletion. */
+    readonly value?: unknown;
+}
+
+export type ObjectWriteResult =
+    | { readonly type: "applied"; readonly object: StoredObject; }
+    | { readonly type: "conflict"; readonly current: StoredObject | undefined; };
+
+export type ObjectChanges =
+    | { readonly type: "changes"; readonly revision: number; readonly changes: readonly StoredObject[]; }
+    | { readonly type: "gone"; };
+
+export interface ObjectStore {
+    readonly read: (kind: string, name: string) => StoredObject | undefined;
+    /** Every object and tombstone of the kind. */
+    readonly list: (kind: string) => readonly StoredObject[];
+    readonly write: (write: ObjectWrite) => ObjectWriteResult;
+    readonly getRevision: () => number;
+    /** Every change of the kinds after the revision, oldest first, at most `limit` of them. */
+    readonly listChanges: (kinds: ReadonlySet<string>, after: number, limit: number) => ObjectChanges;
+    /** Calls the listener after each change until the returned function is called. */
+    readonly watch: (listener: (object: StoredObject) => void) => () => void;
+}
+
+export function createObjectStore(opts: { readonly historyLength: number; }): ObjectStore {
+    const objects = new Map<string, Map<string, StoredObject>>();
+    const listeners = new Set<(object: StoredObject) => void>();
+    let history: StoredObject[] = [];
+    let revision = 0;
+    /** Greatest revision whose change has been dropped from the history. */
+    let droppedRevision = 0;
+
+    const trimHistory = (): void => {
+        // Trimmed in blocks, because removing the first element on every change copies the whole history.
+        if (history.length < opts.historyLength * 2) return;
+        const dropped = history.length - opts.historyLength;
+        droppedRevision = history[dropped - 1]?.revision ?? droppedRevision;
+        history = history.slice(dropped);
+    };
+
+    const store = (object: StoredObject): void => {
+        const ofKind = objects.get(object.kind) ?? new Map<string, StoredObject>();
+        objects.set(object.kind, ofKind);
+        ofKind.set(object.name, object);
+        history.push(object);
+        trimHistory();
+        for (const listener of listeners) listener(object);
+    };
+
+    const read = (kind: string, name: string): StoredObject | undefined => objects.get(kind)?.get(name);
+
+    return {
+        read,
+        list: kind => [...(objects.get(kind)?.values() ?? [])],
+        write: write => {
+            const current = read(write.kind, write.name);
+            const isDeletion = write.value === undefined;
+            if ((current?.version ?? 0) !== write.expectedVersion) return { type: "conflict", current };
+            if (isDeletion && (current === undefined || current.deleted === true)) return { type: "conflict", current };
+            revision += 1;
+            const { kind, name, writeId } = write;
+            const base = { kind, name, version: write.expectedVersion + 1, revision, writeId };
+            const object = isDeletion
+                ? { ...base, deleted: true, value: current?.value }
+                : { ...base, value: write.value };
+            store(object);
+            return { type: "applied", object };
+        },
+        getRevision: () => revision,
+        listChanges: (kinds, after, limit) => {
+            // A revision from the future belongs to a store that has lost its state: the reader has to read everything.
+            if (after < droppedRevision || after > revision) return { type: "gone" };
+            const changes = history.filter(object => object.revision > after && kinds.has(object.kind));
+            if (changes.length <= limit) return { type: "changes", revision, changes };
+            const page = changes.slice(0, limit);
+            return { type: "changes", revision: page.at(-1)?.revision ?? after, changes: page };
+        },
+        watch: listener => {
+            listeners.add(listener);
+            return () => listeners.delete(listener);
+        },
+    };
+}
--- /dev/null
+++ b/packages/stand-ins/src/runModel.ts
@@ -0,0 +1,14 @@
+/** Main of the model engine stand-in. */
+import { createModelStandIn } from "./createModelStandIn.js";
+import { readNumberFlags, runStandIn } from "./runStandIn.js";
+import { targetFlagNames } from "./targetFlags.js";
+
+const { port = 0, startsCold, ...flags } = readNumberFlags([
+    ...targetFlagNames,
+    "maxBatch",
+    "tokenBaseMs",
+    "tokenSlopeMs",
+    "prefillMsPerToken",
+    "prefixCacheEntries",
+]);
+await runStandIn(createModelStandIn({ ...flags, startsCold: startsCold !== 0 }), port);
--- /dev/null
+++ b/packages/stand-ins/src/runPlatform.ts
@@ -0,0 +1,12 @@
+/** Main of the platform stand-in. */
+import { createPlatformStandIn } from "./createPlatformStandIn.js";
+import { readNumberFlags, runStandIn } from "./runStandIn.js";
+
+const { port = 0, ...flags } = readNumberFlags([
+    "seed",
+    "writesPerSecond",
+    "readsPerSecond",
+    "historyLength",
+    "hostLagMs",
+]);
+await runStandIn(createPlatformStandIn(flags), port);
--- /dev/null
+++ b/packages/target-client/test/callFixtures.ts
@@ -0,0 +1,69 @@
+/** Calls with a responder that records the answer. */
+import type { AttemptEnd, AttemptOptions, Call, CallResponder, TargetClient } from "@rhubarbwheel/types/ports";
+
+export interface CallWishes {
+    readonly id?: string;
+    readonly kind?: "model" | "plain";
+    readonly method?: string;
+    readonly path?: string;
+    readonly idempotent?: boolean;
+    readonly streaming?: boolean;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: unknown;
+}
+
+export interface RecordedCall extends Call {
+    readonly recorded: {
+        begun: number;
+        status: number;
+        headers: Readonly<Record<string, string>>;
+        readonly writes: string[];
+    };
+}
+
+export function createCall(wishes: CallWishes = {}, responder: Partial<CallResponder> = {}): RecordedCall {
+    const recorded: RecordedCall["recorded"] = { begun: 0, status: 0, headers: {}, writes: [] };
+    const isModel = wishes.kind !== "plain";
+    return {
+        id: wishes.id ?? "call-1",
+        workspace: "ada",
+        service: "service",
+        serviceKind: wishes.kind ?? "model",
+        idempotent: wishes.idempotent ?? true,
+        method: wishes.method ?? "POST",
+        path: wishes.path ?? (isModel ? "/v1/chat/completions" : "/orders"),
+        headers: { "content-type": "application/json", ...wishes.headers },
+        body: Buffer.from(wishes.body === undefined ? "" : JSON.stringify(wishes.body)),
+        streaming: wishes.streaming ?? false,
+        inputCost: isModel ? 10 : 0,
+        responder: {
+            begin: (status, headers) => {
+                recorded.begun += 1;
+                recorded.status = status;
+                recorded.headers = headers;
+            },
+            write: chunk => recorded.writes.push(Buffer.from(chunk).toString("utf8")) > 0,
+            waitForDrain: () => Promise.resolve(),
+            finish: () => undefined,
+            fail: () => undefined,
+            ...responder,
+        },
+        recorded,
+    };
+}
+
+/** Runs one attempt to its end. */
+export async function runCall(
+    client: TargetClient,
+    call: RecordedCall,
+    address: string,
+    opts: Partial<AttemptOptions> = {},
+): Promise<{ readonly end: AttemptEnd; readonly text: string; readonly status: number; readonly accepted: number; }> {
+    let accepted = 0;
+    const end = await new Promise<AttemptEnd>(resolve => {
+        const observer = { onAccepted: () => (accepted += 1), onProgress: () => undefined, onEnded: resolve };
+        const base = { attempt: 1, address, answerTimeoutMs: 2_000, costPerCall: 3, resume: false };
+        client.startAttempt(call, { ...base, ...opts, observer });
+    });
+    return { end, text: call.recorded.writes.join(""), status: call.recorded.status, accepted };
+}
