Add first versions of membership and configuration

The other packages need working slices to integrate with.

Two types change: configurationChanged gets the optional ownWrite, so that a router which wrote a change need not wait for its watch, and the digest's storeCheckedAgeMs may stem from a peer's check.

--- /dev/null
+++ b/packages/configuration/src/createConfiguration.ts
@@ -0,0 +1,288 @@
+/**
+ * Configuration slice: copies of the platform's resources, their spread between routers, and the freshness of the copy.
+ * Raises `configurationApplied` and `freshnessChanged`. Must see each event before the slices that query it.
+ */
+import type { Effect } from "@rhubarbwheel/types/effects";
+import type { ConfigurationChangedEvent, ConfigurationReadEvent, RouterEvent } from "@rhubarbwheel/types/events";
+import type {
+    ConfigurationUpdateMessage,
+    MemberState,
+    PeerMessage,
+    ProbeAckMessage,
+} from "@rhubarbwheel/types/peer-messages";
+import type { HostEntry, Resource, ResourceKind, ResourceOf } from "@rhubarbwheel/types/resources";
+import type {
+    ConfigurationQueries,
+    Member,
+    MembershipQueries,
+    RouterIdentity,
+    Slice,
+} from "@rhubarbwheel/types/slices";
+
+import { maxChangesLogged, maxResourcesPerUpdate, suspectAfterMs } from "./configurationSettings.js";
+import { createConfirmer } from "./createConfirmer.js";
+import { createFreshness, type FreshnessState } from "./createFreshness.js";
+import { createResourceTable } from "./createResourceTable.js";
+import { createSpread, type UpdateRange } from "./createSpread.js";
+import { type CallerRole, createStoreCaller } from "./createStoreCaller.js";
+import { findDomainRoles } from "./findDomainRoles.js";
+
+export interface ConfigurationOptions {
+    readonly identity: RouterIdentity;
+    readonly membership: MembershipView;
+    /** Seeded source of random numbers in [0, 1). */
+    readonly random: () => number;
+}
+
+/** Without the optional queries, probes of the membership slice confirm nothing and every router counts as listed. */
+export type MembershipView =
+    & Pick<MembershipQueries, "listRoutable" | "countListed" | "countListedAlive" | "getMember">
+    & {
+        readonly getProbeSentAt?: (sequence: number) => number | undefined;
+        readonly isListed?: (router: string) => boolean;
+    };
+
+/** Queries of this slice beyond the shared contract. */
+export interface ResourceQueries {
+    /** Lists the resources of a kind that are not deleted, sorted by name. */
+    readonly listResources: <K extends ResourceKind>(kind: K) => readonly ResourceOf<K>[];
+    /** Greatest store revision up to which this router holds every change. */
+    readonly getRevision: () => number;
+    /** Revisions that other routers last reported, with the time at which they were heard. */
+    readonly listPeerRevisions: () => readonly PeerRevision[];
+}
+
+export interface PeerRevision {
+    readonly router: string;
+    readonly revision: number;
+    readonly heardAt: number;
+}
+
+const appliedEvent = 1400;
+const appliedBatchEvent = 1401;
+const freshnessEvent = 1402;
+const storeUnreachableEvent = 1403;
+const storeReachableEvent = 1404;
+const revisionGoneEvent = 1405;
+const roleEvent = 1406;
+
+export function createConfiguration(opts: ConfigurationOptions): Slice & ConfigurationQueries & ResourceQueries {
+    const { identity, membership, random } = opts;
+    const table = createResourceTable();
+    const freshness = createFreshness();
+    const peerRevisions = new Map<string, PeerRevision>();
+    let leavingTargets: ReadonlySet<string> = new Set();
+    let effects: Effect[] = [];
+    let currentTime = 0;
+    let startedAt: number | undefined;
+    let revision = 0;
+    let state: FreshnessState = "empty";
+    let role: CallerRole = "none";
+    let storeFailed = false;
+    let routable: readonly Member[] | undefined;
+    let domainRoles = findDomainRoles(identity.router, identity.failureDomain, []);
+
+    const log = (event: number, fields: Readonly<Record<string, string | number | boolean | undefined>>) =>
+        effects.push({ type: "log", event, fields });
+    const emit = (effect: Effect) => void effects.push(effect);
+    const send = (to: Member, message: PeerMessage) =>
+        emit({ type: "sendToPeer", router: to.router, address: to.address, message });
+    const getDigest = (now: number) => freshness.getDigest(now, revision);
+
+    const { listRoutable, getMember } = membership;
+    const caller = createStoreCaller({ random, countListed: membership.countListed, emit });
+    const spread = createSpread({
+        self: identity.router,
+        random,
+        listRoutable,
+        getMember,
+        send,
+        sendUpdate: (to, update) =>
+            send(to, { type: "configurationUpdate", ...update, digest: getDigest(currentTime) }),
+    });
+    const confirmer = createConfirmer({
+        self: identity.router,
+        random,
+        listRoutable,
+        getMember,
+        ask: (to, sequence) => send(to, { type: "probe", sequence, updates: [], digest: getDigest(currentTime) }),
+    });
+
+    /** Follows the time that has passed. Runs before anything else, so that a resumed process is stale at once. */
+    const updateState = (now: number) => {
+        const next = freshness.getState(now);
+        if (next === state) return;
+        log(freshnessEvent, { from: state, to: next, revision, ageMs: Math.round(freshness.getAge(now)) });
+        state = next;
+        emit({ type: "raise", event: { type: "freshnessChanged", now, freshness: next } });
+    };
+
+    const logChanges = (changed: readonly Resource[]) => {
+        if (changed.length > maxChangesLogged) {
+            log(appliedBatchEvent, { count: changed.length, revision });
+            return;
+        }
+        for (const { kind, name, version, deleted } of changed)
+            log(appliedEvent, { kind, name, version, revision, deleted: deleted === true });
+    };
+
+    /** Applies changes that complete the range up to `update.revision`, and passes on what was new. */
+    const applyRange = (update: UpdateRange, from: string | undefined) => {
+        const previous = revision;
+        const changed = update.resources.filter(table.apply);
+        if (update.fromRevision <= revision) revision = Math.max(revision, update.revision);
+        if (revision > previous) freshness.reachRevision(revision);
+        if (changed.length === 0) return;
+        logChanges(changed);
+        emit({ type: "raise", event: { type: "configurationApplied", now: currentTime, changed, revision } });
+        // Bulk changes reach the other routers by repair, which sends them once instead of several times.
+        if (previous === 0 || changed.length > maxResourcesPerUpdate) return;
+        const resources = revision > previous ? table.listChangedAfter(previous) : changed;
+        spread.push({ resources, fromRevision: previous, revision }, from);
+    };
+
+    const recordCheck = (failed: boolean, now: number) => {
+        freshness.recordCheck(failed, now);
+        if (failed === storeFailed) return;
+        storeFailed = failed;
+        log(failed ? storeUnreachableEvent : storeReachableEvent, { revision });
+    };
+
+    const onStoreAnswer = (event: ConfigurationReadEvent | ConfigurationChangedEvent) => {
+        const isRead = event.type === "configurationRead";
+        const isOwnWrite = !isRead && event.ownWrite === true;
+        if (!isOwnWrite) {
+            const isLate = caller.recordAnswer(isRead ? "readConfiguration" : "watchConfiguration", event.now);
+            recordCheck(isLate, event.now);
+        }
+        const fromRevision = isRead ? 0 : event.fromRevision;
+        const isComplete = fromRevision <= revision;
+        applyRange({ resources: event.resources, fromRevision, revision: event.revision }, undefined);
+        if (isComplete) freshness.confirm(event.askedAt, "store");
+        advanceCalls(event.now);
+    };
+
+    const onUnavailable = (event: Extract<RouterEvent, { readonly type: "platformUnavailable"; }>) => {
+        if (event.call === "listHosts") caller.recordHosts();
+        if (event.call !== "readConfiguration" && event.call !== "watchConfiguration") return;
+        const isGone = event.revisionGone === true;
+        caller.recordFailure(event.call, isGone, event.now);
+        recordCheck(!isGone, event.now);
+        if (isGone) log(revisionGoneEvent, { revision });
+    };
+
+    const onPeerRevision = (router: string, peerRevision: number) => {
+        peerRevisions.set(router, { router, revision: peerRevision, heardAt: currentTime });
+        if (peerRevision > revision) spread.request(router, revision, currentTime);
+    };
+
+    const onUpdate = (from: string, message: ConfigurationUpdateMessage) => {
+        applyRange(message, from);
+        if (message.digest.revision <= revision) spread.endRequest();
+        onPeerRevision(from, message.digest.revision);
+    };
+
+    const onProbeAck = ({ router, sequence, digest }: ProbeAckMessage) => {
+        const sentAt = confirmer.getSentAt(sequence) ?? membership.getProbeSentAt?.(sequence);
+        if (sentAt !== undefined) freshness.readAnswer(router, digest, sentAt, revision);
+        onPeerRevision(router, digest.revision);
+        countVotes(currentTime);
+    };
+
+    const onRequest = (from: string, fromRevision: number) => {
+        if (revision <= fromRevision) return;
+        spread.answer(from, { resources: table.listChangedAfter(fromRevision), fromRevision, revision });
+    };
+
+    const onPeerMessage = (from: string, message: PeerMessage) => {
+        if (message.type === "probe") onPeerRevision(from, message.digest.revision);
+        else if (message.type === "probeAck") onProbeAck(message);
+        else if (message.type === "configurationUpdate") onUpdate(from, message);
+        else if (message.type === "configurationRequest") onRequest(from, message.revision);
+    };
+
+    const countVotes = (now: number) => {
+        if (freshness.getStoreAge(now) < suspectAfterMs) return;
+        freshness.countVotes(now, revision, {
+            listed: membership.countListed(),
+            listedAlive: membership.countListedAlive(),
+            isListed: router => membership.isListed?.(router) ?? true,
+        });
+    };
+
+    /** A router that peers do not keep up to date calls the store itself, like a watcher. */
+    const chooseRole = (now: number): CallerRole => {
+        if (domainRoles.isWatcher) return "watcher";
+        const waitedMs = Math.min(freshness.getPeerAge(now), now - (startedAt ?? now));
+        return waitedMs >= suspectAfterMs ? "suspect" : "none";
+    };
+
+    const advanceCalls = (now: number) => {
+        if (routable !== listRoutable()) {
+            routable = listRoutable();
+            domainRoles = findDomainRoles(identity.router, identity.failureDomain, routable);
+        }
+        const next = chooseRole(now);
+        if (next !== role) log(roleEvent, { from: role, to: next });
+        role = next;
+        caller.advance(now, revision, role);
+    };
+
+    const onTick = (now: number) => {
+        advanceCalls(now);
+        if (caller.isOverdue(now)) recordCheck(true, now);
+        countVotes(now);
+        const ages = { storeAge: freshness.getStoreAge(now), age: freshness.getAge(now) };
+        confirmer.advance(now, ages, domainRoles.sources);
+    };
+
+    const onHostsListed = (hosts: readonly HostEntry[]) => {
+        caller.recordHosts();
+        const leaving = hosts.filter(host => host.role === "target" && host.state === "leaving");
+        leavingTargets = new Set(leaving.map(host => host.name));
+    };
+
+    const onMembershipChanged = (router: string, memberState: MemberState) => {
+        if (memberState !== "dead" && memberState !== "left") return;
+        peerRevisions.delete(router);
+        freshness.forgetPeer(router);
+    };
+
+    const reduce = (event: RouterEvent): readonly Effect[] => {
+        effects = [];
+        currentTime = event.now;
+        startedAt ??= event.now;
+        updateState(event.now);
+        if (event.type === "tick") onTick(event.now);
+        else if (event.type === "configurationRead" || event.type === "configurationChanged") onStoreAnswer(event);
+        else if (event.type === "platformUnavailable") onUnavailable(event);
+        else if (event.type === "peerMessage") onPeerMessage(event.from, event.message);
+        else if (event.type === "hostsListed") onHostsListed(event.hosts);
+        else if (event.type === "membershipChanged") onMembershipChanged(event.router, event.state);
+        updateState(event.now);
+        return effects;
+    };
+
+    const isTargetOpen = (service: string, target: string): boolean => {
+        const found = table.find("services", service)?.spec.targets.find(entry => entry.name === target);
+        if (found === undefined || leavingTargets.has(target)) return false;
+        return table.find("failuredomains", found.failureDomain)?.spec.state !== "out";
+    };
+
+    return {
+        reduce,
+        listServices: table.listServices,
+        getService: name => {
+            const found = table.find("services", name);
+            return found === undefined ? undefined : { name, version: found.version, spec: found.spec };
+        },
+        getWorkspace: name => table.find("workspaces", name)?.spec,
+        getFailureDomain: name => table.find("failuredomains", name)?.spec,
+        isTargetOpen,
+        getFreshness: () => state,
+        getDigest,
+        listResources: table.list,
+        getRevision: () => revision,
+        listPeerRevisions: () => [...peerRevisions.values()],
+    };
+}
--- /dev/null
+++ b/packages/configuration/src/createStoreCaller.ts
@@ -0,0 +1,126 @@
+/** Calls to the platform's store: at most one read or watch at a time, with backoff, and the host list. */
+import type { Effect } from "@rhubarbwheel/types/effects";
+
+import {
+    callLostAfterMs,
+    callPaceMsPerRouter,
+    callSpacingMs,
+    firstBackoffMs,
+    listHostsIntervalMs,
+    listHostsLostAfterMs,
+    maxBackoffMs,
+    readGraceMs,
+    watchGraceMs,
+    watchJitterMs,
+    watchTimeoutMs,
+} from "./configurationSettings.js";
+
+export type CallerRole = "watcher" | "suspect" | "none";
+
+interface OutstandingCall {
+    readonly call: "readConfiguration" | "watchConfiguration";
+    readonly sentAt: number;
+    readonly timeoutMs: number;
+}
+
+export interface StoreCaller {
+    /** Sends the next call if one is due. */
+    readonly advance: (now: number, revision: number, role: CallerRole) => void;
+    /** Records an answer; returns whether it came too late to count as a working store. */
+    readonly recordAnswer: (call: OutstandingCall["call"], now: number) => boolean;
+    /** Records a call that failed, or whose revision the store no longer holds. */
+    readonly recordFailure: (call: OutstandingCall["call"], revisionGone: boolean, now: number) => void;
+    /** Whether a call has been without an answer for so long that the store counts as unreachable. */
+    readonly isOverdue: (now: number) => boolean;
+    readonly recordHosts: () => void;
+}
+
+export interface StoreCallerOptions {
+    readonly random: () => number;
+    readonly countListed: () => number;
+    readonly emit: (effect: Effect) => void;
+}
+
+export function createStoreCaller(opts: StoreCallerOptions): StoreCaller {
+    const { random, emit } = opts;
+    let outstanding: OutstandingCall | undefined;
+    let mustRead = true;
+    let backoffMs = 0;
+    let nextCallAt: number | undefined;
+    let lastRole: CallerRole = "none";
+    let nextListAt: number | undefined;
+    let listSentAt: number | undefined;
+
+    const getPace = () => callPaceMsPerRouter * opts.countListed();
+
+    const isOverdue = (now: number) => {
+        if (outstanding === undefined) return false;
+        const graceMs = outstanding.call === "readConfiguration" ? readGraceMs : watchGraceMs;
+        return now - outstanding.sentAt > outstanding.timeoutMs + graceMs;
+    };
+
+    const sendCall = (now: number, revision: number) => {
+        if (mustRead) {
+            outstanding = { call: "readConfiguration", sentAt: now, timeoutMs: 0 };
+            emit({ type: "readConfiguration" });
+            return;
+        }
+        // After a failure the store is asked for an immediate answer, so that its return is noticed at once.
+        const timeoutMs = backoffMs > 0 ? 0 : Math.round(watchTimeoutMs - random() * watchJitterMs);
+        outstanding = { call: "watchConfiguration", sentAt: now, timeoutMs };
+        emit({ type: "watchConfiguration", afterRevision: revision, timeoutMs });
+    };
+
+    const advanceCalls = (now: number, revision: number, role: CallerRole) => {
+        // Routers that begin to call at the same moment are spread over the time that the pace allows for.
+        if (role !== "none" && lastRole === "none") nextCallAt = Math.max(nextCallAt ?? 0, now + random() * getPace());
+        lastRole = role;
+        if (outstanding !== undefined && now - outstanding.sentAt > callLostAfterMs) outstanding = undefined;
+        if (role === "none" || outstanding !== undefined || now < (nextCallAt ?? now)) return;
+        sendCall(now, revision);
+    };
+
+    const advanceHosts = (now: number) => {
+        const intervalMs = Math.max(listHostsIntervalMs, getPace());
+        nextListAt ??= now + random() * Math.min(intervalMs, listHostsIntervalMs);
+        if (listSentAt !== undefined && now - listSentAt > listHostsLostAfterMs) listSentAt = undefined;
+        if (now < nextListAt || listSentAt !== undefined) return;
+        nextListAt = now + intervalMs * (0.9 + 0.1 * random());
+        listSentAt = now;
+        emit({ type: "listHosts" });
+    };
+
+    const takeOutstanding = (call: OutstandingCall["call"]) => {
+        const taken = outstanding?.call === call ? outstanding : undefined;
+        if (taken !== undefined) outstanding = undefined;
+        return taken;
+    };
+
+    return {
+        advance: (now, revision, role) => {
+            advanceCalls(now, revision, role);
+            advanceHosts(now);
+        },
+        recordAnswer: (call, now) => {
+            const late = isOverdue(now);
+            const taken = takeOutstanding(call);
+            if (call === "readConfiguration") mustRead = false;
+            backoffMs = 0;
+            nextCallAt = taken === undefined ? now : Math.max(now, taken.sentAt + callSpacingMs);
+            return late;
+        },
+        recordFailure: (call, revisionGone, now) => {
+            takeOutstanding(call);
+            if (revisionGone) {
+                mustRead = true;
+                nextCallAt = now + random() * firstBackoffMs;
+                return;
+            }
+            backoffMs = Math.min(maxBackoffMs, Math.max(firstBackoffMs, 2 * backoffMs));
+            const waitMs = lastRole === "watcher" ? backoffMs : Math.max(backoffMs, getPace());
+            nextCallAt = now + waitMs * (0.5 + 0.5 * random());
+        },
+        isOverdue,
+        recordHosts: () => void (listSentAt = undefined),
+    };
+}
--- /dev/null
+++ b/packages/membership/src/createMembership.ts
@@ -0,0 +1,271 @@
+/**
+ * Membership slice: SWIM-style probing, suspicion and refutation. Raises `membershipChanged` for each change of state or
+ * incarnation. Work per round is bounded, whatever the size of the fleet.
+ */
+import type { Effect } from "@rhubarbwheel/types/effects";
+import type { PeerMessageEvent, RouterEvent } from "@rhubarbwheel/types/events";
+import type {
+    ConfigurationDigest,
+    MemberState,
+    MemberUpdate,
+    PeerMessage,
+    ProbeAckMessage,
+    ProbeMessage,
+    ProbeRequestMessage,
+} from "@rhubarbwheel/types/peer-messages";
+import type { HostEntry } from "@rhubarbwheel/types/resources";
+import type { Member, MembershipQueries, RouterIdentity, Slice } from "@rhubarbwheel/types/slices";
+
+import { type Candidate, createMemberTable, isRoutable } from "./createMemberTable.js";
+import { createProber } from "./createProber.js";
+import { createUpdateQueue } from "./createUpdateQueue.js";
+import {
+    leavingPeerCount,
+    maxUpdatesForJoiner,
+    pauseThresholdMs,
+    relayTimeoutMs,
+    suspicionTimeoutMs,
+} from "./membershipSettings.js";
+
+export interface MembershipOptions {
+    readonly identity: RouterIdentity;
+    readonly seeds: readonly Candidate[];
+    /** Seeded source of random numbers in [0, 1). */
+    readonly random: () => number;
+    readonly getDigest: (now: number) => ConfigurationDigest;
+}
+
+/** Queries of this slice beyond the shared contract. */
+export interface ProbeQueries {
+    /** Time at which this router sent the probe; whatever its acknowledgement says was observed later than that. */
+    readonly getProbeSentAt: (sequence: number) => number | undefined;
+    /** Whether the settings or the host list name the router. */
+    readonly isListed: (router: string) => boolean;
+}
+
+const stateEvents: Readonly<Record<MemberState, number>> = { alive: 1300, suspect: 1301, dead: 1302, left: 1303 };
+const refutedEvent = 1304;
+const forgottenEvent = 1305;
+const pausedEvent = 1306;
+
+interface Relay {
+    readonly requester: string;
+    readonly sequence: number;
+    readonly expiresAt: number;
+}
+
+export function createMembership(opts: MembershipOptions): Slice & MembershipQueries & ProbeQueries {
+    const { identity, random } = opts;
+    const table = createMemberTable(identity, opts.seeds);
+    const queue = createUpdateQueue();
+    const suspicionDeadlines = new Map<string, number>();
+    const relays = new Map<number, Relay>();
+    let own: MemberUpdate = { ...identity, state: "alive" };
+    let effects: Effect[] = [];
+    let currentTime = 0;
+    let lastEventAt: number | undefined;
+    let nextForgetAt = 0;
+
+    const log = (event: number, fields: Readonly<Record<string, string | number>>) =>
+        effects.push({ type: "log", event, fields });
+
+    const send = (to: { readonly router: string; readonly address: string; }, message: PeerMessage) =>
+        effects.push({ type: "sendToPeer", router: to.router, address: to.address, message });
+
+    /** A member that is not alive here is told so, which lets it refute. */
+    const composeUpdates = (to: string): readonly MemberUpdate[] => {
+        const known = table.get(to);
+        const updates = queue.take(table.listRoutable().length).filter(update => update.router !== identity.router);
+        return known === undefined || known.state === "alive" ? [own, ...updates] : [own, known, ...updates];
+    };
+
+    const prober = createProber({
+        identity,
+        table,
+        random,
+        sendProbe: (to, message) =>
+            send(to, { ...message, updates: composeUpdates(to.router), digest: opts.getDigest(currentTime) }),
+        sendRequest: (to, message) => send(to, { ...message, updates: composeUpdates(to.router) }),
+        suspect: router => suspect(router),
+    });
+    prober.addCandidates(opts.seeds.filter(seed => seed.router !== identity.router));
+    queue.push(own);
+
+    const publishChange = (member: Member) => {
+        const { router, state, incarnation } = member;
+        effects.push({
+            type: "raise",
+            event: { type: "membershipChanged", now: currentTime, router, state, incarnation },
+        });
+        log(stateEvents[state], { router, incarnation, failureDomain: member.failureDomain });
+    };
+
+    const applyUpdate = (update: MemberUpdate) => {
+        if (update.router === identity.router) {
+            refute(update);
+            return;
+        }
+        const before = table.get(update.router);
+        if (!table.apply(update, currentTime)) return;
+        queue.push(update);
+        if (update.state === "suspect") suspicionDeadlines.set(update.router, currentTime + suspicionTimeoutMs);
+        else suspicionDeadlines.delete(update.router);
+        if (isRoutable(update) && !isRoutable(before)) prober.addMember(update.router);
+        if (before !== undefined || isRoutable(update)) publishChange(update);
+    };
+
+    /** Announces a higher incarnation when others take this router for suspect, dead or a later process. */
+    const refute = (update: MemberUpdate) => {
+        const isOutdated = update.state === "alive"
+            ? update.incarnation <= own.incarnation
+            : update.incarnation < own.incarnation;
+        if (isOutdated || own.state === "left") return;
+        own = { ...own, incarnation: update.incarnation + 1 };
+        table.apply(own, currentTime);
+        queue.push(own);
+        log(refutedEvent, { router: identity.router, incarnation: own.incarnation, claimed: update.state });
+    };
+
+    const suspect = (router: string) => {
+        const member = table.get(router);
+        if (member?.state === "alive") applyUpdate({ ...member, state: "suspect" });
+    };
+
+    const expireSuspicions = (now: number) => {
+        for (const [router, deadline] of suspicionDeadlines) {
+            const member = table.get(router);
+            if (now >= deadline && member !== undefined) applyUpdate({ ...member, state: "dead" });
+        }
+    };
+
+    /** Tells a joiner about members chosen at random; it learns the rest from further probes and updates. */
+    const composeJoinUpdates = (joiner: string): readonly MemberUpdate[] => {
+        const routable = table.listRoutable();
+        const chosen = new Set<Member>();
+        const draws = routable.length <= maxUpdatesForJoiner ? 0 : maxUpdatesForJoiner;
+        for (let draw = 0; draw < draws; draw++) chosen.add(routable[Math.floor(random() * routable.length)] as Member);
+        const members = draws === 0 ? routable : [...chosen];
+        return members.filter(member => member.router !== joiner && member.router !== identity.router);
+    };
+
+    const onProbe = (from: string, message: ProbeMessage) => {
+        const before = table.get(from);
+        message.updates.forEach(applyUpdate);
+        const sender = table.get(from);
+        if (sender === undefined) return;
+        const joins = !isRoutable(before) || (before?.incarnation ?? 0) < sender.incarnation;
+        const updates = joins ? [...composeUpdates(from), ...composeJoinUpdates(from)] : composeUpdates(from);
+        const { sequence } = message;
+        send(sender, {
+            type: "probeAck",
+            sequence,
+            router: identity.router,
+            updates,
+            digest: opts.getDigest(currentTime),
+        });
+    };
+
+    const onProbeAck = (message: ProbeAckMessage) => {
+        message.updates.forEach(applyUpdate);
+        prober.acknowledge(message.sequence, message.router);
+        const relay = relays.get(message.sequence);
+        const requester = relay === undefined ? undefined : table.get(relay.requester);
+        if (relay === undefined || requester === undefined) return;
+        relays.delete(message.sequence);
+        send(requester, {
+            type: "probeAck",
+            sequence: relay.sequence,
+            router: message.router,
+            updates: message.updates.filter(update => update.router === message.router),
+            digest: message.digest,
+        });
+    };
+
+    const onProbeRequest = (from: string, message: ProbeRequestMessage) => {
+        message.updates.forEach(applyUpdate);
+        const member = table.get(message.router);
+        if (member === undefined) return;
+        const sequence = prober.probeOnBehalf(member, currentTime);
+        relays.set(sequence, {
+            requester: from,
+            sequence: message.sequence,
+            expiresAt: currentTime + relayTimeoutMs,
+        });
+    };
+
+    const onPeerMessage = ({ from, message }: PeerMessageEvent) => {
+        if (message.type === "probe") onProbe(from, message);
+        else if (message.type === "probeAck") onProbeAck(message);
+        else if (message.type === "probeRequest") onProbeRequest(from, message);
+        else if (message.type === "leaving") applyUpdate(message.update);
+    };
+
+    const onUnreachable = (router: string) => {
+        const member = table.get(router);
+        if (member?.state !== "alive") return;
+        suspect(router);
+        prober.probeIndirectly(router, prober.probe(member, currentTime));
+    };
+
+    const onHostsListed = (hosts: readonly HostEntry[]) => {
+        const routers = hosts.filter(host => host.role === "router")
+            .map(({ name, address, failureDomain }) => ({ router: name, address, failureDomain }));
+        const added = routers.filter(({ router }) => !table.isListed(router) && table.get(router) === undefined);
+        table.setListed(routers);
+        prober.addCandidates(added);
+    };
+
+    const leave = () => {
+        if (own.state === "left") return;
+        own = { ...own, state: "left" };
+        table.apply(own, currentTime);
+        queue.push(own);
+        const peers = table.listRoutable().filter(member => member.router !== identity.router);
+        const start = Math.floor(random() * peers.length);
+        for (const peer of [...peers.slice(start), ...peers.slice(0, start)].slice(0, leavingPeerCount))
+            send(peer, { type: "leaving", update: own });
+        publishChange(own);
+    };
+
+    /** After a pause of this process its timers say nothing about others, so they start again. */
+    const detectPause = (now: number) => {
+        const gap = now - (lastEventAt ?? now);
+        lastEventAt = now;
+        if (gap < pauseThresholdMs) return;
+        prober.reset();
+        for (const router of suspicionDeadlines.keys()) suspicionDeadlines.set(router, now + suspicionTimeoutMs);
+        log(pausedEvent, { gapMs: gap });
+    };
+
+    const onTick = (now: number) => {
+        prober.advance(now);
+        expireSuspicions(now);
+        for (const [sequence, relay] of relays) if (now >= relay.expiresAt) relays.delete(sequence);
+        if (now < nextForgetAt) return;
+        nextForgetAt = now + suspicionTimeoutMs;
+        for (const router of table.forget(now)) log(forgottenEvent, { router });
+    };
+
+    const reduce = (event: RouterEvent): readonly Effect[] => {
+        effects = [];
+        currentTime = event.now;
+        detectPause(event.now);
+        if (event.type === "tick") onTick(event.now);
+        else if (event.type === "peerMessage") onPeerMessage(event);
+        else if (event.type === "peerUnreachable") onUnreachable(event.router);
+        else if (event.type === "hostsListed") onHostsListed(event.hosts);
+        else if (event.type === "drainRequested") leave();
+        return effects;
+    };
+
+    return {
+        reduce,
+        listRoutable: table.listRoutable,
+        getMember: table.get,
+        countListed: table.countListed,
+        countListedAlive: table.countListedAlive,
+        findCoordinator: table.findCoordinator,
+        getProbeSentAt: prober.getSentAt,
+        isListed: table.isListed,
+    };
+}
--- a/packages/types/src/events.ts
+++ b/packages/types/src/events.ts
@@ -127,6 +127,8 @@
     readonly resources: readonly Resource[];
     /** Latest time as of which the store is known to have answered. */
     readonly askedAt: number;
+    /** Set when an accepted write of this router is reported, and not the answer to `watchConfiguration`. */
+    readonly ownWrite?: boolean;
 }
 
 export interface PlatformUnavailableEvent extends At {
--- a/packages/types/src/peer-messages.ts
+++ b/packages/types/src/peer-messages.ts
@@ -18,9 +18,9 @@
     readonly revision: number;
     /** Time since the sender's configuration was last confirmed; `undefined` when it never was. */
     readonly confirmedAgeMs?: number;
-    /** Whether the sender's own last call to the platform's store failed. */
+    /** Whether the sender's last call to the platform's store failed or, if it made none, calls of its peers failed. */
     readonly storeUnreachable: boolean;
-    /** Time since the sender learned its store reachability directly; `undefined` when it does not call the store. */
+    /** Time since the call on which `storeUnreachable` is based, the sender's or a peer's; `undefined` without any. */
     readonly storeCheckedAgeMs?: number;
 }
 
