Add the HTTP server and the idempotency slice

Change: packages/http-server (callers, operators, health, responder, checks against request smuggling) and packages/at-most-once (keys, records, forwarding, answer store).

--- /dev/null
+++ b/packages/at-most-once/src/computeFingerprint.ts
@@ -0,0 +1,12 @@
+/** Fingerprint of a call, by which a key that is reused for another call is recognised. */
+import type { Call } from "@rhubarbwheel/types/ports";
+import { createHash } from "node:crypto";
+
+/** SHA-256 (hex) of service, method, path and body. */
+export function computeFingerprint(
+    call: Pick<Call, "service" | "method" | "path"> & { readonly body: Uint8Array; },
+): string {
+    // JSON keeps the parts apart, whatever characters they contain.
+    return createHash("sha256").update(JSON.stringify([call.service, call.method, call.path])).update("\n")
+        .update(call.body).digest("hex");
+}
--- a/packages/error/src/routerError.ts
+++ b/packages/error/src/routerError.ts
@@ -60,6 +60,11 @@
         "Correct the body; the message names the field.",
     ],
     HEADER_INVALID: [400, "A header is not acceptable.", "Remove the header that the message names."],
+    PATH_INVALID: [
+        400,
+        "The request path is not acceptable.",
+        "Send a path that starts with a single / and has no dot segments or control characters.",
+    ],
     QUEUE_FULL: [429, "Too many requests of this workspace are waiting.", "Retry after the time in Retry-After."],
     QUEUE_TIMEOUT: [503, "No capacity became free in time.", "Retry after the time in Retry-After."],
     NO_TARGET: [
--- /dev/null
+++ b/packages/http-server/src/createCallerRoutes.ts
@@ -0,0 +1,135 @@
+/** Routes of callers: chat completions, plain services, and minting of idempotency keys. */
+import Router from "@koa/router";
+import type { Call } from "@rhubarbwheel/types/ports";
+import type { Context } from "koa";
+import type { IncomingMessage } from "node:http";
+import { createCallResponder } from "./createCallResponder.js";
+import type { Directory } from "./createDirectory.js";
+import type { OpenCallLimit } from "./createOpenCallLimit.js";
+import type { CallDescription } from "./describeCall.js";
+import { describeModelCall, describePlainCall } from "./describeCall.js";
+import { filterRequestHeaders } from "./filterHeaders.js";
+import type { HttpServerOptions } from "./httpServerOptions.js";
+import { readBody } from "./readBody.js";
+import { RequestError } from "./requestError.js";
+
+export interface CallerRoutesOptions
+    extends Pick<HttpServerOptions, "configuration" | "submitCall" | "cancelCall" | "mintKey" | "limits"> {
+    readonly directory: Directory;
+    readonly openCallLimit: OpenCallLimit;
+}
+
+interface Target {
+    readonly path: string;
+    readonly describe: (body: Buffer) => CallDescription;
+}
+
+export const keyHeader = "idempotency-key";
+
+// A key that the caller chose; minted keys are longer, because they contain the name of a router.
+const chosenKeyPattern = /^[A-Za-z0-9._-]{1,128}$/;
+const mintedKeyPattern = /^rw1\.[A-Za-z0-9._-]{1,400}$/;
+
+export function createCallerRoutes(opts: CallerRoutesOptions): Router {
+    const { configuration, directory, limits } = opts;
+
+    const authenticate = (req: IncomingMessage): string => {
+        if (configuration.getFreshness() === "empty") throw new RequestError("CONFIGURATION_EMPTY");
+        const workspace = directory.findWorkspace(readBearerToken(req));
+        if (workspace === undefined) throw new RequestError("CREDENTIAL_UNKNOWN");
+        return workspace;
+    };
+
+    const acceptCall = async (ctx: Context, findTarget: () => Target): Promise<void> => {
+        const { req, res } = ctx;
+        const workspace = authenticate(req);
+        const callerKey = readCallerKey(req);
+        const target = findTarget();
+        // A message without framing cannot show a broken answer to a caller that speaks HTTP/1.0.
+        if (req.httpVersion !== "1.1") throw new RequestError("HEADER_INVALID", { detail: "HTTP/1.1 is required." });
+        res.once("close", opts.openCallLimit.openCall(workspace));
+        const body = await readBody(req, res, limits.maxBodyBytes);
+        const description = target.describe(body);
+        ctx.respond = false;
+        submit(ctx, { workspace, callerKey, path: target.path, body, description });
+    };
+
+    const submit = (ctx: Context, accepted: AcceptedCall): void => {
+        const id = ctx.state["requestId"] as string;
+        const { description } = accepted;
+        // A key acts on calls that must not run twice; a repeatable call needs no record of its answer.
+        const key = description.idempotent ? undefined : accepted.callerKey ?? opts.mintKey();
+        const responder = createCallResponder({
+            res: ctx.res,
+            requestId: id,
+            headers: key === undefined ? {} : { [keyHeader]: key },
+            limits,
+            onHangUp: () => opts.cancelCall(id),
+        });
+        const call: Call = {
+            ...description,
+            id,
+            workspace: accepted.workspace,
+            method: ctx.req.method ?? "GET",
+            path: accepted.path,
+            headers: filterRequestHeaders(ctx.req.headers),
+            body: accepted.body,
+            responder,
+            ...(key === undefined ? {} : { callerKey: key }),
+        };
+        try {
+            opts.submitCall(call);
+        }
+        catch {
+            responder.fail({ code: "INTERNAL", outcome: "unknown" });
+        }
+    };
+
+    const router = new Router();
+    router.post("/v1/chat/completions", ctx =>
+        acceptCall(ctx, () => ({
+            path: ctx.req.url ?? "",
+            describe: body => describeModelCall(body, directory.findServiceByModel),
+        })));
+    router.all("/services/:service{/*path}", ctx => acceptCall(ctx, () => findPlainTarget(ctx, configuration)));
+    router.post("/v1/keys", ctx => {
+        authenticate(ctx.req);
+        ctx.status = 201;
+        ctx.set("rhubarbwheel-outcome", "complete");
+        ctx.body = { key: opts.mintKey() };
+    });
+    return router;
+}
+
+interface AcceptedCall {
+    readonly workspace: string;
+    readonly callerKey: string | undefined;
+    readonly path: string;
+    readonly body: Buffer;
+    readonly description: CallDescription;
+}
+
+function findPlainTarget(ctx: Context, configuration: HttpServerOptions["configuration"]): Target {
+    const { url = "", method = "GET" } = ctx.req;
+    const [, name = "", rest = ""] = /^\/services\/([^/?]+)(.*)$/.exec(url) ?? [];
+    const service = configuration.getService(name);
+    if (service === undefined) throw new RequestError("SERVICE_UNKNOWN");
+    if (service.spec.kind !== "plain")
+        throw new RequestError("SERVICE_UNKNOWN", { detail: "Models are called at /v1/chat/completions." });
+    const path = rest.startsWith("/") ? rest : `/${rest}`;
+    return { path, describe: () => describePlainCall(service, method, path) };
+}
+
+function readBearerToken(req: IncomingMessage): string {
+    const [, token] = /^Bearer +([\u0021-\u007e]+)$/i.exec(req.headers.authorization ?? "") ?? [];
+    if (token === undefined) throw new RequestError("CREDENTIAL_MISSING");
+    return token;
+}
+
+function readCallerKey(req: IncomingMessage): string | undefined {
+    const key = req.headers[keyHeader];
+    if (key === undefined) return undefined;
+    if (typeof key !== "string" || !(chosenKeyPattern.test(key) || mintedKeyPattern.test(key)))
+        throw new RequestError("KEY_MALFORMED");
+    return key;
+}
--- /dev/null
+++ b/packages/http-server/test/callers.test.ts
@@ -0,0 +1,276 @@
+/** Guards against callers that get a wrong status, a wrong outcome, another call's rights, or an answer that only looks complete. */
+import type { Call } from "@rhubarbwheel/types/ports";
+import { connect } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { callerHeaders, chat, startTestServer, waitUntil } from "./startTestServer.js";
+
+const completions = "/v1/chat/completions";
+
+// Each row: what is wrong, request, status and code.
+const refusals: readonly [string, string, string, Record<string, string>, string, number, string][] = [
+    ["no credential", "POST", completions, {}, chat(), 401, "CREDENTIAL_MISSING"],
+    ["unknown credential", "POST", completions, { authorization: "Bearer x" }, chat(), 401, "CREDENTIAL_UNKNOWN"],
+    [
+        "workspace header instead of a credential",
+        "POST",
+        completions,
+        { "rhubarbwheel-workspace": "oryx" },
+        chat(),
+        401,
+        "CREDENTIAL_MISSING",
+    ],
+    ["unknown service", "POST", "/services/none/x", callerHeaders, "", 404, "SERVICE_UNKNOWN"],
+    ["model called as a plain service", "POST", "/services/assistant/x", callerHeaders, "", 404, "SERVICE_UNKNOWN"],
+    ["unknown model", "POST", completions, callerHeaders, chat({ model: "huge" }), 404, "MODEL_UNKNOWN"],
+    ["over-limit body", "POST", completions, callerHeaders, "x".repeat(2001), 413, "BODY_TOO_LARGE"],
+    [
+        "over-limit chunked body",
+        "POST",
+        completions,
+        { ...callerHeaders, "transfer-encoding": "chunked" },
+        "x".repeat(2001),
+        413,
+        "BODY_TOO_LARGE",
+    ],
+    ["malformed JSON", "POST", completions, callerHeaders, "{", 400, "BODY_MALFORMED"],
+    ["JSON that is no object", "POST", completions, callerHeaders, "[]", 400, "BODY_MALFORMED"],
+    ["no messages", "POST", completions, callerHeaders, chat({ messages: [] }), 400, "BODY_MALFORMED"],
+    [
+        "malformed key",
+        "POST",
+        "/services/desk/o",
+        { ...callerHeaders, "idempotency-key": "a b" },
+        "",
+        400,
+        "KEY_MALFORMED",
+    ],
+    ["dot segments", "GET", "/services/desk/stock/../orders", callerHeaders, "", 400, "PATH_INVALID"],
+    ["encoded dot segments", "GET", "/services/desk/stock/%2e%2E%2forders", callerHeaders, "", 400, "PATH_INVALID"],
+    ["absolute-form target", "GET", "http://other/services/desk/stock", callerHeaders, "", 400, "PATH_INVALID"],
+    ["unknown route", "GET", "/v2/x", callerHeaders, "", 404, "ROUTE_UNKNOWN"],
+    ["wrong method", "GET", completions, callerHeaders, "", 405, "METHOD_NOT_ALLOWED"],
+];
+
+for (const [name, method, path, headers, body, status, code] of refusals) {
+    test(`${name}: ${code}, notRun, nothing submitted`, async () => {
+        const server = await startTestServer();
+        const received = await server.send(method, path, headers, body);
+        const { error } = JSON.parse(received.body) as { error: Record<string, string>; };
+        assert.equal([received.status, error["code"], error["outcome"]], [status, code, "notRun"]);
+        assert.is(received.headers["rhubarbwheel-outcome"], "notRun");
+        assert.is(received.headers["rhubarbwheel-request-id"], error["requestId"]);
+        assert.is(server.calls.length, 0);
+        await server.close();
+    });
+}
+
+const start = "POST /services/desk/o HTTP/1.1\r\nhost: a\r\nauthorization: Bearer oryx-token\r\nconnection: close\r\n";
+const smuggling: readonly [string, string][] = [
+    ["two lengths", `${start}content-length: 1\r\ncontent-length: 2\r\n\r\nab`],
+    ["length and coding", `${start}content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n`],
+    ["unknown coding", `${start}transfer-encoding: xchunked\r\n\r\n0\r\n\r\n`],
+    ["two credentials", `${start}authorization: Bearer kudu-token\r\n\r\n`],
+    ["control character", `${start}x-note: a\u0001b\r\n\r\n`],
+    ["bare carriage return", `${start}x-note: a\rx: b\r\n\r\n`],
+    ["space before the colon", `${start}content-length : 1\r\n\r\na`],
+    ["folded header", `${start}x-note: a\r\n b: c\r\n\r\n`],
+    ["HTTP/1.0", start.replace("HTTP/1.1", "HTTP/1.0") + "\r\n"],
+];
+
+for (const [name, text] of smuggling) {
+    test(`header smuggling, ${name}: 400 and nothing submitted`, async () => {
+        const server = await startTestServer();
+        const received = await server.sendRaw(text);
+        assert.match(received, /^HTTP\/1\.1 400 .*HEADER_INVALID/s);
+        assert.is(server.calls.length, 0);
+        await server.close();
+    });
+}
+
+test("a call reaches the reducer with its estimate and without credentials, hop-by-hop and router headers", async () => {
+    const server = await startTestServer();
+    const headers = {
+        ...callerHeaders,
+        "rhubarbwheel-workspace": "kudu",
+        "x-keep": "1",
+        connection: "x-drop",
+        "x-drop": "1",
+    };
+    await server.send("POST", completions, headers, chat({ max_tokens: 10, stream: true }));
+    await server.send("POST", "/services/desk/orders?x=1", headers, "order");
+    await server.send("GET", "/services/desk/stock/7", headers);
+    await server.send("GET", "/services/desk/stocktaking", { ...headers, "idempotency-key": "k-1" });
+    const shown = server.calls.map(call => [
+        call.workspace,
+        call.service,
+        call.path,
+        call.idempotent,
+        call.streaming,
+        call.inputCost,
+        call.outputCostHint,
+        call.callerKey?.slice(0, 4),
+        Object.keys(call.headers).filter(name => name !== "idempotency-key").join(),
+    ]);
+    assert.equal(shown, [
+        ["oryx", "assistant", completions, true, true, 9, 20, undefined, "x-keep"],
+        ["oryx", "desk", "/orders?x=1", false, false, 5, undefined, "rw1.", "x-keep"],
+        ["oryx", "desk", "/stock/7", true, false, 5, undefined, undefined, "x-keep"],
+        ["oryx", "desk", "/stocktaking", false, false, 5, undefined, "k-1", "x-keep"],
+    ]);
+    assert.is(typeof server.calls[0]?.prefixHash, "number");
+    await server.close();
+});
+
+const broken = { code: "TARGET_BROKEN", outcome: "unknown" } as const;
+const full = { code: "QUEUE_TIMEOUT", outcome: "notRun", retryAfterMs: 2500 } as const;
+const sse = { "content-type": "text/event-stream" };
+const plain = { "content-type": "text/plain", "content-length": "4" };
+const half = Buffer.from("data");
+
+// Each row: what the target did, and what the caller gets: status, broken connection, body.
+const endings: readonly [string, (call: Call) => void, number, boolean, RegExp][] = [
+    ["fails before it begins", call => call.responder.fail(broken), 502, false, /TARGET_BROKEN.*"unknown"/],
+    ["is not run", call => call.responder.fail(full), 503, false, /QUEUE_TIMEOUT.*"notRun"/],
+    [
+        "completes a stream",
+        call => {
+            call.responder.begin(200, sse);
+            call.responder.write(Buffer.from("data: [DONE]\n\n"));
+            call.responder.finish();
+        },
+        200,
+        false,
+        /^data: \[DONE\]\n\n$/,
+    ],
+    [
+        "breaks a stream",
+        call => {
+            call.responder.begin(200, sse);
+            call.responder.write(half);
+            call.responder.fail(broken);
+        },
+        200,
+        true,
+        /^data\n\nevent: error\ndata: \{"error":\{"code":"TARGET_BROKEN".*\n\n$/,
+    ],
+    [
+        "breaks a plain answer",
+        call => {
+            call.responder.begin(200, { "content-type": "text/plain" });
+            call.responder.write(half);
+            call.responder.fail(broken);
+        },
+        200,
+        true,
+        /^data$/,
+    ],
+    [
+        "ends short of its length",
+        call => {
+            call.responder.begin(200, { ...plain, "content-length": "5" });
+            call.responder.write(half);
+            call.responder.finish();
+        },
+        200,
+        true,
+        /^data$/,
+    ],
+    ["answers with an invalid status", call => call.responder.begin(99, {}), 502, false, /TARGET_ANSWER_INVALID/],
+    [
+        "ends twice",
+        call => {
+            call.responder.begin(200, plain);
+            call.responder.write(half);
+            call.responder.finish();
+            call.responder.fail(broken);
+        },
+        200,
+        false,
+        /^data$/,
+    ],
+];
+
+for (const [name, submitCall, status, isBroken, body] of endings) {
+    test(`the caller of a target that ${name} sees exactly that`, async () => {
+        const server = await startTestServer({ submitCall });
+        const received = await server.send("POST", "/services/desk/o", callerHeaders);
+        assert.equal([received.status, received.broken], [status, isBroken]);
+        assert.match(received.body, body);
+        assert.match(received.headers["idempotency-key"] ?? "", /^rw1\./);
+        assert.is(received.headers["retry-after"], name === "is not run" ? "3" : undefined);
+        assert.equal(server.cancelled, []);
+        await server.close();
+    });
+}
+
+test("a caller that hangs up has its call cancelled, once", async () => {
+    const held: Call[] = [];
+    const server = await startTestServer({ submitCall: call => held.push(call) });
+    const socket = connect(server.port, "127.0.0.1", () => socket.write(`${start}\r\n`));
+    await waitUntil(() => held.length === 1);
+    socket.destroy();
+    await waitUntil(() => server.cancelled.length > 0);
+    held[0]?.responder.fail(broken);
+    assert.equal(server.cancelled, [held[0]?.id]);
+    await server.close();
+});
+
+for (const limits of [{ slowReaderTimeoutMs: 20 }, { maxBufferedBytes: 1024 * 1024 }]) {
+    test(`a caller that reads nothing is cut off by ${Object.keys(limits).join()}`, async () => {
+        let drained: Promise<void> | undefined;
+        const server = await startTestServer({
+            limits,
+            submitCall: call => {
+                call.responder.begin(200, sse);
+                call.responder.write(Buffer.alloc(32 * 1024 * 1024));
+                drained = call.responder.waitForDrain();
+                drained.catch(() => undefined);
+            },
+        });
+        const socket = connect(server.port, "127.0.0.1", () => socket.write(`${start}\r\n`));
+        socket.pause();
+        socket.on("error", () => undefined);
+        await waitUntil(() => server.cancelled.length === 1);
+        const result = await drained?.then(() => "drained", () => "rejected");
+        assert.is(result, "rejected");
+        socket.destroy();
+        await server.close();
+    });
+}
+
+test("a workspace that floods is refused at its own limit while another is served; ended calls free their place", async () => {
+    const held: Call[] = [];
+    const server = await startTestServer({
+        limits: { maxOpenCallsPerWorkspace: 2 },
+        submitCall: call => held.push(call),
+    });
+    const first = [1, 2].map(() => server.send("POST", "/services/desk/o", callerHeaders));
+    await waitUntil(() => held.length === 2);
+    const third = await server.send("POST", "/services/desk/o", callerHeaders);
+    assert.equal([third.status, third.headers["retry-after"]], [429, "1"]);
+    assert.match(third.body, /QUEUE_FULL.*"notRun"/);
+    const other = server.send("POST", "/services/desk/o", { authorization: "Bearer kudu-token" });
+    await waitUntil(() => held.length === 3);
+    held.splice(0).forEach(call => call.responder.fail(full));
+    await Promise.all([...first, other]);
+    const again = server.send("POST", "/services/desk/o", callerHeaders);
+    await waitUntil(() => held.length === 1);
+    held[0]?.responder.fail(full);
+    assert.is((await again).status, 503);
+    await server.close();
+});
+
+test("close lets an open call finish and accepts no further connection", async () => {
+    const held: Call[] = [];
+    const server = await startTestServer({ submitCall: call => held.push(call) });
+    const open = server.send("POST", "/services/desk/o", callerHeaders);
+    await waitUntil(() => held.length === 1);
+    const closed = server.close();
+    assert.is(await server.send("GET", "/livez").catch((error: { code: string; }) => error.code), "ECONNREFUSED");
+    held[0]?.responder.fail(full);
+    assert.is((await open).status, 503);
+    await closed;
+});
+
+test.run();
--- /dev/null
+++ b/packages/http-server/test/startTestServer.ts
@@ -0,0 +1,176 @@
+/** Starts the HTTP server on a free port with fakes behind it, and sends requests to it. */
+import type { Call, PlatformClient } from "@rhubarbwheel/types/ports";
+import type { Resource, ResourceKind, ResourceOf } from "@rhubarbwheel/types/resources";
+import { createHash } from "node:crypto";
+import { request } from "node:http";
+import { connect } from "node:net";
+import { createHttpServer } from "../src/createHttpServer.js";
+import type { HttpServerOptions } from "../src/httpServerOptions.js";
+
+const hashToken = (token: string): string => createHash("sha256").update(token).digest("hex");
+
+function createResource<K extends ResourceKind>(kind: K, name: string, spec: ResourceOf<K>["spec"]): ResourceOf<K> {
+    return { kind, name, version: 3, revision: 7, spec };
+}
+
+const target = { name: "t1", address: "http://127.0.0.1:1", failureDomain: "a" };
+const resources = [
+    createResource("workspaces", "oryx", { share: 1, credentialHashes: [hashToken("oryx-token")] }),
+    createResource("workspaces", "kudu", { share: 1, credentialHashes: [hashToken("kudu-token")] }),
+    createResource("services", "desk", {
+        kind: "plain",
+        targets: [target],
+        targetLimit: 1,
+        coldLimit: 1,
+        costPerCall: 5,
+        idempotentRoutes: [{ method: "GET", pathPrefix: "/stock" }],
+    }),
+    createResource("services", "assistant", {
+        kind: "model",
+        targets: [target],
+        targetLimit: 1,
+        coldLimit: 1,
+        models: ["small"],
+    }),
+] as readonly Resource[];
+
+export interface Received {
+    readonly status: number;
+    readonly headers: Record<string, string | undefined>;
+    readonly body: string;
+    /** Whether the connection broke before the answer was complete. */
+    readonly broken: boolean;
+}
+
+export interface TestServer {
+    readonly port: number;
+    readonly calls: Call[];
+    readonly cancelled: string[];
+    readonly writes: Parameters<PlatformClient["writeResource"]>[0][];
+    readonly emitChange: (resource: Resource) => void;
+    readonly send: (method: string, path: string, headers?: Record<string, string>, body?: string) => Promise<Received>;
+    /** Sends raw text and resolves with everything received until the connection closes. */
+    readonly sendRaw: (text: string) => Promise<string>;
+    readonly close: () => Promise<void>;
+}
+
+export const callerHeaders = { authorization: "Bearer oryx-token" };
+export const operatorHeaders = { authorization: "Bearer operator-secret" };
+export const chat = (fields: object = {}): string =>
+    JSON.stringify({ model: "small", messages: [{ role: "user", content: "hello" }], ...fields });
+
+type Overrides = Partial<Omit<HttpServerOptions, "limits">> & {
+    readonly limits?: Partial<HttpServerOptions["limits"]>;
+};
+
+export async function startTestServer(overrides: Overrides = {}): Promise<TestServer> {
+    const calls: Call[] = [];
+    const cancelled: string[] = [];
+    const writes: TestServer["writes"] = [];
+    const watchers = new Set<(resource: Resource) => void>();
+    let ids = 0;
+    let keys = 0;
+    const listResources = <K extends ResourceKind>(kind: K): ResourceOf<K>[] =>
+        resources.filter(resource => resource.kind === kind) as ResourceOf<K>[];
+    const server = createHttpServer({
+        configuration: {
+            listResources,
+            getRevision: () => 7,
+            getFreshness: () => "fresh",
+            getWorkspace: () => undefined,
+            listServices: () => listResources("services"),
+            getService: name => listResources("services").find(service => service.name === name),
+        },
+        submitCall: call => {
+            calls.push(call);
+            call.responder.begin(200, { "content-type": "text/plain" });
+            call.responder.write(Buffer.from("done"));
+            call.responder.finish();
+        },
+        cancelCall: id => cancelled.push(id),
+        mintKey: () => `rw1.cg.1.${++keys}-aaaaaaaaaaaaaaaaaaaaaa`,
+        createId: () => `id-${++ids}`,
+        writeResource: write => {
+            writes.push(write);
+            const resource = { ...write, version: write.expectedVersion + 1, revision: 8 } as unknown as Resource;
+            return Promise.resolve({ type: "accepted", resource });
+        },
+        readResource: (kind, name) =>
+            Promise.resolve({ type: "read", value: listResources(kind).find(resource => resource.name === name) }),
+        listConfiguration: () => Promise.resolve({ type: "read", value: { revision: 7, resources } }),
+        watchResources: (_afterRevision, onChange) => {
+            watchers.add(onChange);
+            return () => watchers.delete(onChange);
+        },
+        getStatus: () => ({ router: "r1" }),
+        getReadiness: () => ({ ready: true, reason: "ready" }),
+        operatorToken: "operator-secret",
+        validateResource: (_kind, _name, spec) => {
+            const problems = [{ field: "spec.share", problem: "is 0", remedy: "Use a number above 0." }];
+            const isInvalid = (spec as { share?: number; }).share === 0;
+            return { ok: !isInvalid, err: isInvalid, val: isInvalid ? problems : spec } as never;
+        },
+        ...overrides,
+        limits: {
+            maxBodyBytes: 2000,
+            maxHeaderBytes: 8000,
+            maxOpenCalls: 100,
+            maxOpenCallsPerWorkspace: 50,
+            maxConnections: 100,
+            slowReaderTimeoutMs: 30_000,
+            maxBufferedBytes: 16 * 1024 * 1024,
+            ...overrides.limits,
+        },
+    });
+    const { port } = await server.listen("127.0.0.1", 0);
+    return {
+        port,
+        calls,
+        cancelled,
+        writes,
+        emitChange: resource => watchers.forEach(onChange => onChange(resource)),
+        send: (method, path, headers = {}, body = "") => sendRequest(port, method, path, headers, body),
+        sendRaw: text => sendRawText(port, text),
+        close: server.close,
+    };
+}
+
+function sendRequest(
+    port: number,
+    method: string,
+    path: string,
+    headers: Record<string, string>,
+    body: string,
+): Promise<Received> {
+    return new Promise((resolve, reject) => {
+        const sent = request({ port, host: "127.0.0.1", method, path, headers, agent: false }, res => {
+            let text = "";
+            res.setEncoding("utf8").on("data", (chunk: string) => (text += chunk));
+            res.on("error", () => undefined);
+            res.on("close", () =>
+                resolve({
+                    status: res.statusCode ?? 0,
+                    headers: res.headers as Received["headers"],
+                    body: text,
+                    broken: !res.complete,
+                }));
+        });
+        sent.on("error", reject);
+        sent.end(body);
+    });
+}
+
+function sendRawText(port: number, text: string): Promise<string> {
+    return new Promise(resolve => {
+        let received = "";
+        const socket = connect(port, "127.0.0.1", () => socket.write(text));
+        socket.setEncoding("utf8").on("data", (chunk: string) => (received += chunk));
+        socket.on("error", () => undefined);
+        socket.on("close", () => resolve(received));
+    });
+}
+
+/** Resolves when the condition holds; the test file's time limit ends a wait that never does. */
+export async function waitUntil(condition: () => boolean): Promise<void> {
+    while (!condition()) await new Promise(resolve => setImmediate(resolve));
+}
