Add entry queue and pool coordinator

Cause: the fleet needs queues per workspace and slots that are granted in order of virtual time. Change: both factories with their slices; TargetState carries limit and start id, VirtualTimeCopy the target states, and GrantTotal an optional count of completed requests, because a new coordinator could not tell warm targets from cold ones and a coordinator could not see completed requests.

--- /dev/null
+++ b/packages/fair-share/src/announcePool.ts
@@ -0,0 +1,94 @@
+/** Announcements of a coordinator to the entry routers that report to it. */
+import type {
+    GrantTotal,
+    PoolAnnouncementMessage,
+    TargetState,
+    WorkspaceVirtualTime,
+} from "@rhubarbwheel/types/peer-messages";
+import { announceIntervalBusyMs, announceIntervalIdleMs } from "./constants.js";
+import {
+    computeLimit,
+    type CoordinatedWorkspace,
+    type CoordinatorContext,
+    type CoordinatorPool,
+    type RouterRecord,
+} from "./coordinatorPool.js";
+import { computeEffectiveTime, listUnserved } from "./grantSlots.js";
+
+function listTargetStates(pool: CoordinatorPool): TargetState[] {
+    return [...pool.targets.values()].filter(target => target.generation > 0).map(target => ({
+        target: target.spec.name,
+        generation: target.generation,
+        condition: target.condition,
+        limit: target.condition === "cold" ? target.coldLimit : computeLimit(pool, target),
+        ...(target.startId === undefined ? {} : { startId: target.startId }),
+    }));
+}
+
+/** Virtual time by which a workspace may be ahead: one request of the most expensive workspace that waits. */
+export function computeAllowance(waiting: readonly CoordinatedWorkspace[]): number {
+    let allowance = 0;
+    for (const workspace of waiting) allowance = Math.max(allowance, workspace.estimatedCost / workspace.share);
+    return allowance;
+}
+
+/**
+ * A router serves its own queues in order of virtual time, so only workspaces that wait elsewhere limit what it may reuse.
+ * `waiting` is in order of virtual time.
+ */
+function computeCeiling(record: RouterRecord, waiting: readonly CoordinatedWorkspace[], allowance: number): number {
+    const elsewhere = waiting.find(workspace => !workspace.queuedAt.has(record.router));
+    return elsewhere === undefined ? Number.MAX_VALUE : elsewhere.virtualTime + allowance;
+}
+
+function listVirtualTimes(pool: CoordinatorPool, record: RouterRecord): WorkspaceVirtualTime[] {
+    const times: WorkspaceVirtualTime[] = [];
+    for (const workspace of pool.workspaces.values()) {
+        if (record.usage.has(workspace.workspace))
+            times.push({ workspace: workspace.workspace, virtualTime: workspace.virtualTime });
+    }
+    return times;
+}
+
+function listGranted(pool: CoordinatorPool, record: RouterRecord): GrantTotal[] {
+    const granted: GrantTotal[] = [];
+    for (const [target, { generation, total }] of record.issued) {
+        if (total > 0 && pool.targets.get(target)?.generation === generation)
+            granted.push({ target, generation, total });
+    }
+    return granted;
+}
+
+/** Sends the announcements that are due on a tick or must not wait for one. */
+export function announcePool(context: CoordinatorContext, pool: CoordinatorPool, onTick: boolean): void {
+    const { now } = context;
+    const interval = pool.contended ? announceIntervalBusyMs : announceIntervalIdleMs;
+    const due = [...pool.routers.values()].filter(record =>
+        record.inTenure && (record.announce || (onTick && now - record.lastAnnouncedAt >= interval))
+    );
+    if (due.length === 0) return;
+    const waiting = listUnserved(pool).sort((a, b) => computeEffectiveTime(a) - computeEffectiveTime(b));
+    const allowance = computeAllowance(waiting);
+    const targets = listTargetStates(pool);
+    for (const record of due) {
+        const member = context.membership.getMember(record.router);
+        if (member === undefined) continue;
+        record.announce = false;
+        record.lastAnnouncedAt = now;
+        pool.version += 1;
+        const message: PoolAnnouncementMessage = {
+            type: "poolAnnouncement",
+            pool: pool.name,
+            incarnation: record.incarnation,
+            version: pool.version,
+            reportSequence: record.sequence,
+            granted: listGranted(pool, record),
+            poolVirtualTime: pool.poolVirtualTime,
+            virtualTimes: listVirtualTimes(pool, record),
+            ceiling: computeCeiling(record, waiting, allowance),
+            contended: pool.contended,
+            targets,
+        };
+        context.effects.push({ type: "sendToPeer", router: record.router, address: member.address, message });
+    }
+}
--- /dev/null
+++ b/packages/fair-share/src/applyAnnouncement.ts
@@ -0,0 +1,51 @@
+/** Effect of a coordinator's announcement on the pool of an entry router. */
+import type { PoolAnnouncementMessage } from "@rhubarbwheel/types/peer-messages";
+import { type EntryPool, getHeldTarget, type WorkspaceQueue } from "./entryPool.js";
+import { evictReported } from "./reportPool.js";
+import { applyGrant, applyTargetState } from "./slotTable.js";
+
+function applyVirtualTime(queue: WorkspaceQueue, virtualTime: number, ackedSequence: number): void {
+    const covered = queue.reported[0];
+    queue.baseTime = virtualTime;
+    // Without a report that covers the workspace, the announced time contains none of its cost here.
+    queue.baseCost = covered !== undefined && covered.sequence <= ackedSequence ? covered.totalCost : 0;
+}
+
+function applyTimes(pool: EntryPool, message: PoolAnnouncementMessage): void {
+    pool.ackedSequence = Math.max(pool.ackedSequence, message.reportSequence);
+    pool.poolVirtualTime = message.poolVirtualTime;
+    pool.ceiling = message.ceiling;
+    for (const queue of pool.workspaces.values()) evictReported(queue, pool.ackedSequence);
+    for (const entry of message.virtualTimes) {
+        const queue = pool.workspaces.get(entry.workspace);
+        if (queue !== undefined) applyVirtualTime(queue, entry.virtualTime, pool.ackedSequence);
+    }
+    pool.copy = {
+        version: message.version,
+        poolVirtualTime: message.poolVirtualTime,
+        entries: message.virtualTimes,
+        targets: message.targets,
+    };
+}
+
+/** Applies the announcement. Returns false if it is older than one that was applied before. */
+export function applyAnnouncement(pool: EntryPool, message: PoolAnnouncementMessage, now: number): boolean {
+    if (message.version <= (pool.copy?.version ?? 0)) {
+        // A coordinator that lost its state starts with low versions until it is told the last one.
+        if (message.reportSequence >= pool.ackedSequence) pool.sendCopy = true;
+        return false;
+    }
+    applyTimes(pool, message);
+    pool.lastAnnouncementAt = now;
+    pool.sendCopy = false;
+    for (const state of message.targets)
+        if (applyTargetState(getHeldTarget(pool, state.target), state) > 0) pool.urgent = true;
+
+    for (const grant of message.granted)
+        if (applyGrant(getHeldTarget(pool, grant.target), grant) > 0) pool.changed = true;
+
+    // Requests that the coordinator does not know of yet may be waiting although slots are free elsewhere.
+    if (pool.contended && !message.contended && pool.backlogged.size > 0) pool.urgent = true;
+    pool.contended = message.contended;
+    return true;
+}
--- /dev/null
+++ b/packages/fair-share/src/applyReport.ts
@@ -0,0 +1,168 @@
+/** Includes the report of an entry router in the coordinator's state. */
+import type { PoolReportMessage } from "@rhubarbwheel/types/peer-messages";
+import {
+    type CoordinatorContext,
+    type CoordinatorPool,
+    createRouterRecord,
+    getCoordinatedWorkspace,
+    logCoordinatorEvent,
+    type RouterRecord,
+} from "./coordinatorPool.js";
+import { raiseGeneration, removeCounts, removePending, updateCount } from "./countSlots.js";
+import { handleObservation } from "./targetStates.js";
+
+/** Removes a router that is gone. */
+export function removeRouter(context: CoordinatorContext, pool: CoordinatorPool, record: RouterRecord): void {
+    removePending(pool, record, () => true);
+    removeCounts(pool, record, context.now);
+    for (const workspace of pool.workspaces.values()) workspace.queuedAt.delete(record.router);
+    pool.routers.delete(record.router);
+    for (const target of pool.targets.values()) if (target.unaccounted.count > 0) target.polledAt = -Infinity;
+    logCoordinatorEvent(context, "routerLost", { pool: pool.name, router: record.router });
+}
+
+function findRecord(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    from: string,
+    message: PoolReportMessage,
+): RouterRecord | undefined {
+    const known = pool.routers.get(from);
+    if (known?.incarnation === message.incarnation) return message.sequence > known.sequence ? known : undefined;
+    if (known !== undefined) {
+        if (message.incarnation < known.incarnation) return undefined;
+        removeRouter(context, pool, known);
+    }
+    const record = createRouterRecord(from, message.incarnation);
+    for (const target of pool.targets.values())
+        record.issued.set(target.spec.name, { generation: target.generation, total: 0 });
+    pool.routers.set(from, record);
+    return record;
+}
+
+/** Takes over what a former coordinator announced to the router. */
+function applyCopy(context: CoordinatorContext, pool: CoordinatorPool, message: PoolReportMessage): void {
+    const { copy } = message;
+    if (copy === undefined) return;
+    pool.version = Math.max(pool.version, copy.version);
+    pool.poolVirtualTime = Math.max(pool.poolVirtualTime, copy.poolVirtualTime);
+    for (const entry of copy.entries) {
+        const workspace = getCoordinatedWorkspace(context, pool, entry.workspace);
+        workspace.virtualTime = Math.max(workspace.virtualTime, entry.virtualTime);
+    }
+    if (pool.takeoverUntil === undefined) return;
+    for (const state of copy.targets) {
+        const target = pool.targets.get(state.target);
+        if (target === undefined || copy.version <= target.stateVersion) continue;
+        target.stateVersion = copy.version;
+        if (state.generation > target.generation) raiseGeneration(pool, target, state.generation, context.now);
+        if (target.startId !== undefined && state.startId !== undefined && target.startId !== state.startId) continue;
+        target.startId ??= state.startId;
+        target.condition = state.condition;
+        target.coldLimit = state.limit;
+    }
+}
+
+/** Sets the totals up to which the virtual times already contain the router's cost. */
+function setBaseline(record: RouterRecord, message: PoolReportMessage): void {
+    const baseline = (workspace: string, totalCost: number) => {
+        const usage = record.usage.get(workspace);
+        if (usage === undefined) record.usage.set(workspace, { totalCost, queued: 0, pending: 0 });
+        else usage.totalCost = totalCost;
+    };
+    if (message.copy !== undefined) {
+        for (const entry of message.totalsInCopy) baseline(entry.workspace, entry.totalCost);
+    }
+    // A router that knows generations has had announcements before: its cost was counted by a coordinator that is gone.
+    else if (message.granted.length > 0 && record.usage.size === 0) {
+        for (const entry of message.usage) baseline(entry.workspace, entry.totalCost);
+    }
+}
+
+function applyUsage(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    record: RouterRecord,
+    message: PoolReportMessage,
+): void {
+    const listed = new Set<string>();
+    for (const entry of message.usage) {
+        listed.add(entry.workspace);
+        const workspace = getCoordinatedWorkspace(context, pool, entry.workspace);
+        let usage = record.usage.get(entry.workspace);
+        if (usage === undefined) {
+            usage = { totalCost: 0, queued: 0, pending: 0 };
+            record.usage.set(entry.workspace, usage);
+        }
+        workspace.virtualTime += (entry.totalCost - usage.totalCost) / workspace.share;
+        usage.totalCost = entry.totalCost;
+        usage.queued = entry.queued;
+        if (entry.queued === 0) {
+            workspace.queuedAt.delete(record.router);
+            continue;
+        }
+        // A workspace that starts to wait has no credit from idle time.
+        if (workspace.queuedAt.size === 0)
+            workspace.virtualTime = Math.max(workspace.virtualTime, pool.poolVirtualTime);
+        workspace.estimatedCost = entry.estimatedCost;
+        workspace.queuedAt.set(record.router, usage);
+    }
+    // A workspace that the report leaves out has nothing waiting.
+    for (const [name, usage] of record.usage) {
+        if (usage.queued === 0 || listed.has(name)) continue;
+        usage.queued = 0;
+        pool.workspaces.get(name)?.queuedAt.delete(record.router);
+    }
+}
+
+function applyGranted(pool: CoordinatorPool, record: RouterRecord, message: PoolReportMessage, now: number): void {
+    for (const grant of message.granted) {
+        const target = pool.targets.get(grant.target);
+        if (target === undefined) continue;
+        if (grant.generation > target.generation) raiseGeneration(pool, target, grant.generation, now);
+        const before = record.confirmed.get(grant.target);
+        if (grant.generation === target.generation && grant.completed !== undefined) {
+            const counted = before?.generation === grant.generation ? before.completed ?? 0 : 0;
+            target.completed += Math.max(0, grant.completed - counted);
+        }
+        record.confirmed.set(grant.target, grant);
+        if (grant.generation >= (record.carried.get(grant.target)?.untilGeneration ?? Infinity))
+            record.carried.delete(grant.target);
+        const issued = record.issued.get(grant.target);
+        if (issued === undefined || grant.generation > issued.generation)
+            record.issued.set(grant.target, { generation: grant.generation, total: grant.total });
+        else if (grant.generation === issued.generation) issued.total = Math.max(issued.total, grant.total);
+    }
+    removePending(pool, record, grant => {
+        const confirmed = record.confirmed.get(grant.target);
+        return confirmed !== undefined
+            && (confirmed.generation > grant.generation
+                || (confirmed.generation === grant.generation && confirmed.total >= grant.total));
+    });
+}
+
+/** Returns false if the report is older than one that was included before. */
+export function applyReport(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    from: string,
+    message: PoolReportMessage,
+): boolean {
+    const record = findRecord(context, pool, from, message);
+    if (record === undefined) return false;
+    const first = !record.inTenure;
+    record.sequence = message.sequence;
+    record.inTenure = true;
+    applyCopy(context, pool, message);
+    if (first) setBaseline(record, message);
+    applyUsage(context, pool, record, message);
+    record.slots = message.slots;
+    applyGranted(pool, record, message, context.now);
+    for (const target of pool.targets.values()) {
+        const change = updateCount(record, target, context.now);
+        if (!first && change < 0) target.returned -= change;
+    }
+    for (const observation of message.observations) handleObservation(context, pool, observation);
+    if (first) record.announce = true;
+    return true;
+}
--- /dev/null
+++ b/packages/fair-share/src/coordinatorPool.ts
@@ -0,0 +1,247 @@
+/** State of one pool at its coordinator. */
+import type { Effect, LogEffect } from "@rhubarbwheel/types/effects";
+import type { NamedService } from "@rhubarbwheel/types/events";
+import type { GrantTotal, SlotCount, TargetCondition } from "@rhubarbwheel/types/peer-messages";
+import type { TargetSpec } from "@rhubarbwheel/types/resources";
+import type { ConfigurationQueries, MembershipQueries, RouterIdentity } from "@rhubarbwheel/types/slices";
+
+/** A grant that no report has confirmed yet. */
+export interface PendingGrant {
+    readonly workspace: string;
+    readonly target: string;
+    readonly generation: number;
+    /** Cumulative total of the grant: a report with this total confirms it. */
+    readonly total: number;
+    readonly cost: number;
+}
+
+export interface WorkspaceRecord {
+    totalCost: number;
+    queued: number;
+    /** Slots granted for the queued requests since the report. */
+    pending: number;
+}
+
+/** What the coordinator knows about one entry router. */
+export interface RouterRecord {
+    readonly router: string;
+    readonly incarnation: number;
+    sequence: number;
+    /** Whether the router has reported since the takeover began. */
+    inTenure: boolean;
+    readonly usage: Map<string, WorkspaceRecord>;
+    slots: readonly SlotCount[];
+    /** Grant totals that the router has confirmed, by target. */
+    readonly confirmed: Map<string, GrantTotal>;
+    /** Grant totals issued under the current generation, by target. */
+    readonly issued: Map<string, { generation: number; total: number; }>;
+    /** Unconfirmed grants of older generations; they count until the router confirms `untilGeneration`. */
+    readonly carried: Map<string, { untilGeneration: number; count: number; }>;
+    pending: PendingGrant[];
+    /** Slots that this router adds to the sums of each target. */
+    readonly counted: Map<string, { taken: number; unused: number; }>;
+    lastAnnouncedAt: number;
+    /** An announcement is due in this step. */
+    announce: boolean;
+}
+
+export interface CoordinatedWorkspace {
+    readonly workspace: string;
+    virtualTime: number;
+    share: number;
+    estimatedCost: number;
+    /** Routers at which requests wait. */
+    readonly queuedAt: Map<string, WorkspaceRecord>;
+    /** Estimated cost of unconfirmed grants. */
+    pendingCost: number;
+}
+
+export interface TargetLease {
+    askedAt: number;
+    result?: "held" | "taken" | "unavailable";
+    validUntil: number;
+    takenAt: number;
+}
+
+export interface CoordinatedTarget {
+    spec: TargetSpec;
+    /** 0 until the state is known or the target is taken as new. */
+    generation: number;
+    condition: TargetCondition;
+    /** Limit during a cold start. */
+    coldLimit: number;
+    startId?: string;
+    /** Version of the announcement from which the state was taken over. */
+    stateVersion: number;
+    /** Slots are granted only after a load report has arrived since the target was new, refused or closed. */
+    confirmed: boolean;
+    /** A failure was observed; the next load report decides whether the target is cold. */
+    suspect?: "refused" | "broken";
+    /** Completed requests since the limit was raised last. */
+    completed: number;
+    taken: number;
+    unused: number;
+    /** Running requests that no record accounts for, from the last two load reports. */
+    foreign: number;
+    lastForeign: number;
+    /** Slots that may be in use although no report accounts for them, until a load report sampled after `since`. */
+    unaccounted: { count: number; since: number; };
+    /** Slots returned during a takeover, which may be granted again. */
+    returned: number;
+    /** Greatest number of slots this side of a partition may grant. */
+    partitionCap: number;
+    idleReports: number;
+    /** Recent values of `taken` with the time since which they hold. */
+    readonly history: { readonly at: number; readonly taken: number; }[];
+    running?: number;
+    polledAt: number;
+    pollPending: boolean;
+    readonly lease: TargetLease;
+    mayGrantCold: boolean;
+    /** Whether the target was warm when it was closed. */
+    warmWhenClosed: boolean;
+}
+
+export interface CoordinatorPool {
+    readonly name: string;
+    service: NamedService;
+    /** Time since which this router is the coordinator; `undefined` while it is not. */
+    since?: number;
+    takeoverUntil?: number;
+    version: number;
+    poolVirtualTime: number;
+    readonly workspaces: Map<string, CoordinatedWorkspace>;
+    readonly targets: Map<string, CoordinatedTarget>;
+    readonly routers: Map<string, RouterRecord>;
+    contended: boolean;
+    /** Part of the listed routers that are alive, and time since which they are the majority. */
+    aliveRatio: number;
+    majoritySince?: number;
+}
+
+export interface CoordinatorContext {
+    readonly identity: RouterIdentity;
+    readonly membership: MembershipQueries;
+    readonly configuration: ConfigurationQueries;
+    readonly pools: Map<string, CoordinatorPool>;
+    now: number;
+    effects: Effect[];
+}
+
+/** Numbers of the log events of the pool coordinator. */
+export const coordinatorLogEvents = {
+    slotsGranted: 1200,
+    targetChanged: 1201,
+    takeoverStarted: 1202,
+    takeoverEnded: 1203,
+    coordinationStopped: 1204,
+    leaseAnswered: 1205,
+    routerLost: 1206,
+    contentionChanged: 1207,
+} as const;
+
+export function logCoordinatorEvent(
+    context: CoordinatorContext,
+    event: keyof typeof coordinatorLogEvents,
+    fields: LogEffect["fields"],
+): void {
+    context.effects.push({ type: "log", event: coordinatorLogEvents[event], fields });
+}
+
+export function createCoordinatorPool(service: NamedService): CoordinatorPool {
+    return {
+        name: service.name,
+        service,
+        version: 0,
+        poolVirtualTime: 0,
+        workspaces: new Map(),
+        targets: new Map(),
+        routers: new Map(),
+        contended: false,
+        aliveRatio: 1,
+    };
+}
+
+export function createCoordinatedTarget(spec: TargetSpec): CoordinatedTarget {
+    return {
+        spec,
+        generation: 0,
+        condition: "cold",
+        coldLimit: 0,
+        stateVersion: 0,
+        confirmed: false,
+        completed: 0,
+        taken: 0,
+        unused: 0,
+        foreign: 0,
+        lastForeign: 0,
+        unaccounted: { count: 0, since: 0 },
+        returned: 0,
+        partitionCap: Infinity,
+        idleReports: 0,
+        history: [],
+        polledAt: -Infinity,
+        pollPending: false,
+        lease: { askedAt: -Infinity, validUntil: -Infinity, takenAt: -Infinity },
+        mayGrantCold: false,
+        warmWhenClosed: false,
+    };
+}
+
+export function createRouterRecord(router: string, incarnation: number): RouterRecord {
+    return {
+        router,
+        incarnation,
+        sequence: 0,
+        inTenure: false,
+        usage: new Map(),
+        slots: [],
+        confirmed: new Map(),
+        issued: new Map(),
+        carried: new Map(),
+        pending: [],
+        counted: new Map(),
+        lastAnnouncedAt: -Infinity,
+        announce: false,
+    };
+}
+
+export function getCoordinatedWorkspace(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    name: string,
+): CoordinatedWorkspace {
+    let workspace = pool.workspaces.get(name);
+    if (workspace === undefined) {
+        workspace = {
+            workspace: name,
+            virtualTime: pool.poolVirtualTime,
+            share: context.configuration.getWorkspace(name)?.share ?? 1,
+            estimatedCost: 0,
+            queuedAt: new Map(),
+            pendingCost: 0,
+        };
+        pool.workspaces.set(name, workspace);
+    }
+    return workspace;
+}
+
+export function isTargetOpen(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): boolean {
+    return context.configuration.isTargetOpen(pool.name, target.spec.name);
+}
+
+/** Limit that applies to the target at present. */
+export function computeLimit(pool: CoordinatorPool, target: CoordinatedTarget): number {
+    if (target.condition === "closed" || !target.confirmed || target.suspect !== undefined) return 0;
+    const { targetLimit } = pool.service.spec;
+    return target.condition === "cold" ? Math.min(target.coldLimit, targetLimit) : targetLimit;
+}
+
+/** Number of slots of the target that may be granted now. */
+export function computeAvailable(pool: CoordinatorPool, target: CoordinatedTarget): number {
+    if (target.condition === "cold" && !target.mayGrantCold) return 0;
+    const limit = computeLimit(pool, target);
+    const foreign = target.foreign + target.unaccounted.count;
+    const free = Math.min(limit - foreign, target.partitionCap) - target.taken;
+    return Math.max(0, pool.takeoverUntil === undefined ? free : Math.min(free, target.returned));
+}
--- /dev/null
+++ b/packages/fair-share/src/endAttempt.ts
@@ -0,0 +1,190 @@
+/** What happens when an attempt makes progress or ends: accounting, retries and resumption. */
+import type { TargetAcceptedEvent, TargetEndedEvent, TargetProgressEvent } from "@rhubarbwheel/types/events";
+import type { TargetObservation } from "@rhubarbwheel/types/peer-messages";
+import { averageWeight, slowCount, slowFactor, slowMinimumMs } from "./constants.js";
+import { dispatchRequests, sendAttempt } from "./dispatchRequests.js";
+import {
+    closeRequest,
+    endRequest,
+    type EntryContext,
+    isActive,
+    logEntryEvent,
+    settleCost,
+    type TrackedRequest,
+} from "./entryContext.js";
+import { addWaiting, type EntryPool, getHeldTarget, recordCost, type RunningRequest } from "./entryPool.js";
+import { recordCompletion, releaseSlot } from "./slotTable.js";
+
+/** Stops the reuse of a target's slots until the coordinator, which is told at once, has raised the generation. */
+function suspendTarget(
+    context: EntryContext,
+    pool: EntryPool,
+    running: RunningRequest,
+    kind: TargetObservation["kind"],
+    startId?: string,
+): void {
+    const held = getHeldTarget(pool, running.target);
+    if (held.generation !== running.generation || held.suspended !== undefined) return;
+    held.suspended = { target: held.target, generation: held.generation, kind, ...(startId ? { startId } : {}) };
+    held.free = 0;
+    pool.changed = true;
+    pool.urgent = true;
+    logEntryEvent(context, "targetSuspended", { pool: pool.name, target: held.target, kind });
+}
+
+function checkStartId(
+    context: EntryContext,
+    pool: EntryPool,
+    running: RunningRequest,
+    startId: string | undefined,
+): boolean {
+    const held = getHeldTarget(pool, running.target);
+    if (startId === undefined || held.generation !== running.generation) return true;
+    held.startId ??= startId;
+    if (held.startId === startId) return true;
+    suspendTarget(context, pool, running, "startIdChanged", startId);
+    return false;
+}
+
+/** Suspends a target whose time to accept requests has grown suddenly and repeatedly. */
+function checkLatency(context: EntryContext, pool: EntryPool, running: RunningRequest): void {
+    const elapsed = context.now - running.dispatchedAt;
+    const latency = pool.latencies.get(running.target) ?? { average: elapsed, slowInRow: 0 };
+    pool.latencies.set(running.target, latency);
+    if (elapsed > slowMinimumMs && elapsed > slowFactor * latency.average) {
+        latency.slowInRow += 1;
+        if (latency.slowInRow < slowCount) return;
+        suspendTarget(context, pool, running, "slow");
+        pool.latencies.delete(running.target);
+        return;
+    }
+    latency.slowInRow = 0;
+    latency.average += averageWeight * (elapsed - latency.average);
+}
+
+/** Finds the attempt that an event belongs to; events of earlier attempts are ignored. */
+function findAttempt(
+    context: EntryContext,
+    event: { readonly requestId: string; readonly attempt: number; },
+): { tracked: TrackedRequest; running: RunningRequest; } | undefined {
+    const tracked = context.requests.get(event.requestId);
+    const running = tracked?.running;
+    return tracked !== undefined && running?.attempt === event.attempt ? { tracked, running } : undefined;
+}
+
+export function handleTargetAccepted(context: EntryContext, event: TargetAcceptedEvent): void {
+    const found = findAttempt(context, event);
+    if (found === undefined) return;
+    found.running.accepted = true;
+    if (checkStartId(context, found.tracked.pool, found.running, event.startId))
+        checkLatency(context, found.tracked.pool, found.running);
+}
+
+export function handleTargetProgress(context: EntryContext, event: TargetProgressEvent): void {
+    const found = findAttempt(context, event);
+    if (found !== undefined && event.cost > found.running.charged)
+        settleCost(found.tracked, found.running, event.cost);
+}
+
+/** A broken stream continues once on its slot if the target still runs under the same start id. */
+function mayResume(context: EntryContext, tracked: TrackedRequest, running: RunningRequest): boolean {
+    const held = getHeldTarget(tracked.pool, running.target);
+    return tracked.pool.service.spec.kind === "model" && !running.resumed && held.generation === running.generation
+        && held.suspended === undefined && held.condition !== "closed"
+        && context.configuration.getFreshness() === "fresh"
+        && context.configuration.isTargetOpen(tracked.pool.name, running.target);
+}
+
+function resumeAttempt(context: EntryContext, tracked: TrackedRequest, running: RunningRequest): void {
+    const spec = tracked.pool.service.spec.targets.find(target => target.name === running.target);
+    if (spec === undefined) return;
+    tracked.waiting.attempts += 1;
+    tracked.waiting.chargedBefore += running.charged;
+    tracked.running = { ...running, attempt: tracked.waiting.attempts, charged: 0, accepted: false, resumed: true };
+    sendAttempt(context, tracked, spec);
+    logEntryEvent(context, "resumed", {
+        requestId: tracked.waiting.request.id,
+        service: tracked.pool.name,
+        target: running.target,
+        attempt: tracked.waiting.attempts,
+    });
+}
+
+function requeueRequest(
+    context: EntryContext,
+    tracked: TrackedRequest,
+    running: RunningRequest,
+    reason?: string,
+): void {
+    tracked.running = undefined;
+    tracked.waiting.chargedBefore += running.charged;
+    tracked.waiting.avoidTarget = running.target;
+    addWaiting(tracked.pool, tracked.queue, tracked.waiting, true);
+    tracked.pool.urgent = true;
+    logEntryEvent(context, "requeued", {
+        requestId: tracked.waiting.request.id,
+        workspace: tracked.queue.workspace,
+        service: tracked.pool.name,
+        target: running.target,
+        attempt: running.attempt,
+        reason,
+    });
+}
+
+/** Frees the slot for reuse. Where nothing waits, it goes back, so that the reserve stays within what was granted for it. */
+function releaseAttempt(context: EntryContext, tracked: TrackedRequest, running: RunningRequest): void {
+    const { pool, queue } = tracked;
+    const held = getHeldTarget(pool, running.target);
+    queue.inProgress -= 1;
+    pool.changed = true;
+    if (!releaseSlot(held, running.generation)) {
+        pool.urgent = true;
+        return;
+    }
+    if (pool.backlogged.size > 0) return;
+    held.free -= 1;
+    if (pool.contended || !isActive(context)) pool.urgent = true;
+}
+
+function handleFailure(
+    context: EntryContext,
+    tracked: TrackedRequest,
+    running: RunningRequest,
+    reason: string | undefined,
+): void {
+    const { waiting, pool } = tracked;
+    const mayRepeat = !waiting.answered && (waiting.request.idempotent || !waiting.sent);
+    if (mayRepeat && !context.draining && pool.budget.takeRetry()) requeueRequest(context, tracked, running, reason);
+    else endRequest(context, tracked, context.draining ? "DRAINING" : "TARGET_REFUSED");
+}
+
+export function handleTargetEnded(context: EntryContext, event: TargetEndedEvent): void {
+    const found = findAttempt(context, event);
+    if (found === undefined) return;
+    const { tracked, running } = found;
+    const { pool, queue, waiting } = tracked;
+    settleCost(tracked, running, event.cost);
+    if (event.sent) waiting.sent = true;
+    if (event.answered) waiting.answered = true;
+    const sameStart = checkStartId(context, pool, running, event.startId);
+    if (
+        event.result === "broken" && event.answered && !running.cancelled && sameStart
+        && mayResume(context, tracked, running)
+    ) {
+        resumeAttempt(context, tracked, running);
+        return;
+    }
+    if (event.result !== "complete" && !running.cancelled)
+        suspendTarget(context, pool, running, event.result, event.startId);
+    releaseAttempt(context, tracked, running);
+    if (event.result === "complete") {
+        recordCost(queue, waiting.request, event.cost);
+        recordCompletion(getHeldTarget(pool, running.target), running.generation);
+        closeRequest(context, tracked, "complete");
+    }
+    else if (running.cancelled)
+        closeRequest(context, tracked, waiting.sent ? "unknown" : "notRun");
+    else
+        handleFailure(context, tracked, running, event.reason);
+    dispatchRequests(context, pool);
+}
--- /dev/null
+++ b/packages/fair-share/src/takeover.ts
@@ -0,0 +1,77 @@
+/** Start and end of a router's time as coordinator of a pool. */
+import { takeoverMs } from "./constants.js";
+import { computeLimit, type CoordinatorContext, type CoordinatorPool, logCoordinatorEvent } from "./coordinatorPool.js";
+import { raiseGeneration } from "./countSlots.js";
+import { startNewTargets } from "./targetStates.js";
+
+/** Until every router has reported, only slots that are returned are granted. */
+export function startTakeover(context: CoordinatorContext, pool: CoordinatorPool, reason: string): void {
+    pool.since ??= context.now;
+    pool.takeoverUntil = context.now + takeoverMs;
+    for (const record of pool.routers.values()) record.inTenure = false;
+    for (const target of pool.targets.values()) {
+        target.returned = 0;
+        target.polledAt = -Infinity;
+        target.pollPending = false;
+        target.stateVersion = pool.version;
+    }
+    logCoordinatorEvent(context, "takeoverStarted", { pool: pool.name, reason });
+}
+
+function hasEveryReport(context: CoordinatorContext, pool: CoordinatorPool): boolean {
+    return context.membership.listRoutable().every(member => pool.routers.get(member.router)?.inTenure === true);
+}
+
+/** Ends the takeover when it is due. Slots that no report accounts for stay taken until a load report. */
+export function updateTakeover(context: CoordinatorContext, pool: CoordinatorPool): void {
+    if (pool.takeoverUntil === undefined) return;
+    const complete = hasEveryReport(context, pool);
+    if (!complete && context.now < pool.takeoverUntil) return;
+    pool.takeoverUntil = undefined;
+    startNewTargets(context, pool);
+    for (const target of pool.targets.values()) {
+        const limit = Math.max(computeLimit(pool, target), pool.service.spec.targetLimit);
+        target.unaccounted = { count: Math.max(0, limit - target.taken), since: context.now };
+        target.polledAt = -Infinity;
+        target.pollPending = false;
+    }
+    logCoordinatorEvent(context, "takeoverEnded", { pool: pool.name, complete, routers: pool.routers.size });
+}
+
+export function stopCoordination(context: CoordinatorContext, pool: CoordinatorPool): void {
+    pool.since = undefined;
+    pool.takeoverUntil = undefined;
+    pool.contended = false;
+    for (const target of pool.targets.values()) {
+        target.mayGrantCold = false;
+        target.lease.validUntil = -Infinity;
+        target.lease.result = undefined;
+        target.lease.askedAt = -Infinity;
+    }
+    logCoordinatorEvent(context, "coordinationStopped", { pool: pool.name });
+}
+
+/** Follows the part of the listed routers that this side of a partition sees. */
+export function updatePartition(context: CoordinatorContext, pool: CoordinatorPool): void {
+    const { membership, now } = context;
+    const alive = membership.countListedAlive();
+    const listed = membership.countListed();
+    if (alive * 2 > listed) pool.majoritySince ??= now;
+    else pool.majoritySince = undefined;
+    const ratio = listed === 0 ? 1 : Math.min(1, alive / listed);
+    if (ratio === pool.aliveRatio) return;
+    const fewer = ratio < pool.aliveRatio;
+    pool.aliveRatio = ratio;
+    for (const target of pool.targets.values()) {
+        if (ratio >= 1) {
+            target.partitionCap = Infinity;
+            continue;
+        }
+        target.polledAt = -Infinity;
+        if (!fewer || target.condition === "closed") continue;
+        const part = pool.service.spec.targetLimit * ratio;
+        target.partitionCap = Math.max(1, ratio > 0.5 ? Math.ceil(part) : Math.floor(part));
+        target.idleReports = 0;
+        if (target.taken > target.partitionCap) raiseGeneration(pool, target, target.generation + 1, now);
+    }
+}
--- /dev/null
+++ b/packages/fair-share/src/targetStates.ts
@@ -0,0 +1,278 @@
+/** Conditions of targets: load reports, cold starts and their leases, closed targets. */
+import type { LoadReport } from "@rhubarbwheel/types/events";
+import type { TargetObservation } from "@rhubarbwheel/types/peer-messages";
+import {
+    leaseDurationMs,
+    leaseMarginMs,
+    leaseRenewMs,
+    leaseRetryMs,
+    pollAnswerMs,
+    pollIntervalColdMs,
+    pollIntervalMs,
+} from "./constants.js";
+import {
+    computeLimit,
+    type CoordinatedTarget,
+    type CoordinatorContext,
+    type CoordinatorPool,
+    createCoordinatedTarget,
+    isTargetOpen,
+    logCoordinatorEvent,
+} from "./coordinatorPool.js";
+import { computeTakenSince, raiseGeneration } from "./countSlots.js";
+
+export function getLeaseName(pool: CoordinatorPool, target: CoordinatedTarget): string {
+    return `cold/${pool.name}/${target.spec.name}`;
+}
+
+function logTarget(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    target: CoordinatedTarget,
+    reason: string,
+): void {
+    logCoordinatorEvent(context, "targetChanged", {
+        pool: pool.name,
+        target: target.spec.name,
+        condition: target.condition,
+        generation: target.generation,
+        limit: computeLimit(pool, target),
+        reason,
+    });
+}
+
+/** Withdraws the slots of a target and applies the cold limit. */
+export function markCold(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    target: CoordinatedTarget,
+    reason: string,
+): void {
+    target.condition = "cold";
+    target.coldLimit = pool.service.spec.coldLimit;
+    target.suspect = undefined;
+    raiseGeneration(pool, target, target.generation + 1, context.now);
+    logTarget(context, pool, target, reason);
+}
+
+function markAnnounce(pool: CoordinatorPool): void {
+    for (const record of pool.routers.values()) record.announce = true;
+}
+
+export function handleObservation(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    observation: TargetObservation,
+): void {
+    const target = pool.targets.get(observation.target);
+    if (target === undefined || observation.generation !== target.generation || target.condition === "closed") return;
+    if (observation.kind === "startIdChanged" && observation.startId !== target.startId) {
+        target.startId = observation.startId;
+        markCold(context, pool, target, "startIdChanged");
+        return;
+    }
+    if (observation.kind === "slow") {
+        markCold(context, pool, target, "slow");
+        return;
+    }
+    // A new load report decides whether the target still runs under the same start id.
+    if (observation.kind !== "startIdChanged") target.suspect = observation.kind;
+    raiseGeneration(pool, target, target.generation + 1, context.now);
+    if (target.condition === "cold") target.coldLimit = pool.service.spec.coldLimit;
+    target.polledAt = -Infinity;
+    target.pollPending = false;
+    logTarget(context, pool, target, observation.kind);
+}
+
+/** Compares a load report with the records: what they do not account for belongs to routers that do not report here. */
+function updateForeign(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    target: CoordinatedTarget,
+    report: LoadReport,
+): void {
+    const sampledAt = context.now - report.ageMs;
+    const running = report.running + report.queued;
+    const accounted = computeTakenSince(target, sampledAt);
+    const seen = Math.max(0, running - accounted);
+    const settled = target.unaccounted.count === 0 && pool.aliveRatio >= 1;
+    // A target may count a request for a moment after its answer has ended, so a single report is not enough normally.
+    target.foreign = settled ? Math.min(seen, target.lastForeign) : seen;
+    target.lastForeign = seen;
+    if (sampledAt >= target.unaccounted.since) target.unaccounted.count = 0;
+    target.running = running;
+    updatePartitionCap(pool, target, running, accounted);
+}
+
+/** While routers are missing, this side takes only its part of the capacity that load reports show as unused. */
+function updatePartitionCap(
+    pool: CoordinatorPool,
+    target: CoordinatedTarget,
+    running: number,
+    accounted: number,
+): void {
+    if (pool.aliveRatio >= 1) {
+        target.partitionCap = Infinity;
+        return;
+    }
+    const spare = Math.max(0, computeLimit(pool, target) - Math.max(running, accounted));
+    target.idleReports = spare > 0 ? target.idleReports + 1 : 0;
+    const part = pool.aliveRatio > 0.5 ? Math.ceil(spare * pool.aliveRatio) : Math.floor(spare * pool.aliveRatio);
+    target.partitionCap = target.taken + Math.max(part, target.idleReports > 1 && spare > 0 ? 1 : 0);
+}
+
+export function handleLoadReport(context: CoordinatorContext, pool: CoordinatorPool, report: LoadReport): void {
+    const target = pool.targets.get(report.target);
+    if (target === undefined) return;
+    target.pollPending = false;
+    if (target.startId !== undefined && target.startId !== report.startId) {
+        target.startId = report.startId;
+        markCold(context, pool, target, "startIdChanged");
+    }
+    else if (target.suspect === "refused")
+        markCold(context, pool, target, "refused");
+    else if (target.suspect !== undefined) {
+        target.suspect = undefined;
+        logTarget(context, pool, target, "confirmed");
+    }
+    target.startId = report.startId;
+    if (!target.confirmed) {
+        target.confirmed = true;
+        logTarget(context, pool, target, "reachable");
+    }
+    updateForeign(context, pool, target, report);
+}
+
+export function handleLoadUnavailable(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    name: string,
+    refused: boolean,
+): void {
+    const target = pool.targets.get(name);
+    if (target === undefined) return;
+    target.pollPending = false;
+    if (!refused || !target.confirmed) return;
+    markCold(context, pool, target, "refused");
+    target.confirmed = false;
+}
+
+/** Raises the limit of a cold target after as many completed requests as the limit allows at once. */
+function updateRamp(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
+    const { targetLimit } = pool.service.spec;
+    if (target.condition !== "cold" || target.suspect !== undefined) return;
+    if (target.completed < target.coldLimit && target.coldLimit < targetLimit) return;
+    target.completed = 0;
+    target.coldLimit = Math.min(target.coldLimit * 2, targetLimit);
+    if (target.coldLimit >= targetLimit) {
+        target.condition = "warm";
+        context.effects.push({ type: "releaseLease", lease: getLeaseName(pool, target) });
+        target.lease.askedAt = -Infinity;
+        target.lease.validUntil = -Infinity;
+        markAnnounce(pool);
+    }
+    logTarget(context, pool, target, "completed");
+}
+
+function computeMayGrantCold(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): boolean {
+    const { lease } = target;
+    const { now } = context;
+    if (lease.validUntil - leaseMarginMs > now) return true;
+    if (lease.result !== "unavailable" || pool.majoritySince === undefined || pool.since === undefined) return false;
+    // Another router's lease may still be valid, so that without the store the majority waits for its duration.
+    return now - Math.max(pool.since, pool.majoritySince, lease.takenAt) >= leaseDurationMs;
+}
+
+/** Acquires or renews the lease of a cold target, and withdraws its slots when the right to grant them has ended. */
+function updateLease(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
+    if (target.condition !== "cold" || pool.takeoverUntil !== undefined) return;
+    const { lease } = target;
+    const may = computeMayGrantCold(context, pool, target);
+    if (target.mayGrantCold && !may) {
+        raiseGeneration(pool, target, target.generation + 1, context.now);
+        logTarget(context, pool, target, "leaseEnded");
+    }
+    target.mayGrantCold = may;
+    const interval = lease.result === "held" ? leaseRenewMs : leaseRetryMs;
+    if (!target.confirmed || context.now - lease.askedAt < interval) return;
+    lease.askedAt = context.now;
+    context.effects.push({ type: "acquireLease", lease: getLeaseName(pool, target), durationMs: leaseDurationMs });
+}
+
+export function handleLeaseAnswer(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    target: CoordinatedTarget,
+    answer: { readonly result: "held" | "taken" | "unavailable"; readonly validUntil: number; },
+): void {
+    const { lease } = target;
+    lease.result = answer.result;
+    if (answer.result === "held") lease.validUntil = answer.validUntil;
+    if (answer.result === "taken") {
+        lease.validUntil = -Infinity;
+        lease.takenAt = context.now;
+    }
+    logCoordinatorEvent(context, "leaseAnswered", {
+        pool: pool.name,
+        target: target.spec.name,
+        result: answer.result,
+    });
+}
+
+function updateClosed(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
+    const open = isTargetOpen(context, pool, target);
+    if (open === (target.condition !== "closed")) return;
+    if (open) {
+        // The target may have restarted while it was closed: a load report with its start id comes first.
+        target.condition = target.warmWhenClosed ? "warm" : "cold";
+        target.coldLimit = pool.service.spec.coldLimit;
+        target.confirmed = false;
+        target.polledAt = -Infinity;
+        logTarget(context, pool, target, "opened");
+    }
+    else {
+        target.warmWhenClosed = target.condition === "warm";
+        target.condition = "closed";
+        raiseGeneration(pool, target, target.generation + 1, context.now);
+        logTarget(context, pool, target, "closed");
+    }
+    markAnnounce(pool);
+}
+
+/** Follows the configuration: new, removed, closed and opened targets, and lower limits. */
+export function updateTargets(context: CoordinatorContext, pool: CoordinatorPool): void {
+    for (const spec of pool.service.spec.targets) {
+        const known = pool.targets.get(spec.name);
+        if (known === undefined) pool.targets.set(spec.name, createCoordinatedTarget(spec));
+        else known.spec = spec;
+    }
+    for (const target of pool.targets.values()) updateClosed(context, pool, target);
+}
+
+/** Takes targets without a known state as new. */
+export function startNewTargets(context: CoordinatorContext, pool: CoordinatorPool): void {
+    for (const target of pool.targets.values())
+        if (target.generation === 0 && target.condition !== "closed") markCold(context, pool, target, "new");
+}
+
+/** Brings limits and leases up to date with the time of the event. */
+export function updateLimits(context: CoordinatorContext, pool: CoordinatorPool): void {
+    for (const target of pool.targets.values()) {
+        updateRamp(context, pool, target);
+        updateLease(context, pool, target);
+    }
+}
+
+/** Asks targets for their load when that is due. */
+export function pollTargets(context: CoordinatorContext, pool: CoordinatorPool): void {
+    for (const target of pool.targets.values()) {
+        if (target.condition === "closed") continue;
+        const interval = target.condition === "cold" || target.suspect ? pollIntervalColdMs : pollIntervalMs;
+        const elapsed = context.now - target.polledAt;
+        if (elapsed < (target.pollPending ? pollAnswerMs : interval)) continue;
+        target.polledAt = context.now;
+        target.pollPending = true;
+        const { name, address } = target.spec;
+        context.effects.push({ type: "pollLoad", service: pool.name, target: name, address });
+    }
+}
--- a/packages/types/src/peer-messages.ts
+++ b/packages/types/src/peer-messages.ts
@@ -85,6 +85,8 @@
     readonly version: number;
     readonly poolVirtualTime: number;
     readonly entries: readonly WorkspaceVirtualTime[];
+    /** Last announced target states; without them a new coordinator would treat every target as cold. */
+    readonly targets: readonly TargetState[];
 }
 
 export interface WorkspaceVirtualTime {
@@ -114,6 +116,8 @@
     readonly target: string;
     readonly generation: number;
     readonly total: number;
+    /** In reports: requests completed on slots of this generation, which is the evidence that ends a cold start. */
+    readonly completed?: number;
 }
 
 export type TargetCondition = "warm" | "cold" | "closed";
@@ -122,6 +126,10 @@
     readonly target: string;
     readonly generation: number;
     readonly condition: TargetCondition;
+    /** Limit that the coordinator applies at present, which is lower than the configured one during a cold start. */
+    readonly limit: number;
+    /** Start id that the coordinator saw last. */
+    readonly startId?: string;
 }
 
 /** Coordinator to entry router. */
