--- a/packages/bench/src/createCaller.ts
+++ b/packages/bench/src/createCaller.ts
@@ -113,7 +113,7 @@
     return request(url, {
         dispatcher: agent,
         method: "POST",
-        headers: { "authorization": `Bearer ${token}`, "content-type": "application/json", ...headers },
+        headers: { authorization: `Bearer ${token}`, "content-type": "application/json", ...headers },
         body,
     });
 }
--- a/packages/bench/src/startFleet.ts
+++ b/packages/bench/src/startFleet.ts
@@ -81,7 +81,13 @@
         const name = `${service.name}-${index}`;
         const flags = [`--coldLimit=${service.coldLimit}`, ...service.flags];
         const running = await startProcess({ name, script, arguments: flags });
-        return { name, service: service.name, failureDomain, url: `http://127.0.0.1:${running.port}`, process: running };
+        return {
+            name,
+            service: service.name,
+            failureDomain,
+            url: `http://127.0.0.1:${running.port}`,
+            process: running,
+        };
     }));
 }
 
@@ -100,11 +106,11 @@
                 name: entry.name,
                 script: resolveScript("daemon", "runDaemon"),
                 arguments: [
-                    `--router=${entry.name}`,
+                    `--router-name=${entry.name}`,
                     `--failure-domain=${entry.failureDomain}`,
                     `--listen=127.0.0.1:${entry.callerPort}`,
                     `--peer-listen=127.0.0.1:${entry.peerPort}`,
-                    `--peer-advertise=127.0.0.1:${entry.peerPort}`,
+                    `--peer-address=127.0.0.1:${entry.peerPort}`,
                     `--platform=${platformUrl}`,
                     `--seeds=${seeds}`,
                     `--log-level=${process.env["BENCH_LOG_LEVEL"] ?? "error"}`,
@@ -155,7 +161,7 @@
     const response = await request(`${url}/api/v1/${resource.kind}/${resource.name}`, {
         method: "PUT",
         headers: {
-            "authorization": `Bearer ${operatorToken}`,
+            authorization: `Bearer ${operatorToken}`,
             "content-type": "application/json",
             ...condition,
         },
--- a/packages/bench/src/startProcess.ts
+++ b/packages/bench/src/startProcess.ts
@@ -24,6 +24,9 @@
 
 const startLimitMs = 15_000;
 const stopLimitMs = 15_000;
+// Each process of a fleet adds a listener.
+process.setMaxListeners(0);
+
 const keptErrorCharacters = 4_000;
 
 export async function startProcess(opts: StartProcessOptions): Promise<RunningProcess> {
@@ -31,9 +34,17 @@
         env: { ...process.env, ...opts.environment },
         stdio: ["ignore", "pipe", "pipe"],
     });
+    // A launcher that ends early leaves no process behind.
+    const killAtExit = () => void child.kill("SIGKILL");
+    process.once("exit", killAtExit);
     let errors = "";
     child.stderr.on("data", (chunk: Buffer) => (errors = (errors + chunk.toString()).slice(-keptErrorCharacters)));
-    const exited = new Promise<number | undefined>(resolve => child.on("close", code => resolve(code ?? undefined)));
+    const exited = new Promise<number | undefined>(resolve =>
+        child.on("close", code => {
+            process.removeListener("exit", killAtExit);
+            resolve(code ?? undefined);
+        })
+    );
     const port = await new Promise<number>((resolve, reject) => {
         const fail = (reason: string) => reject(new Error(`${opts.name} ${reason}: ${errors}`));
         const timer = setTimeout(() => fail("did not start in time"), startLimitMs);
--- a/packages/daemon/src/createCallEffects.ts
+++ b/packages/daemon/src/createCallEffects.ts
@@ -21,8 +21,8 @@
 
 /** Recorded answers of keyed calls. */
 export interface AnswerKeeper {
-    /** Writes the recorded answer to `responder`; false when it is not held. */
-    readonly replay: (sourceRequestId: string, responder: CallResponder) => boolean;
+    /** Writes the recorded answer to `responder`, or fails it when the answer is not held. */
+    readonly replay: (sourceRequestId: string, responder: CallResponder) => Promise<void>;
     readonly drop: (requestId: string) => void;
 }
 
@@ -105,9 +105,7 @@
 
     const replayAnswer = (effect: ReplayAnswerEffect) => {
         const call = registry.remove(effect.requestId)?.call;
-        if (call === undefined) return;
-        if (!opts.answers.replay(effect.sourceRequestId, call.responder))
-            call.responder.fail({ code: "KEY_RECORD_EVICTED", outcome: "unknown" });
+        if (call !== undefined) void opts.answers.replay(effect.sourceRequestId, call.responder);
     };
 
     return {
--- a/packages/daemon/src/createEffectRunner.ts
+++ b/packages/daemon/src/createEffectRunner.ts
@@ -1,12 +1,12 @@
 /** Carries out effects and feeds their results back into the loop as events. */
-import type { Effect } from "@rhubarbwheel/types/effects";
+import type { Effect, LogEffect } from "@rhubarbwheel/types/effects";
 import type { NamedService } from "@rhubarbwheel/types/events";
 import type { PeerTransport, PlatformClient, TargetClient } from "@rhubarbwheel/types/ports";
+import { createCallEffects } from "./createCallEffects.js";
+import type { AnswerKeeper } from "./createCallEffects.js";
 import type { CallRegistry } from "./createCallRegistry.js";
 import type { Dispatch } from "./createLoop.js";
-import { createCallEffects } from "./createCallEffects.js";
 import { createPlatformEffects } from "./createPlatformEffects.js";
-import type { AnswerKeeper } from "./createCallEffects.js";
 
 export interface EffectRunnerOptions {
     readonly router: string;
@@ -18,7 +18,7 @@
     readonly answers: AnswerKeeper;
     readonly getService: (name: string) => NamedService | undefined;
     readonly getNow: () => number;
-    readonly logEvent: (event: number, fields: Readonly<Record<string, unknown>>) => void;
+    readonly logEvent: (event: number, fields: LogEffect["fields"]) => void;
     readonly onStop: () => void;
 }
 
--- /dev/null
+++ b/packages/daemon/src/createRouter.ts
@@ -0,0 +1,223 @@
+/** Composes a router from its settings: one container, whose parts reach each other by name. */
+import { createAnswerStore } from "@rhubarbwheel/at-most-once/createAnswerStore";
+import { validateResource } from "@rhubarbwheel/configuration/validateResource";
+import { createHttpServer } from "@rhubarbwheel/http-server/createHttpServer";
+import { createPeerTransport } from "@rhubarbwheel/peer-protocol/createPeerTransport";
+import { createPlatformClient } from "@rhubarbwheel/platform-client/createPlatformClient";
+import { createReducer } from "@rhubarbwheel/reducer/createReducer";
+import { createTargetClient } from "@rhubarbwheel/target-client/createTargetClient";
+import { createLogger } from "@rhubarbwheel/telemetry/createLogger";
+import { createMetrics } from "@rhubarbwheel/telemetry/createMetrics";
+import type { RouterIdentity } from "@rhubarbwheel/types/slices";
+import { asFunction, asValue, createContainer, InjectionMode } from "awilix";
+import { randomBytes, randomInt, randomUUID } from "node:crypto";
+import { performance } from "node:perf_hooks";
+import { createCallGate } from "./createCallGate.js";
+import { createCallRegistry } from "./createCallRegistry.js";
+import { createEffectRunner } from "./createEffectRunner.js";
+import { createForwardedCallHandler } from "./createForwardedCallHandler.js";
+import { createLoop } from "./createLoop.js";
+import type { Dispatch } from "./createLoop.js";
+import { createMetricsReporter } from "./createMetricsReporter.js";
+import { createOperatorStore } from "./createOperatorStore.js";
+import { createStatus } from "./createStatus.js";
+import type { Settings } from "./parseSettings.js";
+
+/** What the container holds. */
+interface Cradle {
+    readonly settings: Settings;
+    readonly identity: RouterIdentity;
+    readonly getNow: () => number;
+    readonly dispatch: Dispatch;
+    readonly onStop: () => void;
+    readonly lifecycle: { draining: boolean; };
+    readonly logger: ReturnType<typeof createLogger>;
+    readonly metrics: ReturnType<typeof createMetrics>;
+    readonly registry: ReturnType<typeof createCallRegistry>;
+    readonly answerStore: ReturnType<typeof createAnswerStore>;
+    readonly platformClient: ReturnType<typeof createPlatformClient>;
+    readonly targetClient: ReturnType<typeof createTargetClient>;
+    readonly transport: ReturnType<typeof createPeerTransport>;
+    readonly reducer: ReturnType<typeof createReducer>;
+    readonly loop: ReturnType<typeof createLoop>;
+    readonly gate: ReturnType<typeof createCallGate>;
+    readonly operatorStore: ReturnType<typeof createOperatorStore>;
+    readonly status: ReturnType<typeof createStatus>;
+    readonly metricsReporter: ReturnType<typeof createMetricsReporter>;
+    readonly httpServer: ReturnType<typeof createHttpServer>;
+}
+
+export interface RouterCallbacks {
+    /** Nothing is in progress any more after a drain. */
+    readonly onStop: () => void;
+    readonly writeLog: (line: string) => void;
+}
+
+export const daemonEvents = {
+    started: 1000,
+    drainStarted: 1001,
+    stopped: 1002,
+    internalError: 1003,
+    peerProblem: 1004,
+};
+
+const platformTimeoutMs = 2_000;
+const largestRandomSeed = 2 ** 31 - 1;
+// A caller that reads slowly makes the target wait, instead of filling the router's memory.
+const maxBufferedBytesPerCall = 256 * 1024;
+
+export function createRouter(settings: Settings, callbacks: RouterCallbacks) {
+    const container = createContainer<Cradle>({ injectionMode: InjectionMode.PROXY, strict: true });
+    const identity: RouterIdentity = {
+        router: settings.routerName,
+        incarnation: Date.now(),
+        address: settings.peerAddress,
+        failureDomain: settings.failureDomain,
+    };
+    container.register({
+        settings: asValue(settings),
+        identity: asValue(identity),
+        getNow: asValue(() => performance.now()),
+        // Resolved at the call, because the loop and the parts that feed it need each other.
+        dispatch: asValue<Dispatch>(event => container.cradle.loop.dispatch(event)),
+        onStop: asValue(callbacks.onStop),
+        lifecycle: asValue({ draining: false }),
+        logger: asFunction(() =>
+            createLogger({ level: settings.logLevel, format: settings.logFormat, write: callbacks.writeLog })
+        ).singleton(),
+        metrics: asFunction(() =>
+            createMetrics({ ...settings.statsd, tags: { router: identity.router, domain: identity.failureDomain } })
+        ).singleton(),
+        registry: asFunction(createCallRegistry).singleton(),
+        answerStore: asFunction(({ dispatch }: Cradle) =>
+            createAnswerStore({ onRecorded: answer => dispatch({ type: "answerRecorded", ...answer }) })
+        ).singleton(),
+        platformClient: asFunction(() =>
+            createPlatformClient({
+                addresses: settings.platform,
+                timeoutMs: platformTimeoutMs,
+                createWriteId: randomUUID,
+            })
+        ).singleton(),
+        targetClient: asFunction(({ getNow }: Cradle) => createTargetClient({ clock: getNow })).singleton(),
+        transport: asFunction(buildTransport).singleton(),
+        reducer: asFunction(buildReducer).singleton(),
+        loop: asFunction(buildLoop).singleton(),
+        gate: asFunction(({ dispatch, registry, answerStore }: Cradle) =>
+            createCallGate({ dispatch, registry, answerStore })
+        ).singleton(),
+        operatorStore: asFunction(({ dispatch, platformClient, reducer, getNow }: Cradle) =>
+            createOperatorStore({ dispatch, platformClient, configuration: reducer.configuration, getNow })
+        ).singleton(),
+        status: asFunction(buildStatus).singleton(),
+        metricsReporter: asFunction(({ metrics, reducer, transport, platformClient, getNow }: Cradle) =>
+            createMetricsReporter({ metrics, reducer, transport, platformClient, getNow })
+        ).singleton(),
+        httpServer: asFunction(buildHttpServer).singleton(),
+    });
+    return container;
+}
+
+export type RouterContainer = ReturnType<typeof createRouter>;
+
+function buildTransport(cradle: Cradle) {
+    const { settings, identity, dispatch } = cradle;
+    const handleForwardedCall = createForwardedCallHandler({
+        submitCall: call => cradle.gate.submitCall(call),
+        createId: randomUUID,
+        getService: name => cradle.reducer.configuration.getService(name),
+    });
+    return createPeerTransport({
+        identity,
+        fleetSecret: settings.fleetSecret,
+        tls: settings.peerTls,
+        getTime: cradle.getNow,
+        onMessage: (from, message) => dispatch({ type: "peerMessage", from, message }),
+        onUnreachable: router => dispatch({ type: "peerUnreachable", router }),
+        onForwardedCall: handleForwardedCall,
+        onProblem: (router, problem) => cradle.logger.logEvent(daemonEvents.peerProblem, { router, problem }),
+    });
+}
+
+function buildReducer({ settings, identity }: Cradle) {
+    return createReducer({
+        identity,
+        seeds: settings.seeds.filter(seed => seed.router !== identity.router),
+        randomSeed: randomInt(largestRandomSeed),
+        mintRandom: () => randomBytes(32).toString("base64url"),
+        idempotencyLimits: { maxRecords: settings.idempotencyRecords, maxBytes: settings.idempotencyBytes },
+    });
+}
+
+function buildLoop(cradle: Cradle) {
+    const { reducer, logger, answerStore } = cradle;
+    const runEffect = createEffectRunner({
+        router: cradle.identity.router,
+        dispatch: cradle.dispatch,
+        registry: cradle.registry,
+        targetClient: cradle.targetClient,
+        platformClient: cradle.platformClient,
+        transport: cradle.transport,
+        answers: { replay: answerStore.replayAnswer, drop: answerStore.dropAnswer },
+        getService: reducer.configuration.getService,
+        getNow: cradle.getNow,
+        logEvent: logger.logEvent,
+        onStop: cradle.onStop,
+    });
+    return createLoop({
+        reduce: reducer.reduce,
+        runEffect,
+        getNow: cradle.getNow,
+        reportError: (error, source) =>
+            logger.logEvent(daemonEvents.internalError, {
+                source: source.type,
+                problem: error instanceof Error ? error.stack ?? error.message : String(error),
+            }),
+    });
+}
+
+function buildStatus(cradle: Cradle) {
+    const { reducer, transport, platformClient } = cradle;
+    return createStatus({
+        identity: cradle.identity,
+        membership: reducer.membership,
+        configuration: reducer.configuration,
+        listPeerRevisions: reducer.configuration.listPeerRevisions,
+        listPoolTargets: pool => reducer.poolCoordinator.listTargets().filter(target => target.service === pool),
+        listPoolWorkspaces: pool =>
+            reducer.poolCoordinator.listWorkspaces().filter(workspace => workspace.service === pool),
+        listQueues: reducer.entryQueue.listQueues,
+        countTraffic: transport.countTraffic,
+        countPlatformCalls: platformClient.countCalls,
+        isDraining: () => cradle.lifecycle.draining,
+        getNow: cradle.getNow,
+    });
+}
+
+function buildHttpServer(cradle: Cradle) {
+    const { settings, reducer, platformClient, operatorStore, status, gate } = cradle;
+    return createHttpServer({
+        configuration: reducer.configuration,
+        submitCall: gate.submitCall,
+        cancelCall: gate.cancelCall,
+        mintKey: reducer.idempotency.mintKey,
+        createId: randomUUID,
+        writeResource: operatorStore.writeResource,
+        readResource: platformClient.readResource,
+        listConfiguration: platformClient.readConfiguration,
+        watchResources: operatorStore.watchResources,
+        getStatus: status.getStatus,
+        getReadiness: status.getReadiness,
+        operatorToken: settings.operatorToken,
+        validateResource,
+        limits: {
+            maxBodyBytes: settings.maxBodyBytes,
+            maxHeaderBytes: settings.maxHeaderBytes,
+            maxOpenCalls: settings.maxOpenCalls,
+            maxOpenCallsPerWorkspace: settings.maxOpenCallsPerWorkspace,
+            maxConnections: settings.maxConnections,
+            slowReaderTimeoutMs: settings.slowReaderTimeoutMs,
+            maxBufferedBytes: maxBufferedBytesPerCall,
+        },
+    });
+}
--- a/packages/daemon/src/createStatus.ts
+++ b/packages/daemon/src/createStatus.ts
@@ -5,7 +5,11 @@
     readonly pool: string;
     readonly coordinator: string;
     readonly targets: readonly object[];
-    readonly workspaces: readonly { readonly workspace: string; readonly virtualTime: number; readonly queued: number; }[];
+    readonly workspaces: readonly {
+        readonly workspace: string;
+        readonly virtualTime: number;
+        readonly queued: number;
+    }[];
 }
 
 export interface StatusOptions {
@@ -66,7 +70,8 @@
         getReadiness: () => {
             if (opts.isDraining()) return { ready: false, reason: "The router is shutting down." };
             const freshness = opts.configuration.getFreshness();
-            if (freshness === "empty") return { ready: false, reason: "The router has no confirmed configuration yet." };
+            if (freshness === "empty")
+                return { ready: false, reason: "The router has no confirmed configuration yet." };
             if (freshness === "stale")
                 return { ready: false, reason: "The router cannot confirm that its configuration is current." };
             return { ready: true, reason: "ready" };
--- a/packages/fair-share/src/createEntryQueue.ts
+++ b/packages/fair-share/src/createEntryQueue.ts
@@ -257,6 +257,7 @@
             if (dispatchingEvents.includes(event.type)) {
                 for (const pool of context.pools.values()) dispatchRequests(context, pool);
             }
+
             sendReports(context);
             if (context.draining && !context.stopped && context.requests.size === 0) {
                 context.stopped = true;
--- a/packages/peer-protocol/src/messageFields.ts
+++ b/packages/peer-protocol/src/messageFields.ts
@@ -59,18 +59,26 @@
 
 const virtualTime = shape<WorkspaceVirtualTime>({ workspace: text, virtualTime: double });
 
+const targetState = shape<TargetState>({
+    target: text,
+    generation: integer,
+    condition: choice(["warm", "cold", "closed"]),
+    limit: integer,
+    startId: optional(text),
+});
+
 const virtualTimeCopy = shape<VirtualTimeCopy>({
     version: integer,
     poolVirtualTime: double,
     entries: list(virtualTime),
+    targets: list(targetState),
 });
 
-const grantTotal = shape<GrantTotal>({ target: text, generation: integer, total: integer });
-
-const targetState = shape<TargetState>({
+const grantTotal = shape<GrantTotal>({
     target: text,
     generation: integer,
-    condition: choice(["warm", "cold", "closed"]),
+    total: integer,
+    completed: optional(integer),
 });
 
 const poolReport = shape<Untyped<PoolReportMessage>>({
--- a/packages/peer-protocol/test/arbitraries.ts
+++ b/packages/peer-protocol/test/arbitraries.ts
@@ -30,7 +30,7 @@
 });
 const digest = shape({ revision: integer, storeUnreachable: fc.boolean() }, durations);
 const virtualTime = record({ workspace: text, virtualTime: double });
-const granted = list(record({ target: text, generation: integer, total: integer }));
+const granted = list(shape({ target: text, generation: integer, total: integer }, { completed: integer }));
 const observation = shape(
     { target: text, generation: integer, kind: choose("refused", "broken", "startIdChanged", "slow") },
     { startId: text },
@@ -68,6 +68,13 @@
     ),
 );
 
+const targetState = shape({
+    target: text,
+    generation: integer,
+    condition: choose("warm", "cold", "closed"),
+    limit: integer,
+}, { startId: text });
+
 const bodies: Record<PeerMessage["type"], fc.Arbitrary<object>> = {
     probe: record({ sequence: integer, updates: list(update), digest }),
     probeAck: record({ sequence: integer, router: text, updates: list(update), digest }),
@@ -82,7 +89,14 @@
         granted,
         observations: list(observation),
         totalsInCopy: list(record({ workspace: text, totalCost: double })),
-    }, { copy: record({ version: integer, poolVirtualTime: double, entries: list(virtualTime) }) }),
+    }, {
+        copy: record({
+            version: integer,
+            poolVirtualTime: double,
+            entries: list(virtualTime),
+            targets: list(targetState),
+        }),
+    }),
     poolAnnouncement: record({
         pool: text,
         incarnation: integer,
@@ -94,7 +108,7 @@
         ceiling: double,
         contended: fc.boolean(),
         targets: list(
-            record({ target: text, generation: integer, condition: choose("warm", "cold", "closed") }),
+            targetState,
         ),
     }),
     configurationUpdate: record({ resources: list(resource), fromRevision: integer, revision: integer, digest }),
--- a/packages/reducer/src/createReducer.ts
+++ b/packages/reducer/src/createReducer.ts
@@ -8,6 +8,7 @@
 import type { RouterEvent } from "@rhubarbwheel/types/events";
 import type { RouterIdentity, Slice } from "@rhubarbwheel/types/slices";
 import { createRandom } from "./createRandom.js";
+import { createUsageCounters } from "./createUsageCounters.js";
 
 export interface ReducerOptions {
     readonly identity: RouterIdentity;
@@ -41,7 +42,8 @@
     });
     const entryQueue = createEntryQueue({ identity, membership, configuration });
     const poolCoordinator = createPoolCoordinator({ identity, membership, configuration });
-    const slices: readonly Slice[] = [membership, configuration, idempotency, entryQueue, poolCoordinator];
+    const usage = createUsageCounters();
+    const slices: readonly Slice[] = [membership, configuration, idempotency, entryQueue, poolCoordinator, usage];
 
     return {
         reduce: (event: RouterEvent) => reduceOverSlices(slices, identity.router, event),
@@ -50,6 +52,7 @@
         idempotency,
         entryQueue,
         poolCoordinator,
+        usage,
     };
 }
 
