Hold the cold limit until a target has completed its warm-up

Cause: the limit of a cold target doubled after as many completed requests as the cold limit. A target that needs 20 requests to warm up fell over at the second step, dropped its connections and turned cold again, in a cycle. Ruled out: a crossed answer or a fault of resume; with targets that warm after 2 requests every completion was complete. Change: warmUpRequests of a service (default 20) must complete under the cold limit before it rises; a target that fails while its limit rises has its warm-up doubled, up to 8 times. Conclusion: completed requests are evidence only against a stated warm-up.

--- a/packages/configuration/src/validateResource.ts
+++ b/packages/configuration/src/validateResource.ts
@@ -71,6 +71,7 @@
 }, {
     models: checkUnique(checkEach(checkText(200)), item => item, "model"),
     idempotentRoutes: checkEach(checkRoute),
+    warmUpRequests: checkLimit,
     costPerCall: checkNumber(minShare, maxShare),
     queueTimeoutMs: checkTimeout,
     answerTimeoutMs: checkTimeout,
--- a/packages/fair-share/src/constants.ts
+++ b/packages/fair-share/src/constants.ts
@@ -31,6 +31,10 @@
 /** A router that asks is answered at once after this silence, even without a grant. */
 export const announceOnRequestMs = 500;
 export const takeoverMs = 1500;
+/** Default of `warmUpRequests`. A cold target was seen to fail when its limit doubled after `coldLimit` requests. */
+export const defaultWarmUpRequests = 20;
+/** Bounds how often a target that fails again while its limit rises has its warm-up doubled. */
+export const warmUpFactorMax = 8;
 export const pollIntervalMs = 500;
 export const pollIntervalColdMs = 250;
 /** A poll without an answer is repeated after this time. */
--- a/packages/fair-share/src/coordinatorPool.ts
+++ b/packages/fair-share/src/coordinatorPool.ts
@@ -79,6 +79,8 @@
     suspect?: "refused" | "broken";
     /** Completed requests since the limit was raised last. */
     completed: number;
+    /** Multiplies the warm-up after the target failed while its limit was rising. */
+    warmUpFactor: number;
     taken: number;
     unused: number;
     /** Running requests that no record accounts for, from the last two load reports. */
@@ -171,6 +173,7 @@
         stateVersion: 0,
         confirmed: false,
         completed: 0,
+        warmUpFactor: 1,
         taken: 0,
         unused: 0,
         foreign: 0,
--- a/packages/fair-share/src/targetStates.ts
+++ b/packages/fair-share/src/targetStates.ts
@@ -2,6 +2,7 @@
 import type { LoadReport } from "@rhubarbwheel/types/events";
 import type { TargetObservation } from "@rhubarbwheel/types/peer-messages";
 import {
+    defaultWarmUpRequests,
     leaseDurationMs,
     leaseMarginMs,
     leaseRenewMs,
@@ -9,6 +10,7 @@
     pollAnswerMs,
     pollIntervalColdMs,
     pollIntervalMs,
+    warmUpFactorMax,
 } from "./constants.js";
 import {
     computeLimit,
@@ -48,6 +50,8 @@
     target: CoordinatedTarget,
     reason: string,
 ): void {
+    const failedWhileRising = target.condition === "cold" && target.coldLimit > pool.service.spec.coldLimit;
+    target.warmUpFactor = failedWhileRising ? Math.min(target.warmUpFactor * 2, warmUpFactorMax) : 1;
     target.condition = "cold";
     target.coldLimit = pool.service.spec.coldLimit;
     target.suspect = undefined;
@@ -157,11 +161,18 @@
     target.confirmed = false;
 }
 
-/** Raises the limit of a cold target after as many completed requests as the limit allows at once. */
+/** Requests that a cold target must complete under its present limit before the limit rises. */
+function computeWarmUp(pool: CoordinatorPool, target: CoordinatedTarget): number {
+    const { coldLimit, warmUpRequests = defaultWarmUpRequests } = pool.service.spec;
+    if (target.coldLimit > coldLimit) return target.coldLimit;
+    return Math.max(coldLimit, warmUpRequests) * target.warmUpFactor;
+}
+
+/** Raises the limit of a cold target after it has completed its warm-up, then after each run of `limit` requests. */
 function updateRamp(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
     const { targetLimit } = pool.service.spec;
     if (target.condition !== "cold" || target.suspect !== undefined) return;
-    if (target.completed < target.coldLimit && target.coldLimit < targetLimit) return;
+    if (target.completed < computeWarmUp(pool, target)) return;
     target.completed = 0;
     target.coldLimit = Math.min(target.coldLimit * 2, targetLimit);
     if (target.coldLimit >= targetLimit) {
--- a/packages/peer-protocol/src/resourceFields.ts
+++ b/packages/peer-protocol/src/resourceFields.ts
@@ -28,6 +28,7 @@
     costPerCall: optional(double),
     queueTimeoutMs: optional(double),
     answerTimeoutMs: optional(double),
+    warmUpRequests: optional(integer),
 });
 
 const specFields: { readonly [K in ResourceKind]: WireField<ResourceSpecs[K]>; } = {
--- a/packages/peer-protocol/test/arbitraries.ts
+++ b/packages/peer-protocol/test/arbitraries.ts
@@ -48,6 +48,7 @@
     costPerCall: double,
     queueTimeoutMs: double,
     answerTimeoutMs: double,
+    warmUpRequests: integer,
 });
 const resource = fc.oneof(
     ...([
--- a/packages/types/src/resources.ts
+++ b/packages/types/src/resources.ts
@@ -33,6 +33,8 @@
     readonly targetLimit: number;
     /** Most requests in progress at one cold target, over the whole fleet. */
     readonly coldLimit: number;
+    /** Requests that a target completes after a start before its limit rises above `coldLimit`, default 20. */
+    readonly warmUpRequests?: number;
     /** Model names that the service answers to; only for kind `model`. */
     readonly models?: readonly string[];
     /** Calls not listed here are non-idempotent; only for kind `plain`. */
