--- a/packages/bench/src/createCaller.ts
+++ b/packages/bench/src/createCaller.ts
@@ -27,6 +27,8 @@
     readonly user: string;
     readonly prompt: string;
     readonly maxTokens: number;
+    /** Called for each output token as it arrives. */
+    readonly onToken?: (index: number) => void;
 }
 
 export interface OrderOptions {
@@ -61,7 +63,7 @@
         try {
             const response = await post(agent, `${opts.router}/v1/chat/completions`, opts.token, body, {});
             if (response.statusCode !== 200) return await readFailure(response, startedAt);
-            return await readStream(response, user, startedAt);
+            return await readStream(response, opts, startedAt);
         }
         catch (error) {
             return createBrokenResult(error, startedAt);
@@ -159,7 +161,11 @@
     readonly choices?: readonly { readonly delta?: { readonly content?: string; }; }[];
 }
 
-async function readStream(response: Dispatcher.ResponseData, user: string, startedAt: number): Promise<CallerResult> {
+async function readStream(
+    response: Dispatcher.ResponseData,
+    opts: ChatOptions,
+    startedAt: number,
+): Promise<CallerResult> {
     let rest = "";
     let text = "";
     let outputTokens = 0;
@@ -177,13 +183,14 @@
                 const content = (JSON.parse(data) as ChatChunk).choices?.[0]?.delta?.content;
                 if (content === undefined) continue;
                 firstTokenMs ??= performance.now() - startedAt;
+                opts.onToken?.(outputTokens);
                 outputTokens += 1;
                 text += content;
             }
         }
     }
     const outcome = done && code === undefined ? "complete" : "unknown";
-    return createResult(startedAt, { outcome, code, outputTokens, firstTokenMs, crossed: !isOwnText(text, user) });
+    return createResult(startedAt, { outcome, code, outputTokens, firstTokenMs, crossed: !isOwnText(text, opts.user) });
 }
 
 function parseErrorCode(data: string | undefined): string {
--- /dev/null
+++ b/packages/bench/src/createServiceMeter.ts
@@ -0,0 +1,38 @@
+/** Measures the service that each workspace receives, as its callers see it, and the gap between workspaces. */
+
+export interface MeteredWorkspace {
+    readonly name: string;
+    readonly share: number;
+}
+
+export interface ServiceSample {
+    readonly atMs: number;
+    /** Service divided by share, in the order of the workspaces. */
+    readonly normalized: readonly number[];
+}
+
+export function createServiceMeter(workspaces: readonly MeteredWorkspace[]) {
+    const received = new Map(workspaces.map(workspace => [workspace.name, 0]));
+    const samples: ServiceSample[] = [];
+    return {
+        add: (workspace: string, cost: number) => {
+            received.set(workspace, (received.get(workspace) ?? 0) + cost);
+        },
+        sample: (atMs: number) => {
+            const normalized = workspaces.map(({ name, share }) => (received.get(name) ?? 0) / share);
+            samples.push({ atMs, normalized });
+        },
+        getReceived: () => new Map(received),
+        listSamples: (): readonly ServiceSample[] => samples,
+    };
+}
+
+/** Greatest difference between two workspaces over the samples, each counted from the first sample. */
+export function computeGap(samples: readonly ServiceSample[]): number {
+    const base = samples[0]?.normalized ?? [];
+    const spreads = samples.map(({ normalized }) => {
+        const since = normalized.map((value, index) => value - (base[index] ?? 0));
+        return Math.max(...since) - Math.min(...since);
+    });
+    return Math.max(0, ...spreads);
+}
