--- a/packages/bench/src/runBench.ts
+++ b/packages/bench/src/runBench.ts
@@ -1,7 +1,9 @@
 /** Runs one benchmark by name; the last line of its output is one JSON object. */
+import { runDomain } from "./runDomain.js";
 import { runFairness } from "./runFairness.js";
 
 const benchmarks: Readonly<Record<string, () => Promise<object>>> = {
+    domain: runDomain,
     fairness: runFairness,
 };
 
--- /dev/null
+++ b/packages/bench/src/runDomain.ts
@@ -0,0 +1,132 @@
+/** Benchmark `domain`: operators take a failure domain out under full load and bring it back. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { createCaller } from "./createCaller.js";
+import type { CallerResult } from "./createCaller.js";
+import { createRateMeter } from "./createRateMeter.js";
+import type { FleetPlan } from "./fleetPlan.js";
+import { runClosedLoop } from "./runClosedLoop.js";
+import { computeMean, readTargetStats } from "./sampleTargets.js";
+import { putResource, startFleet } from "./startFleet.js";
+import type { Fleet } from "./startFleet.js";
+
+const domains = ["pnw-a", "pnw-b", "pnw-c"] as const;
+const takenOut = "pnw-b";
+const routerCount = 15;
+const targetCount = 6;
+const targetLimit = 8;
+const workspaceCount = 16;
+const concurrencyPerLoop = 6;
+
+const warmUpMs = 8_000;
+const steadyMs = 6_000;
+const outMs = 10_000;
+const backMs = 14_000;
+const intervalMs = 1_000;
+const pollMs = 100;
+
+const plan: FleetPlan = {
+    failureDomains: domains,
+    routerDomains: Array.from({ length: routerCount }, (_, index) => domains[index % domains.length]!),
+    services: [{
+        name: "assistant",
+        kind: "model",
+        failureDomains: Array.from({ length: targetCount }, (_, index) => domains[index % domains.length]!),
+        targetLimit,
+        coldLimit: 4,
+        flags: ["--tokenBaseMs=20", "--tokenSlopeMs=0", "--warmAfterCompleted=20"],
+    }],
+    workspaces: Array.from({ length: workspaceCount }, (_, index) => ({
+        name: `branch-${index}`,
+        share: index < 3 ? 4 : 1,
+    })),
+};
+
+interface Periods {
+    readonly outAt: number;
+    readonly backAt: number;
+    readonly lastNewWorkMs: number;
+    readonly returnMs: number;
+}
+
+/** Writes the state of the failure domain at every router's operator interface in turn until one accepts it. */
+async function setDomainState(fleet: Fleet, state: "in" | "out", version: number): Promise<number> {
+    const resource = { kind: "failuredomains" as const, name: takenOut, spec: { state }, version };
+    const answer = await putResource(fleet.routers[1]!.url, resource);
+    if (answer.status >= 300) throw new Error(`The failure domain was not set: ${JSON.stringify(answer)}`);
+    return Date.now();
+}
+
+const listTakenOut = (fleet: Fleet) => fleet.targets.filter(target => target.failureDomain === takenOut);
+
+/** Time at which the last request began at the targets of the failure domain. */
+async function findLastEntry(fleet: Fleet): Promise<number> {
+    const stats = await readTargetStats(listTakenOut(fleet));
+    return Math.max(...stats.map(entry => Date.now() - (entry.lastEnteredAgeMs ?? Infinity)));
+}
+
+async function waitForReturn(fleet: Fleet, backAt: number): Promise<number> {
+    while (Date.now() - backAt < backMs) {
+        const stats = await readTargetStats(listTakenOut(fleet));
+        if (stats.every(entry => entry.concurrency >= targetLimit)) return Date.now() - backAt;
+        await sleep(pollMs);
+    }
+    return Infinity;
+}
+
+async function runPeriods(fleet: Fleet): Promise<Periods> {
+    await sleep(warmUpMs + steadyMs);
+    const outAt = await setDomainState(fleet, "out", 1);
+    await sleep(outMs);
+    const lastEntry = await findLastEntry(fleet);
+    const backAt = await setDomainState(fleet, "in", 2);
+    const returnMs = await waitForReturn(fleet, backAt);
+    await sleep(Math.max(0, backAt + backMs - Date.now()));
+    return { outAt, backAt, lastNewWorkMs: Math.max(0, lastEntry - outAt), returnMs };
+}
+
+export async function runDomain(): Promise<object> {
+    const fleet = await startFleet(plan);
+    const caller = createCaller();
+    try {
+        const results: CallerResult[] = [];
+        const meter = createRateMeter(intervalMs, Date.now);
+        let running = true;
+        const loops = plan.workspaces.flatMap((workspace, index) =>
+            [0, 1].map(offset =>
+                runClosedLoop(caller, {
+                    workspace: workspace.name,
+                    router: fleet.routers[(index * 2 + offset) % routerCount]!.url,
+                    concurrency: concurrencyPerLoop * workspace.share,
+                    seed: index * 2 + offset,
+                    outputTokens: [10, 60],
+                    promptCharacters: 200,
+                }, {
+                    isRunning: () => running,
+                    onResult: (_workspace, result) => running && results.push(result),
+                    onService: (_workspace, cost) => meter.add(cost),
+                })
+            )
+        );
+        const startedAt = Date.now();
+        const periods = await runPeriods(fleet);
+        running = false;
+        await caller.close();
+        await Promise.all(loops);
+        const steady = computeMean(meter.listBetween(startedAt + warmUpMs, periods.outAt));
+        const remaining = steady * (domains.length - 1) / domains.length;
+        const whileOut = meter.listBetween(periods.outAt, periods.backAt);
+        const incomplete = results.filter(result => result.outcome !== "complete");
+        return {
+            lastNewWorkMs: periods.lastNewWorkMs,
+            cutOff: incomplete.filter(result => result.outputTokens > 0).length,
+            failed: incomplete.length,
+            servedRatio: Number((Math.min(...whileOut) / remaining).toFixed(3)),
+            returnMs: periods.returnMs,
+            requests: results.length,
+            crossed: results.filter(result => result.crossed).length,
+        };
+    }
+    finally {
+        await fleet.stop();
+    }
+}
--- a/packages/bench/src/sampleTargets.ts
+++ b/packages/bench/src/sampleTargets.ts
@@ -8,6 +8,10 @@
     readonly maxColdConcurrency: number;
     readonly fellOver: number;
     readonly cold: boolean;
+    /** Requests that ran to their end. */
+    readonly completed: number;
+    /** Time since the last request began. */
+    readonly lastEnteredAgeMs?: number;
 }
 
 export function readTargetStats(targets: readonly RunningTarget[]): Promise<readonly TargetStats[]> {
--- a/packages/stand-ins/src/createColdPhase.ts
+++ b/packages/stand-ins/src/createColdPhase.ts
@@ -32,6 +32,8 @@
         readonly fellOver: number;
         readonly starts: number;
         readonly completed: number;
+        /** Time since the last request began, or `undefined` before the first. */
+        readonly lastEnteredAgeMs: number | undefined;
     };
 }
 
@@ -41,6 +43,7 @@
     let completedSinceStart = 0;
     let concurrency = 0;
     let canBeCold = opts.startsCold;
+    let lastEnteredAt: number | undefined;
     const totals = { maxConcurrency: 0, maxColdConcurrency: 0, fellOver: 0, starts: 1, completed: 0 };
 
     const isCold = (): boolean => {
@@ -65,6 +68,7 @@
         enter: () => {
             const cold = isCold();
             concurrency += 1;
+            lastEnteredAt = opts.clock();
             totals.maxConcurrency = Math.max(totals.maxConcurrency, concurrency);
             if (!cold) return true;
             totals.maxColdConcurrency = Math.max(totals.maxColdConcurrency, concurrency);
@@ -80,6 +84,12 @@
             totals.completed += 1;
         },
         getConcurrency: () => concurrency,
-        readStats: () => ({ startId, cold: isCold(), concurrency, ...totals }),
+        readStats: () => ({
+            startId,
+            cold: isCold(),
+            concurrency,
+            ...totals,
+            lastEnteredAgeMs: lastEnteredAt === undefined ? undefined : opts.clock() - lastEnteredAt,
+        }),
     };
 }
