--- a/packages/bench/src/createCaller.ts
+++ b/packages/bench/src/createCaller.ts
@@ -37,6 +37,8 @@
     readonly service: string;
     readonly orderId: string;
     readonly key?: string;
+    /** The caller hangs up after this time. */
+    readonly patienceMs?: number;
 }
 
 const maxConnectionsPerRouter = 2_000;
@@ -81,6 +83,7 @@
                 opts.token,
                 body,
                 headers,
+                opts.patienceMs,
             );
             if (response.statusCode >= 300) return await readFailure(response, startedAt);
             const answer = await response.body.json() as { orderId?: string; };
@@ -111,8 +114,16 @@
 
 export type Caller = ReturnType<typeof createCaller>;
 
-function post(agent: Agent, url: string, token: string, body: string, headers: Record<string, string>) {
+function post(
+    agent: Agent,
+    url: string,
+    token: string,
+    body: string,
+    headers: Record<string, string>,
+    patienceMs = callLimitMs,
+) {
     return request(url, {
+        signal: AbortSignal.timeout(patienceMs),
         dispatcher: agent,
         method: "POST",
         headers: { authorization: `Bearer ${token}`, "content-type": "application/json", ...headers },
--- a/packages/bench/src/runBench.ts
+++ b/packages/bench/src/runBench.ts
@@ -1,10 +1,16 @@
 /** Runs one benchmark by name; the last line of its output is one JSON object. */
+import { runCold } from "./runCold.js";
+import { runConfig } from "./runConfig.js";
 import { runDomain } from "./runDomain.js";
 import { runFairness } from "./runFairness.js";
+import { runOnce } from "./runOnce.js";
 
 const benchmarks: Readonly<Record<string, () => Promise<object>>> = {
+    cold: runCold,
+    config: runConfig,
     domain: runDomain,
     fairness: runFairness,
+    once: runOnce,
 };
 
 const name = process.argv[2] ?? "";
--- /dev/null
+++ b/packages/bench/src/runCold.ts
@@ -0,0 +1,118 @@
+/** Benchmark `cold`: targets restart cold without warning while the coordinator dies and the store is down. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { createCaller } from "./createCaller.js";
+import type { CallerResult } from "./createCaller.js";
+import type { FleetPlan } from "./fleetPlan.js";
+import { runClosedLoop } from "./runClosedLoop.js";
+import { readTargetStats, sampleUtilisation } from "./sampleTargets.js";
+import { putControl, readJson, startFleet } from "./startFleet.js";
+import type { Fleet, RunningTarget } from "./startFleet.js";
+
+const domains = ["khomas-a", "khomas-b", "khomas-c", "khomas-d"] as const;
+const routerCount = 8;
+const targetCount = 8;
+const targetLimit = 8;
+const coldLimit = 2;
+
+const warmUpMs = 9_000;
+const betweenFaultsMs = 4_000;
+const recoveryLimitMs = 15_000;
+const recoveredUtilisation = 0.95;
+const pollMs = 100;
+
+const plan: FleetPlan = {
+    failureDomains: domains,
+    routerDomains: Array.from({ length: routerCount }, (_, index) => domains[index % domains.length]!),
+    services: [{
+        name: "assistant",
+        kind: "model",
+        failureDomains: Array.from({ length: targetCount }, (_, index) => domains[index % domains.length]!),
+        targetLimit,
+        coldLimit,
+        flags: ["--tokenBaseMs=10", "--tokenSlopeMs=0", "--warmAfterCompleted=20", "--warmAfterMs=60000"],
+    }],
+    workspaces: Array.from({ length: 8 }, (_, index) => ({ name: `plant-${index}`, share: 1 })),
+};
+
+const restart = (target: RunningTarget) => putControl(`${target.url}/control/restart`, {}, "POST");
+
+async function findCoordinator(fleet: Fleet) {
+    const status = await readJson<{ pools: readonly { pool: string; coordinator: string; }[]; }>(
+        `${fleet.routers[0]!.url}/api/v1/status`,
+    );
+    const name = status.pools.find(pool => pool.pool === "assistant")?.coordinator;
+    return fleet.routers.find(router => router.name === name)!;
+}
+
+async function waitForUtilisation(fleet: Fleet): Promise<number> {
+    const startedAt = Date.now();
+    while (Date.now() - startedAt < recoveryLimitMs) {
+        if (await sampleUtilisation(fleet.targets, targetLimit) >= recoveredUtilisation) return Date.now() - startedAt;
+        await sleep(pollMs);
+    }
+    return Infinity;
+}
+
+/** Restarts a target alone, one with the coordinator's death, one with the store down, and two with both. */
+async function runFaults(fleet: Fleet): Promise<{ readonly recoveryMs: number; readonly noticedMs: number; }> {
+    await sleep(warmUpMs);
+    await restart(fleet.targets[0]!);
+    await sleep(betweenFaultsMs);
+    const first = await findCoordinator(fleet);
+    first.process.signal("SIGKILL");
+    await restart(fleet.targets[1]!);
+    await sleep(betweenFaultsMs);
+    await first.restart();
+    await putControl(`${fleet.platformUrl}/control/faults`, { down: true });
+    await restart(fleet.targets[2]!);
+    await sleep(betweenFaultsMs);
+    const second = await findCoordinator(fleet);
+    second.process.signal("SIGKILL");
+    await Promise.all([restart(fleet.targets[3]!), restart(fleet.targets[4]!)]);
+    const lastFaultAt = Date.now();
+    await sleep(betweenFaultsMs);
+    await putControl(`${fleet.platformUrl}/control/faults`, { down: false });
+    await waitForUtilisation(fleet);
+    return { recoveryMs: Date.now() - lastFaultAt, noticedMs: betweenFaultsMs };
+}
+
+export async function runCold(): Promise<object> {
+    const fleet = await startFleet(plan);
+    const caller = createCaller();
+    try {
+        const results: CallerResult[] = [];
+        let running = true;
+        const loops = plan.workspaces.flatMap((workspace, index) =>
+            [0, 1, 2].map(offset =>
+                runClosedLoop(caller, {
+                    workspace: workspace.name,
+                    router: fleet.routers[(index + offset) % routerCount]!.url,
+                    concurrency: 8,
+                    seed: index * 3 + offset,
+                    outputTokens: [10, 40],
+                    promptCharacters: 100,
+                }, {
+                    isRunning: () => running,
+                    onResult: (_workspace, result) => running && results.push(result),
+                    onService: () => undefined,
+                })
+            )
+        );
+        const { recoveryMs } = await runFaults(fleet);
+        running = false;
+        await caller.close();
+        await Promise.all(loops);
+        const stats = await readTargetStats(fleet.targets);
+        return {
+            overCold: stats.reduce((sum, entry) => sum + Math.max(0, entry.maxColdConcurrency - coldLimit), 0),
+            fellOver: stats.reduce((sum, entry) => sum + entry.fellOver, 0),
+            recoveryMs,
+            requests: results.length,
+            incomplete: results.filter(result => result.outcome !== "complete").length,
+            crossed: results.filter(result => result.crossed).length,
+        };
+    }
+    finally {
+        await fleet.stop();
+    }
+}
