--- a/packages/at-most-once/src/createAnswerStore.ts
+++ b/packages/at-most-once/src/createAnswerStore.ts
@@ -1,5 +1,7 @@
 /** Answers of keyed calls, recorded while they pass through the responder of the call. */
 import type { CallFailure, CallResponder } from "@rhubarbwheel/types/ports";
+import type { CompleteAnswer } from "./sendAnswer.js";
+import { sendAnswer } from "./sendAnswer.js";
 
 // Most answers of orders and bookings are far smaller; a larger one is passed on but not kept.
 const defaultMaxAnswerBytes = 256 * 1024;
@@ -19,12 +21,6 @@
     readonly onRecorded: (answer: RecordedAnswer) => void;
 }
 
-interface CompleteAnswer {
-    readonly status: number;
-    readonly headers: Readonly<Record<string, string>>;
-    readonly body: Buffer;
-}
-
 type StoredAnswer = { readonly type: "complete"; readonly answer: CompleteAnswer; } | {
     readonly type: "failed";
     readonly failure: CallFailure;
@@ -109,17 +105,6 @@
     };
 }
 
-async function sendAnswer(answer: CompleteAnswer, responder: CallResponder): Promise<void> {
-    responder.begin(answer.status, answer.headers);
-    try {
-        if (answer.body.byteLength > 0 && !responder.write(answer.body)) await responder.waitForDrain();
-        responder.finish();
-    }
-    catch {
-        // The caller has gone; the responder has already closed the connection.
-    }
-}
-
 function measureAnswer(stored: StoredAnswer | undefined): number {
     if (stored?.type !== "complete") return 0;
     const headers = Object.entries(stored.answer.headers);
--- a/packages/at-most-once/src/createIdempotency.ts
+++ b/packages/at-most-once/src/createIdempotency.ts
@@ -28,6 +28,8 @@
     /** Mints a key that only this process will ever run. */
     readonly mintKey: () => string;
     readonly countRecords: () => { readonly running: number; readonly finished: number; readonly bytes: number; };
+    /** Calls that wait for a binding, for the owner of their key or for a running duplicate; a drain waits for them. */
+    readonly countPending: () => number;
 }
 
 export function createIdempotency(opts: IdempotencyOptions): Idempotency {
@@ -213,6 +215,7 @@
     return {
         mintKey: minter.mintKey,
         countRecords: records.countRecords,
+        countPending: () => binding.size + forwarding.size + waitingFor.size,
         reduce: event => {
             switch (event.type) {
                 case "keyedRequest":
--- a/packages/at-most-once/src/createKeyRecords.ts
+++ b/packages/at-most-once/src/createKeyRecords.ts
@@ -1,5 +1,6 @@
 /** Bounded memory of keyed calls: what runs, what has finished, and below which sequence number records may be gone. */
 import type { RequestSummary } from "@rhubarbwheel/types/events";
+import { createWeightIndex } from "./createWeightIndex.js";
 
 export interface KeyRecord {
     readonly workspace: string;
@@ -27,7 +28,8 @@
     readonly records: Map<string, KeyRecord>;
     /** Finished records, oldest first. */
     readonly finished: Set<KeyRecord>;
-    bytes: number;
+    /** Weight of the finished records. */
+    weight: number;
     /** Records of keys with a smaller sequence number may be gone. */
     lowWaterMark: number;
 }
@@ -48,12 +50,13 @@
 }
 
 /**
- * The mark is kept per workspace, and the workspace with the most recorded bytes or records loses its oldest one, so
- * that a flood of keyed calls costs other workspaces neither their records nor their unused keys.
+ * The mark is kept per workspace, and the workspace whose records weigh most loses its oldest one, so that a flood of
+ * keyed calls costs other workspaces neither their records nor their unused keys.
  */
 export function createKeyRecords(limits: RecordLimits): KeyRecords {
     const workspaces = new Map<string, WorkspaceRecords>();
     const bySource = new Map<string, KeyRecord>();
+    const weightIndex = createWeightIndex<WorkspaceRecords>();
     // Marks of workspaces without records are merged into this one when there are too many of them.
     let commonMark = 0;
     let finishedCount = 0;
@@ -63,7 +66,7 @@
         let state = workspaces.get(name);
         if (state === undefined) {
             mergeMarks();
-            state = { records: new Map(), finished: new Set(), bytes: 0, lowWaterMark: 0 };
+            state = { records: new Map(), finished: new Set(), weight: 0, lowWaterMark: 0 };
             workspaces.set(name, state);
         }
         return state;
@@ -78,16 +81,13 @@
         }
     };
 
-    const computeWeight = (state: WorkspaceRecords): number =>
-        Math.max(state.finished.size / limits.maxRecords, state.bytes / limits.maxBytes);
+    /** One unit is one record, or the bytes that one record may take on average. */
+    const computeWeight = (record: KeyRecord): number =>
+        Math.max(1, Math.ceil((record.sizeBytes / limits.maxBytes) * limits.maxRecords));
 
-    const findHeaviest = (): WorkspaceRecords | undefined => {
-        let heaviest: WorkspaceRecords | undefined;
-        for (const state of workspaces.values()) {
-            if (state.finished.size === 0) continue;
-            if (heaviest === undefined || computeWeight(state) > computeWeight(heaviest)) heaviest = state;
-        }
-        return heaviest;
+    const changeWeight = (state: WorkspaceRecords, change: number): void => {
+        state.weight += change;
+        weightIndex.setWeight(state, state.weight);
     };
 
     const deleteRecord = (state: WorkspaceRecords, record: KeyRecord): void => {
@@ -95,7 +95,7 @@
         bySource.delete(record.sourceRequestId);
         if (!state.finished.delete(record)) return;
         finishedCount -= 1;
-        state.bytes -= record.sizeBytes;
+        changeWeight(state, -computeWeight(record));
         totalBytes -= record.sizeBytes;
     };
 
@@ -110,7 +110,7 @@
     const evictToLimits = (): KeyRecord[] => {
         const evicted: KeyRecord[] = [];
         while (finishedCount > limits.maxRecords || totalBytes > limits.maxBytes) {
-            const state = findHeaviest();
+            const state = weightIndex.findHeaviest();
             const record = state === undefined ? undefined : evictOldest(state);
             if (record === undefined) break;
             evicted.push(record);
@@ -138,7 +138,7 @@
             record.finished = true;
             record.sizeBytes = sizeBytes;
             state.finished.add(record);
-            state.bytes += sizeBytes;
+            changeWeight(state, computeWeight(record));
             finishedCount += 1;
             totalBytes += sizeBytes;
             return evictToLimits();
--- a/packages/http-server/src/createCallerRoutes.ts
+++ b/packages/http-server/src/createCallerRoutes.ts
@@ -14,7 +14,8 @@
 import { RequestError } from "./requestError.js";
 
 export interface CallerRoutesOptions
-    extends Pick<HttpServerOptions, "configuration" | "submitCall" | "cancelCall" | "mintKey" | "limits"> {
+    extends
+        Pick<HttpServerOptions, "configuration" | "submitCall" | "cancelCall" | "mintKey" | "limits" | "reportError"> {
     readonly directory: Directory;
     readonly openCallLimit: OpenCallLimit;
 }
@@ -80,7 +81,8 @@
         try {
             opts.submitCall(call);
         }
-        catch {
+        catch (error) {
+            opts.reportError?.(id, error);
             responder.fail({ code: "INTERNAL", outcome: "unknown" });
         }
     };
--- a/packages/http-server/src/createHttpServer.ts
+++ b/packages/http-server/src/createHttpServer.ts
@@ -5,7 +5,6 @@
 import type { Server } from "node:http";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
-import { answerClientErrors } from "./answerClientErrors.js";
 import { checkRequest } from "./checkRequest.js";
 import { createCallerRoutes } from "./createCallerRoutes.js";
 import { createDirectory } from "./createDirectory.js";
@@ -16,6 +15,7 @@
 import type { HttpServer, HttpServerOptions } from "./httpServerOptions.js";
 import { RequestError } from "./requestError.js";
 import { sendError } from "./sendError.js";
+import { serveConnections } from "./serveConnections.js";
 
 // A caller that needs longer for the headers or for the whole request holds a connection for nothing.
 const headersTimeoutMs = 10_000;
@@ -38,11 +38,12 @@
     ];
     const app = new Koa();
     app.silent = true;
-    app.use(createErrorMiddleware(opts.createId, () => closing));
+    app.use(createErrorMiddleware(opts, () => closing));
     for (const router of routers) app.use(router.routes());
     app.use(refuseRoute);
 
     const server = createServer({
+        insecureHTTPParser: false,
         maxHeaderSize: opts.limits.maxHeaderBytes,
         headersTimeout: headersTimeoutMs,
         requestTimeout: requestTimeoutMs,
@@ -50,9 +51,7 @@
     });
     hardenServer(server, opts);
     const handleRequest = app.callback();
-    server.on("request", handleRequest);
-    // The body is asked for once the caller is known and the body may be read.
-    server.on("checkContinue", handleRequest);
+    serveConnections(server, opts.createId, (req, res) => void handleRequest(req, res));
 
     return {
         listen: (host, port) => listen(server, host, port),
@@ -67,7 +66,6 @@
     server.maxConnections = opts.limits.maxConnections;
     // Node.js would drop headers over a count silently; their size is limited instead.
     server.maxHeadersCount = 0;
-    answerClientErrors(server, opts.createId);
     server.on("connection", () => {
         server.getConnections((_error, count) => {
             if (count > opts.limits.maxConnections * crowdedShare) server.closeIdleConnections();
@@ -75,22 +73,26 @@
     });
 }
 
-function createErrorMiddleware(createId: () => string, isClosing: () => boolean): Middleware {
+function createErrorMiddleware(
+    opts: Pick<HttpServerOptions, "createId" | "reportError">,
+    isClosing: () => boolean,
+): Middleware {
     return async (ctx, next) => {
-        const requestId = createId();
+        const requestId = opts.createId();
         ctx.state["requestId"] = requestId;
         ctx.set("rhubarbwheel-request-id", requestId);
         if (isClosing()) ctx.set("connection", "close");
+        // A write that fails because the caller has gone is followed by "close", on which the call is cancelled.
+        ctx.res.on("error", () => undefined);
         try {
             checkRequest(ctx.req);
             await next();
         }
         catch (error) {
             ctx.respond = false;
-            const answer = error instanceof RequestError
-                ? error.answer
-                : { code: "INTERNAL", outcome: "unknown" as const };
-            sendError(ctx.res, requestId, answer);
+            if (!(error instanceof RequestError)) opts.reportError?.(requestId, error);
+            const internal = { code: "INTERNAL", outcome: "unknown" } as const;
+            sendError(ctx.res, requestId, error instanceof RequestError ? error.answer : internal);
         }
     };
 }
--- a/packages/http-server/src/httpServerOptions.ts
+++ b/packages/http-server/src/httpServerOptions.ts
@@ -52,6 +52,8 @@
         name: string,
         spec: unknown,
     ) => Result<ResourceSpecs[ResourceKind], readonly FieldProblem[]>;
+    /** Told of each error behind an `INTERNAL` answer, for the log. */
+    readonly reportError?: (requestId: string, error: unknown) => void;
 }
 
 export interface HttpServer {
--- a/packages/http-server/src/readBody.ts
+++ b/packages/http-server/src/readBody.ts
@@ -5,7 +5,7 @@
 // A caller that is told of the limit while it sends can read the answer only if the rest is received and discarded.
 const discardFactor = 8;
 
-/** Rejects with `BODY_TOO_LARGE`, or with the error of the connection when the caller goes away. */
+/** Rejects with `BODY_TOO_LARGE`, or with `BODY_MALFORMED` when the caller goes away before the end. */
 export function readBody(req: IncomingMessage, res: ServerResponse, maxBytes: number): Promise<Buffer> {
     const announced = Number(req.headers["content-length"] ?? 0);
     if (announced > maxBytes) {
@@ -31,7 +31,8 @@
             if (received > maxBytes * discardFactor) req.destroy();
         });
         req.on("end", () => resolve(Buffer.concat(chunks)));
-        req.on("error", reject);
-        req.on("close", () => reject(new Error("The caller went away while it sent the body.")));
+        const refuse = (): void => reject(new RequestError("BODY_MALFORMED", { detail: "It is incomplete." }));
+        req.on("error", refuse);
+        req.on("close", refuse);
     });
 }
