Take the majority from the host list, and spread leaving targets by digest

Two routers cut off from seven then counted as a majority, and one stayed fresh without an accepted change.

Change: a majority is counted over a host list that this router or a peer has read; digests carry the number of routers. They also carry a hash of the leaving targets, so that routers other than watchers learn these without reading the list each second. Revision ranges that arrive out of order are kept, so that a change beyond a gap counts once the gap is closed. A started router waits 600 ms for its peers before it reads the store.

--- a/packages/configuration/src/configurationSettings.ts
+++ b/packages/configuration/src/configurationSettings.ts
@@ -33,9 +33,15 @@
 /** Slows calls of routers that are not watchers, so that the whole fleet makes at most 100 such calls a second. */
 export const callPaceMsPerRouter = 10;
 
-/** Least time between two reads of the host list. */
+/** Time between two reads of the host list by a watcher. */
 export const listHostsIntervalMs = 1_000;
 
+/** A router that is no watcher reads the host list itself once its knowledge is older than this. */
+export const hostsUnknownAfterMs = 2_000;
+
+/** Each router reads the whole list this often, because peers tell it only the number of routers. */
+export const routersUnknownAfterMs = 30_000;
+
 /** A host list read without an answer is repeated after this time. */
 export const listHostsLostAfterMs = 5_000;
 
@@ -73,3 +79,9 @@
 
 /** Changes that are logged one by one; larger batches get one line. */
 export const maxChangesLogged = 20;
+
+/** Ranges of changes held beyond a gap; a router that misses more than this asks for all of them. */
+export const maxRevisionRanges = 64;
+
+/** Wait before the first call after a start, in which peers can send their configuration instead of the store. */
+export const firstCallDelayMs = 600;
--- a/packages/configuration/src/createConfiguration.ts
+++ b/packages/configuration/src/createConfiguration.ts
@@ -3,14 +3,21 @@
  * Raises `configurationApplied` and `freshnessChanged`. Must see each event before the slices that query it.
  */
 import type { Effect } from "@rhubarbwheel/types/effects";
-import type { ConfigurationChangedEvent, ConfigurationReadEvent, RouterEvent } from "@rhubarbwheel/types/events";
 import type {
+    ConfigurationChangedEvent,
+    ConfigurationReadEvent,
+    HostsListedEvent,
+    RouterEvent,
+} from "@rhubarbwheel/types/events";
+import type {
+    ConfigurationDigest,
+    ConfigurationRequestMessage,
     ConfigurationUpdateMessage,
     MemberState,
     PeerMessage,
     ProbeAckMessage,
 } from "@rhubarbwheel/types/peer-messages";
-import type { HostEntry, Resource, ResourceKind, ResourceOf } from "@rhubarbwheel/types/resources";
+import type { Resource, ResourceKind, ResourceOf } from "@rhubarbwheel/types/resources";
 import type {
     ConfigurationQueries,
     Member,
@@ -22,10 +29,12 @@
 import { maxChangesLogged, maxResourcesPerUpdate, suspectAfterMs } from "./configurationSettings.js";
 import { createConfirmer } from "./createConfirmer.js";
 import { createFreshness, type FreshnessState } from "./createFreshness.js";
+import { createHostView } from "./createHostView.js";
 import { createResourceTable } from "./createResourceTable.js";
+import { createRevisionRanges } from "./createRevisionRanges.js";
+import { createRoles } from "./createRoles.js";
 import { createSpread, type UpdateRange } from "./createSpread.js";
 import { type CallerRole, createStoreCaller } from "./createStoreCaller.js";
-import { findDomainRoles } from "./findDomainRoles.js";
 
 export interface ConfigurationOptions {
     readonly identity: RouterIdentity;
@@ -69,25 +78,27 @@
 export function createConfiguration(opts: ConfigurationOptions): Slice & ConfigurationQueries & ResourceQueries {
     const { identity, membership, random } = opts;
     const table = createResourceTable();
+    const ranges = createRevisionRanges();
     const freshness = createFreshness();
+    const hostView = createHostView();
     const peerRevisions = new Map<string, PeerRevision>();
-    let leavingTargets: ReadonlySet<string> = new Set();
     let effects: Effect[] = [];
     let currentTime = 0;
-    let startedAt: number | undefined;
     let revision = 0;
     let state: FreshnessState = "empty";
     let role: CallerRole = "none";
     let storeFailed = false;
-    let routable: readonly Member[] | undefined;
-    let domainRoles = findDomainRoles(identity.router, identity.failureDomain, []);
+    const roles = createRoles(identity, membership.listRoutable);
 
     const log = (event: number, fields: Readonly<Record<string, string | number | boolean | undefined>>) =>
         effects.push({ type: "log", event, fields });
     const emit = (effect: Effect) => void effects.push(effect);
     const send = (to: Member, message: PeerMessage) =>
         emit({ type: "sendToPeer", router: to.router, address: to.address, message });
-    const getDigest = (now: number) => freshness.getDigest(now, revision);
+    const getDigest = (now: number): ConfigurationDigest => ({
+        ...freshness.getDigest(now, revision),
+        hosts: hostView.getDigest(now, membership.countListed()),
+    });
 
     const { listRoutable, getMember } = membership;
     const caller = createStoreCaller({ random, countListed: membership.countListed, emit });
@@ -130,7 +141,7 @@
     const applyRange = (update: UpdateRange, from: string | undefined) => {
         const previous = revision;
         const changed = update.resources.filter(table.apply);
-        if (update.fromRevision <= revision) revision = Math.max(revision, update.revision);
+        revision = ranges.add(update.fromRevision, update.revision);
         if (revision > previous) freshness.reachRevision(revision);
         if (changed.length === 0) return;
         logChanges(changed);
@@ -163,7 +174,7 @@
     };
 
     const onUnavailable = (event: Extract<RouterEvent, { readonly type: "platformUnavailable"; }>) => {
-        if (event.call === "listHosts") caller.recordHosts();
+        if (event.call === "listHosts") caller.recordHostsFailure();
         if (event.call !== "readConfiguration" && event.call !== "watchConfiguration") return;
         const isGone = event.revisionGone === true;
         caller.recordFailure(event.call, isGone, event.now);
@@ -177,6 +188,7 @@
     };
 
     const onUpdate = (from: string, message: ConfigurationUpdateMessage) => {
+        if (message.leavingTargets !== undefined) hostView.readLeaving(message.leavingTargets);
         applyRange(message, from);
         if (message.digest.revision <= revision) spread.endRequest();
         onPeerRevision(from, message.digest.revision);
@@ -184,48 +196,46 @@
 
     const onProbeAck = ({ router, sequence, digest }: ProbeAckMessage) => {
         const sentAt = confirmer.getSentAt(sequence) ?? membership.getProbeSentAt?.(sequence);
+        const asksLeaving = sentAt !== undefined && digest.hosts !== undefined
+            && hostView.readDigest(digest.hosts, sentAt);
         if (sentAt !== undefined) freshness.readAnswer(router, digest, sentAt, revision);
         onPeerRevision(router, digest.revision);
+        if (asksLeaving) spread.requestLeaving(router, revision, hostView.getLeavingHash(), currentTime);
         countVotes(currentTime);
     };
 
-    const onRequest = (from: string, fromRevision: number) => {
-        if (revision <= fromRevision) return;
-        spread.answer(from, { resources: table.listChangedAfter(fromRevision), fromRevision, revision });
+    const onRequest = (from: string, { revision: fromRevision, leavingHash }: ConfigurationRequestMessage) => {
+        const wantsLeaving = leavingHash !== undefined && leavingHash !== hostView.getLeavingHash();
+        if (revision <= fromRevision && !wantsLeaving) return;
+        const resources = revision <= fromRevision ? [] : table.listChangedAfter(fromRevision);
+        const leavingTargets = wantsLeaving ? hostView.listLeaving() : undefined;
+        spread.answer(from, { resources, fromRevision, revision: Math.max(revision, fromRevision), leavingTargets });
     };
 
     const onPeerMessage = (from: string, message: PeerMessage) => {
         if (message.type === "probe") onPeerRevision(from, message.digest.revision);
         else if (message.type === "probeAck") onProbeAck(message);
         else if (message.type === "configurationUpdate") onUpdate(from, message);
-        else if (message.type === "configurationRequest") onRequest(from, message.revision);
+        else if (message.type === "configurationRequest") onRequest(from, message);
     };
 
     const countVotes = (now: number) => {
         if (freshness.getStoreAge(now) < suspectAfterMs) return;
-        freshness.countVotes(now, revision, {
-            listed: membership.countListed(),
-            listedAlive: membership.countListedAlive(),
-            isListed: router => membership.isListed?.(router) ?? true,
-        });
-    };
-
-    /** A router that peers do not keep up to date calls the store itself, like a watcher. */
-    const chooseRole = (now: number): CallerRole => {
-        if (domainRoles.isWatcher) return "watcher";
-        const waitedMs = Math.min(freshness.getPeerAge(now), now - (startedAt ?? now));
-        return waitedMs >= suspectAfterMs ? "suspect" : "none";
+        // Seeds may name only a part of the fleet, so a majority needs the host list, read here or by a peer.
+        const isRead = hostView.isRead();
+        const listed = isRead ? membership.countListed() : hostView.getPeerCount();
+        if (listed === undefined) return;
+        const listedAlive = isRead ? membership.countListedAlive() : listRoutable().length;
+        const isListed = (router: string) => !isRead || (membership.isListed?.(router) ?? true);
+        freshness.countVotes(now, revision, { listed, listedAlive, isListed });
     };
 
     const advanceCalls = (now: number) => {
-        if (routable !== listRoutable()) {
-            routable = listRoutable();
-            domainRoles = findDomainRoles(identity.router, identity.failureDomain, routable);
-        }
-        const next = chooseRole(now);
+        const next = roles.choose(now, freshness.getPeerAge(now));
         if (next !== role) log(roleEvent, { from: role, to: next });
         role = next;
         caller.advance(now, revision, role);
+        caller.advanceHosts(now, role, hostView.getAge(now));
     };
 
     const onTick = (now: number) => {
@@ -233,14 +243,10 @@
         if (caller.isOverdue(now)) recordCheck(true, now);
         countVotes(now);
         const ages = { storeAge: freshness.getStoreAge(now), age: freshness.getAge(now) };
-        confirmer.advance(now, ages, domainRoles.sources);
+        confirmer.advance(now, ages, roles.listSources());
     };
 
-    const onHostsListed = (hosts: readonly HostEntry[]) => {
-        caller.recordHosts();
-        const leaving = hosts.filter(host => host.role === "target" && host.state === "leaving");
-        leavingTargets = new Set(leaving.map(host => host.name));
-    };
+    const onHostsListed = (event: HostsListedEvent) => hostView.read(event.hosts, caller.recordHosts(event.now));
 
     const onMembershipChanged = (router: string, memberState: MemberState) => {
         if (memberState !== "dead" && memberState !== "left") return;
@@ -251,21 +257,20 @@
     const reduce = (event: RouterEvent): readonly Effect[] => {
         effects = [];
         currentTime = event.now;
-        startedAt ??= event.now;
         updateState(event.now);
         if (event.type === "tick") onTick(event.now);
         else if (event.type === "configurationRead" || event.type === "configurationChanged") onStoreAnswer(event);
         else if (event.type === "platformUnavailable") onUnavailable(event);
         else if (event.type === "peerMessage") onPeerMessage(event.from, event.message);
-        else if (event.type === "hostsListed") onHostsListed(event.hosts);
+        else if (event.type === "hostsListed") onHostsListed(event);
         else if (event.type === "membershipChanged") onMembershipChanged(event.router, event.state);
         updateState(event.now);
         return effects;
     };
 
     const isTargetOpen = (service: string, target: string): boolean => {
-        const found = table.find("services", service)?.spec.targets.find(entry => entry.name === target);
-        if (found === undefined || leavingTargets.has(target)) return false;
+        const found = table.findTarget(service, target);
+        if (found === undefined || hostView.isLeaving(target)) return false;
         return table.find("failuredomains", found.failureDomain)?.spec.state !== "out";
     };
 
--- a/packages/configuration/src/createSpread.ts
+++ b/packages/configuration/src/createSpread.ts
@@ -12,12 +12,17 @@
     readonly answer: (router: string, update: UpdateRange) => void;
     /** Asks the peer for the changes that this router misses, unless a request is outstanding. */
     readonly request: (router: string, revision: number, now: number) => void;
+    /** Asks the peer for the names of leaving targets, and for missing changes. */
+    readonly requestLeaving: (router: string, revision: number, leavingHash: number, now: number) => void;
     /** Allows the next request at once. */
     readonly endRequest: () => void;
 }
 
 /** `resources` complete the range from `fromRevision` to `revision`. */
-export type UpdateRange = Pick<ConfigurationUpdateMessage, "resources" | "fromRevision" | "revision">;
+export type UpdateRange = Pick<
+    ConfigurationUpdateMessage,
+    "resources" | "fromRevision" | "revision" | "leavingTargets"
+>;
 
 export interface SpreadOptions {
     readonly self: string;
@@ -46,11 +51,12 @@
         resources.push(resource);
         size += JSON.stringify(resource).length;
     }
-    return [...parts, { resources, fromRevision, revision: update.revision }];
+    return [...parts, { ...update, resources, fromRevision }];
 }
 
 export function createSpread(opts: SpreadOptions): Spread {
     let requestedAt = -Infinity;
+    let leavingRequestedAt = -Infinity;
 
     const choosePeers = (except: string | undefined): readonly Member[] => {
         const routable = opts.listRoutable();
@@ -78,6 +84,12 @@
             requestedAt = now;
             opts.send(member, { type: "configurationRequest", revision });
         },
+        requestLeaving: (router, revision, leavingHash, now) => {
+            const member = opts.getMember(router);
+            if (member === undefined || now - leavingRequestedAt < requestTimeoutMs) return;
+            leavingRequestedAt = now;
+            opts.send(member, { type: "configurationRequest", revision, leavingHash });
+        },
         endRequest: () => void (requestedAt = -Infinity),
     };
 }
--- a/packages/configuration/src/createStoreCaller.ts
+++ b/packages/configuration/src/createStoreCaller.ts
@@ -6,10 +6,13 @@
     callPaceMsPerRouter,
     callSpacingMs,
     firstBackoffMs,
+    firstCallDelayMs,
+    hostsUnknownAfterMs,
     listHostsIntervalMs,
     listHostsLostAfterMs,
     maxBackoffMs,
     readGraceMs,
+    routersUnknownAfterMs,
     watchGraceMs,
     watchJitterMs,
     watchTimeoutMs,
@@ -24,15 +27,19 @@
 }
 
 export interface StoreCaller {
-    /** Sends the next call if one is due. */
+    /** Sends the next read or watch if one is due. */
     readonly advance: (now: number, revision: number, role: CallerRole) => void;
+    /** Reads the host list if that is due; `ageMs` is the age of what is known of it. */
+    readonly advanceHosts: (now: number, role: CallerRole, ageMs: number) => void;
     /** Records an answer; returns whether it came too late to count as a working store. */
     readonly recordAnswer: (call: OutstandingCall["call"], now: number) => boolean;
     /** Records a call that failed, or whose revision the store no longer holds. */
     readonly recordFailure: (call: OutstandingCall["call"], revisionGone: boolean, now: number) => void;
     /** Whether a call has been without an answer for so long that the store counts as unreachable. */
     readonly isOverdue: (now: number) => boolean;
-    readonly recordHosts: () => void;
+    /** Records an answer with the host list; returns the time as of which it holds. */
+    readonly recordHosts: (now: number) => number;
+    readonly recordHostsFailure: () => void;
 }
 
 export interface StoreCallerOptions {
@@ -50,6 +57,7 @@
     let lastRole: CallerRole = "none";
     let nextListAt: number | undefined;
     let listSentAt: number | undefined;
+    let listReadAt = -Infinity;
 
     const getPace = () => callPaceMsPerRouter * opts.countListed();
 
@@ -72,19 +80,23 @@
     };
 
     const advanceCalls = (now: number, revision: number, role: CallerRole) => {
+        // A router that knows no member yet ranks first in its failure domain, so each start would read everything.
+        nextCallAt ??= opts.countListed() > 1 ? now + firstCallDelayMs : now;
         // Routers that begin to call at the same moment are spread over the time that the pace allows for.
-        if (role !== "none" && lastRole === "none") nextCallAt = Math.max(nextCallAt ?? 0, now + random() * getPace());
+        if (role !== "none" && lastRole === "none") nextCallAt = Math.max(nextCallAt, now + random() * getPace());
         lastRole = role;
         if (outstanding !== undefined && now - outstanding.sentAt > callLostAfterMs) outstanding = undefined;
-        if (role === "none" || outstanding !== undefined || now < (nextCallAt ?? now)) return;
+        if (role === "none" || outstanding !== undefined || now < nextCallAt) return;
         sendCall(now, revision);
     };
 
-    const advanceHosts = (now: number) => {
-        const intervalMs = Math.max(listHostsIntervalMs, getPace());
-        nextListAt ??= now + random() * Math.min(intervalMs, listHostsIntervalMs);
+    const advanceHosts = (now: number, role: CallerRole, ageMs: number) => {
+        nextListAt ??= now + random() * listHostsIntervalMs;
         if (listSentAt !== undefined && now - listSentAt > listHostsLostAfterMs) listSentAt = undefined;
         if (now < nextListAt || listSentAt !== undefined) return;
+        const isKnown = ageMs < hostsUnknownAfterMs && now - listReadAt < Math.max(routersUnknownAfterMs, getPace());
+        if (role !== "watcher" && isKnown) return;
+        const intervalMs = role === "watcher" ? listHostsIntervalMs : Math.max(listHostsIntervalMs, getPace());
         nextListAt = now + intervalMs * (0.9 + 0.1 * random());
         listSentAt = now;
         emit({ type: "listHosts" });
@@ -97,10 +109,8 @@
     };
 
     return {
-        advance: (now, revision, role) => {
-            advanceCalls(now, revision, role);
-            advanceHosts(now);
-        },
+        advance: advanceCalls,
+        advanceHosts,
         recordAnswer: (call, now) => {
             const late = isOverdue(now);
             const taken = takeOutstanding(call);
@@ -121,6 +131,12 @@
             nextCallAt = now + waitMs * (0.5 + 0.5 * random());
         },
         isOverdue,
-        recordHosts: () => void (listSentAt = undefined),
+        recordHosts: now => {
+            const asOf = listSentAt ?? now;
+            listSentAt = undefined;
+            listReadAt = now;
+            return asOf;
+        },
+        recordHostsFailure: () => void (listSentAt = undefined),
     };
 }
--- a/packages/configuration/test/createConfiguration.test.ts
+++ b/packages/configuration/test/createConfiguration.test.ts
@@ -1,20 +1,241 @@
+import { createConfiguration } from "@rhubarbwheel/configuration/createConfiguration";
+import type { FakeRouter } from "@rhubarbwheel/membership/test/createFakeFleet";
+import type { StoreMode } from "@rhubarbwheel/membership/test/createFakeStore";
+import type { Effect } from "@rhubarbwheel/types/effects";
+import type { Resource } from "@rhubarbwheel/types/resources";
+import type { Member } from "@rhubarbwheel/types/slices";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 
-import { createFleet } from "./createRouterSlices.js";
+import { createFleet, type RouterSlices } from "./createRouterSlices.js";
 
-test("a fleet that starts is complete and fresh, and a change reaches every router", () => {
-    // Guards against a start that needs an operator, and against changes that only watchers see.
-    const fleet = createFleet(1, 16, 4);
+type Router = FakeRouter<RouterSlices>;
+
+/** A fleet of 16 routers in 4 failure domains that is complete and fresh, and holds one service. */
+function startFleet(seed: number) {
+    const fleet = createFleet(seed, 16, 4);
+    fleet.accept("services", "orders", {
+        kind: "plain",
+        targets: [{ name: "desk-1", address: "http://127.0.0.1:9001", failureDomain: "domain-1" }],
+        targetLimit: 4,
+        coldLimit: 1,
+    });
     fleet.advance(6_000);
-    for (const { slices } of fleet.routers.values()) {
-        assert.is(slices.membership.countListedAlive(), 16);
-        assert.is(slices.configuration.getFreshness(), "fresh");
+    const list = () => [...fleet.routers.values()];
+    const get = (name: string) => fleet.routers.get(name) as Router;
+    const isFresh = ({ slices }: Router) => slices.configuration.getFreshness() === "fresh";
+    /** Milliseconds until the condition holds, at most 10 s. */
+    const measure = (isReached: () => boolean): number => {
+        const from = fleet.getTime();
+        while (!isReached() && fleet.getTime() - from < 10_000) fleet.advance(50);
+        return fleet.getTime() - from;
+    };
+    assert.ok(list().every(isFresh), "start");
+    return { ...fleet, list, get, isFresh, measure };
+}
+
+type Fleet = ReturnType<typeof startFleet>;
+
+const storeModes: readonly StoreMode[] = ["up", "down", "hung", "slow", "answerLost"];
+const networkFaults: Readonly<Record<string, (fleet: Fleet) => void>> = {
+    none: () => undefined,
+    loss: fleet => void (fleet.faults.loss = 0.1),
+    reordering: fleet => void (fleet.faults.maxDelayMs = 100),
+    duplication: fleet => void (fleet.faults.duplication = 0.5),
+    killedRouter: fleet => void (fleet.get("router-4").up = false),
+};
+
+for (const mode of storeModes) {
+    for (const [fault, apply] of Object.entries(networkFaults)) {
+        // Guards against routers that stop serving because the store is down or slow, alone or with a second fault.
+        test(`connected routers stay fresh with the store ${mode} and ${fault}`, () => {
+            const fleet = startFleet(storeModes.indexOf(mode) * 10 + 1);
+            fleet.faults.getStoreMode = () => mode;
+            apply(fleet);
+            for (let elapsed = 0; elapsed < 12_000; elapsed += 100) {
+                fleet.advance(100);
+                const stale = fleet.list().filter(router => router.up && !fleet.isFresh(router));
+                assert.equal(stale.map(({ identity }) => identity.router), [], `after ${elapsed} ms`);
+            }
+        });
+    }
+
+    test(`a router that is cut off alone goes stale within 3 s with the store ${mode} for the others`, () => {
+        // Guards against work that is started under a configuration which nobody can update (G4).
+        const fleet = startFleet(7);
+        fleet.faults.getStoreMode = name => name === "router-5" ? "hung" : mode;
+        fleet.advance(4_000);
+        fleet.faults.isCut = (from, to) => from === "router-5" || to === "router-5";
+        const staleMs = fleet.measure(() => !fleet.isFresh(fleet.get("router-5")));
+        assert.ok(staleMs <= 3_000, `took ${staleMs} ms`);
+        assert.ok(fleet.list().filter(router => router !== fleet.get("router-5")).every(fleet.isFresh));
+    });
+}
+
+test("without the store, the majority of a partition stays fresh and the minority goes stale", () => {
+    // Guards against two sides that both serve under configurations which may differ.
+    const fleet = startFleet(8);
+    const isMinority = ({ identity }: Router) => identity.failureDomain === "domain-0";
+    fleet.faults.getStoreMode = () => "down";
+    fleet.advance(5_000);
+    fleet.faults.isCut = (from, to) => isMinority(fleet.get(from)) !== isMinority(fleet.get(to));
+    fleet.advance(3_000);
+    for (const router of fleet.list()) assert.is(fleet.isFresh(router), !isMinority(router));
+});
+
+test("a router that restarts while the store is down serves with the majority, and not in a minority", () => {
+    // Guards against lost capacity in long outages, and against a majority counted over the seeds alone.
+    const fleet = startFleet(9);
+    fleet.faults.getStoreMode = () => "down";
+    fleet.advance(5_000);
+    fleet.start("router-6");
+    assert.ok(fleet.measure(() => fleet.isFresh(fleet.get("router-6"))) < 5_000);
+    assert.is(fleet.get("router-6").slices.configuration.getService("orders")?.version, 1);
+    const isMinority = (name: string) => ["router-0", "router-1"].includes(name);
+    fleet.faults.isCut = (from, to) => isMinority(from) !== isMinority(to);
+    fleet.start("router-0");
+    for (let elapsed = 0; elapsed < 8_000; elapsed += 100) {
+        fleet.advance(100);
+        assert.not(fleet.isFresh(fleet.get("router-0")));
+    }
+});
+
+test("a resumed process is stale on its first event, whatever that event is", () => {
+    // Guards against work started by a process that was paused while a failure domain was taken out (G4).
+    for (const type of ["tick", "drainRequested", "configurationRead"] as const) {
+        const { slices, identity, clockOffset, raised, ...router } = startFleet(10).get("router-3");
+        assert.ok(router.up && identity.router === "router-3");
+        const now = clockOffset + 6_000 + 2_600;
+        const answer = { revision: 1, resources: [], askedAt: now - 1 };
+        const effects = slices.configuration.reduce({ type, now, ...answer });
+        const events = effects.flatMap(effect => effect.type === "raise" ? [effect.event] : []);
+        assert.equal(events[0], { type: "freshnessChanged", now, freshness: "stale" });
+        assert.ok(raised.length > 0);
+    }
+});
+
+test("a leaving target is closed on every router within 3 s, and mostly watchers read the host list", () => {
+    // Guards against new work for a leaving target (G8), and against reads that grow with the fleet.
+    const fleet = startFleet(11);
+    assert.ok(fleet.list().every(({ slices }) => slices.configuration.isTargetOpen("orders", "desk-1")));
+    const address = "http://127.0.0.1:9001";
+    const target = { name: "desk-1", role: "target", address, failureDomain: "domain-1" } as const;
+    fleet.store.hosts.push({ ...target, state: "leaving" });
+    const closedMs = fleet.measure(() =>
+        fleet.list().every(({ slices }) => !slices.configuration.isTargetOpen("orders", "desk-1"))
+    );
+    assert.ok(closedMs < 3_000, `took ${closedMs} ms`);
+    const before = fleet.store.calls.listHosts;
+    fleet.advance(10_000);
+    assert.ok(fleet.store.calls.listHosts - before <= 8 * 12, "eight watchers, about once a second");
+});
+
+test("a target is open only while its service lists it and its failure domain is not out", () => {
+    // Guards against work for targets that were removed or taken out of service.
+    const fleet = startFleet(12);
+    const isOpen = (target = "desk-1") => fleet.get("router-0").slices.configuration.isTargetOpen("orders", target);
+    const accept = (name: string, state: string) => {
+        fleet.accept("failuredomains", name, { state });
+        fleet.advance(1_500);
+    };
+    assert.ok(isOpen());
+    assert.not(isOpen("desk-2"));
+    accept("domain-2", "out");
+    assert.ok(isOpen());
+    accept("domain-1", "out");
+    assert.not(isOpen());
+    accept("domain-1", "in");
+    assert.ok(isOpen());
+});
+
+const self = { router: "a", incarnation: 1, address: "127.0.0.1:1", failureDomain: "d" };
+const peer: Member = { ...self, router: "b", state: "alive" };
+
+/** One slice alone, which the test feeds by hand. It watches the store, because its failure domain has two routers. */
+function createSlice() {
+    const members = [{ ...self, state: "alive" } as Member, peer];
+    const membership = {
+        listRoutable: () => members,
+        getMember: (router: string) => members.find(member => member.router === router),
+        countListed: () => 2,
+        countListedAlive: () => 2,
+    };
+    const slice = createConfiguration({ identity: self, membership, random: () => 0.5 });
+    const calls: Effect[] = [];
+    const feed = (event: Parameters<typeof slice.reduce>[0]) => {
+        const effects = slice.reduce(event);
+        calls.push(...effects.filter(({ type }) => type === "readConfiguration" || type === "watchConfiguration"));
+        return effects;
+    };
+    const tick = (from: number, to: number) => {
+        for (let now = from; now <= to; now += 100) feed({ type: "tick", now });
+    };
+    return { slice, feed, tick, calls };
+}
+
+const createWorkspaces = (count: number): readonly Resource[] =>
+    Array.from({ length: count }, (_, index) => ({
+        kind: "workspaces",
+        name: `w${index}`,
+        version: 1,
+        revision: index + 1,
+        spec: { share: 1, credentialHashes: [] },
+    }));
+
+test("a watcher has one call outstanding, backs off after failures, and reads everything if its revision is gone", () => {
+    // Guards against calls that multiply during an outage, and against a watcher that never recovers.
+    const { slice, feed, tick, calls } = createSlice();
+    tick(0, 5_000);
+    assert.equal(calls, [{ type: "readConfiguration" }]);
+    feed({ type: "configurationRead", now: 5_000, revision: 3, resources: createWorkspaces(3), askedAt: 700 });
+    tick(5_100, 8_000);
+    assert.equal(calls.slice(1).map(({ type }) => type), ["watchConfiguration"]);
+    assert.ok(slice.getDigest(8_000).storeUnreachable, "an overdue call counts as an outage");
+    const attempts: number[] = [];
+    for (let now = 8_100; now <= 14_000; now += 100) {
+        const before = calls.length;
+        tick(now, now);
+        if (calls.length > before) attempts.push(now);
+        if (calls.length > before || now === 8_100)
+            feed({ type: "platformUnavailable", now, call: "watchConfiguration" });
     }
-    fleet.accept("failuredomains", "domain-1", { state: "out" });
-    fleet.advance(1_000);
-    for (const { slices } of fleet.routers.values())
-        assert.equal(slices.configuration.getFailureDomain("domain-1"), { state: "out" });
+    const gaps = attempts.slice(1).map((at, index) => at - (attempts[index] as number));
+    assert.equal(gaps.slice(0, 5), [200, 300, 600, 800, 800]);
+    feed({ type: "platformUnavailable", now: 14_100, call: "watchConfiguration", revisionGone: true });
+    tick(14_100, 14_300);
+    assert.is(calls.at(-1)?.type, "readConfiguration");
+});
+
+test("a large gap is repaired in parts that may arrive in any order", () => {
+    // Guards against messages over the size limit, and against a revision that claims changes which are missing.
+    const source = createSlice();
+    source.feed({ type: "tick", now: 0 });
+    source.feed({ type: "configurationRead", now: 10, revision: 450, resources: createWorkspaces(450), askedAt: 0 });
+    const request = { type: "configurationRequest", revision: 0 } as const;
+    const parts = source.feed({ type: "peerMessage", now: 20, from: "b", message: request })
+        .flatMap(effect => effect.type === "sendToPeer" ? [effect.message] : []);
+    assert.is(parts.length, 3);
+    const receiver = createSlice();
+    const revisions = [...parts].reverse().map(message => {
+        receiver.feed({ type: "peerMessage", now: 30, from: "b", message });
+        return receiver.slice.getRevision();
+    });
+    assert.equal(revisions, [0, 0, 450]);
+    assert.is(receiver.slice.listResources("workspaces").length, 450);
+});
+
+test("a delayed answer confirms only the time of its question", () => {
+    // Guards against a message held up by a partition that makes an outdated configuration look current (G4).
+    const { slice, feed } = createSlice();
+    feed({ type: "tick", now: 0 });
+    feed({ type: "configurationRead", now: 10, revision: 0, resources: [], askedAt: 0 });
+    const probes = feed({ type: "tick", now: 700 })
+        .flatMap(effect => effect.type === "sendToPeer" && effect.message.type === "probe" ? [effect.message] : []);
+    const sequence = probes[0]?.sequence as number;
+    const digest = { revision: 0, confirmedAgeMs: 0, storeUnreachable: false };
+    const ack = { type: "probeAck", sequence, router: "b", updates: [], digest } as const;
+    feed({ type: "peerMessage", now: 2_400, from: "b", message: ack });
+    assert.is(slice.getDigest(2_400).confirmedAgeMs, 1_700);
 });
 
 test.run();
--- a/packages/membership/src/chooseByRendezvous.ts
+++ b/packages/membership/src/chooseByRendezvous.ts
@@ -1,8 +1,8 @@
 /** Rendezvous hashing: each router ranks the same names for a key in the same order, without exchanging messages. */
-import murmurhash from "murmurhash";
+import { hashText } from "./hashText.js";
 
 function scoreName(key: string, name: string): number {
-    return murmurhash.v3(`${key}\n${name}`, 0);
+    return hashText(`${key}\n${name}`);
 }
 
 /** Ranks `names` for `key`, best first. Removing a name leaves the order of the others unchanged. */
--- /dev/null
+++ b/packages/membership/test/createMembership.test.ts
@@ -0,0 +1,195 @@
+import { chooseByRendezvous, rankByRendezvous } from "@rhubarbwheel/membership/chooseByRendezvous";
+import { createMembership } from "@rhubarbwheel/membership/createMembership";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+
+import { createFakeFleet, type FakeRouter } from "./createFakeFleet.js";
+
+type Slices = ReturnType<typeof createMembership>;
+
+const getDigest = () => ({ revision: 0, storeUnreachable: false });
+
+function createFleet(seed: number, count: number, domains = 3) {
+    const fleet = createFakeFleet<Slices>(seed, count, domains, {
+        build: (identity, seeds, random) => createMembership({ identity, seeds, random, getDigest }),
+        list: slices => [slices],
+    });
+    const list = () => [...fleet.routers.values()];
+    const get = (name: string) => fleet.routers.get(name) as FakeRouter<Slices>;
+    const listHosts = () =>
+        list().forEach(({ identity }) => fleet.deliver(identity, { type: "hostsListed", hosts: fleet.store.hosts }));
+    /** Milliseconds until the condition holds, at most 20 s. */
+    const measure = (isReached: () => boolean): number => {
+        const from = fleet.getTime();
+        while (!isReached() && fleet.getTime() - from < 20_000) fleet.advance(50);
+        return fleet.getTime() - from;
+    };
+    const isComplete = () => list().every(({ slices }) => slices.countListedAlive() === count);
+    const countRaised = (state: string) =>
+        list().flatMap(({ raised }) => raised)
+            .filter(event => event.type === "membershipChanged" && event.state === state).length;
+    listHosts();
+    return { ...fleet, list, get, listHosts, measure, isComplete, countRaised };
+}
+
+type Fleet = ReturnType<typeof createFleet>;
+
+const faults: Readonly<Record<string, (fleet: Fleet) => void>> = {
+    loss: fleet => void (fleet.faults.loss = 0.1),
+    duplication: fleet => void (fleet.faults.duplication = 0.5),
+    reordering: fleet => void (fleet.faults.maxDelayMs = 250),
+    pause: fleet => void (fleet.get("router-4").pausedUntil = fleet.getTime() + 5_000),
+    restart: fleet => {
+        fleet.start("router-2");
+        fleet.listHosts();
+    },
+    partition: fleet => void (fleet.faults.isCut = (from, to) => from < "router-5" !== to < "router-5"),
+    oneWay: fleet => void (fleet.faults.isCut = (from, to) => from === "router-1" && to === "router-6"),
+};
+
+const names = Object.keys(faults);
+const pairs = names.flatMap((first, index) => names.slice(index).map(second => [first, second] as const));
+for (const [first, second] of pairs) {
+    // Guards against routers that stay unknown or dead to others after faults have ended, singly and in pairs.
+    test(`every router knows every other again after ${first} with ${second}`, () => {
+        const fleet = createFleet(names.indexOf(first) * 10 + names.indexOf(second), 9);
+        assert.ok(fleet.measure(fleet.isComplete) < 5_000, "start");
+        faults[first]?.(fleet);
+        fleet.advance(700);
+        faults[second]?.(fleet);
+        fleet.advance(9_000);
+        Object.assign(fleet.faults, { loss: 0, duplication: 0, maxDelayMs: 5, isCut: () => false });
+        const rejoinMs = fleet.measure(fleet.isComplete);
+        assert.ok(rejoinMs < 8_000, `took ${rejoinMs} ms`);
+    });
+}
+
+for (const fault of ["loss", "duplication", "reordering", "oneWay"]) {
+    test(`no live router is declared dead during ${fault}`, () => {
+        // Guards against takeovers and closed targets caused by a network that only loses or delays some messages.
+        const fleet = createFleet(5, 9);
+        fleet.measure(fleet.isComplete);
+        faults[fault]?.(fleet);
+        fleet.advance(30_000);
+        assert.is(fleet.countRaised("dead"), 0);
+    });
+}
+
+test("a killed router is dead for every other within 5 s, and its pools move to the same successor", () => {
+    // Guards against pools without a coordinator, and against two routers that both believe to coordinate a pool.
+    const fleet = createFleet(7, 16);
+    fleet.measure(fleet.isComplete);
+    const pools = Array.from({ length: 40 }, (_, index) => `pool-${index}`);
+    const before = pools.map(pool => fleet.get("router-0").slices.findCoordinator(pool).router);
+    fleet.get("router-9").up = false;
+    const others = fleet.list().filter(router => router.up);
+    const detectMs = fleet.measure(() => others.every(({ slices }) => slices.getMember("router-9")?.state === "dead"));
+    assert.ok(detectMs < 5_000, `took ${detectMs} ms`);
+    for (const [index, pool] of pools.entries()) {
+        const found = new Set(others.map(({ slices }) => slices.findCoordinator(pool).router));
+        assert.is(found.size, 1);
+        if (before[index] !== "router-9") assert.ok(found.has(before[index] as string), "other pools stay");
+        assert.not(found.has("router-9"));
+    }
+});
+
+test("a suspected router keeps its pools, and refutes with a higher incarnation", () => {
+    // Guards against a takeover for each broken connection, and against a live router that stays suspected.
+    const fleet = createFleet(8, 5);
+    fleet.measure(fleet.isComplete);
+    const { slices, identity, raised } = fleet.get("router-0");
+    const before = slices.getMember("router-3")?.incarnation ?? 0;
+    fleet.deliver(identity, { type: "peerUnreachable", router: "router-3" });
+    assert.is(slices.getMember("router-3")?.state, "suspect");
+    assert.ok(slices.listRoutable().some(member => member.router === "router-3"));
+    fleet.advance(1_500);
+    assert.is(slices.getMember("router-3")?.state, "alive");
+    assert.ok((slices.getMember("router-3")?.incarnation ?? 0) > before);
+    assert.not(raised.some(event => event.type === "membershipChanged" && event.state === "dead"));
+});
+
+test("a router that leaves is known to have left without a suspicion, and returns after a restart", () => {
+    // Guards against work sent to a router that shuts down, and against a name that can never be used again.
+    const fleet = createFleet(9, 9);
+    fleet.measure(fleet.isComplete);
+    const leaver = fleet.get("router-3");
+    fleet.deliver(leaver.identity, { type: "drainRequested" });
+    const others = fleet.list().filter(router => router !== leaver);
+    const leftMs = fleet.measure(() => others.every(({ slices }) => slices.getMember("router-3")?.state === "left"));
+    assert.ok(leftMs < 3_000, `took ${leftMs} ms`);
+    leaver.up = false;
+    fleet.advance(6_000);
+    assert.is(fleet.countRaised("suspect") + fleet.countRaised("dead"), 0);
+    fleet.start("router-3");
+    fleet.listHosts();
+    assert.ok(fleet.measure(fleet.isComplete) < 6_000);
+});
+
+test("a resumed router suspects nobody because of its own pause", () => {
+    // Guards against a paused process that takes over the pools of all others when it resumes.
+    const fleet = createFleet(10, 9);
+    fleet.measure(fleet.isComplete);
+    const paused = fleet.get("router-5");
+    fleet.advance(130);
+    paused.pausedUntil = fleet.getTime() + 20_000;
+    fleet.advance(25_000);
+    assert.equal(paused.raised.filter(event => event.type === "membershipChanged" && event.state !== "alive"), []);
+});
+
+test("an older incarnation of a router cannot replace a newer one", () => {
+    // Guards against delayed messages of a previous process that make a restarted router look dead.
+    const fleet = createFleet(11, 3);
+    fleet.measure(fleet.isComplete);
+    const { slices, identity } = fleet.get("router-0");
+    const member = slices.getMember("router-1");
+    const update = { ...member, incarnation: (member?.incarnation ?? 0) - 1, state: "dead" };
+    fleet.deliver(identity, { type: "peerMessage", from: "router-2", message: { type: "leaving", update } });
+    assert.is(slices.getMember("router-1")?.state, "alive");
+});
+
+test("listed routers are counted once, and dead ones that are no longer listed are forgotten", () => {
+    // Guards against a majority computed over hosts that no longer exist, and against memory that grows with restarts.
+    const fleet = createFleet(12, 6);
+    fleet.measure(fleet.isComplete);
+    const { slices, identity } = fleet.get("router-0");
+    assert.is(slices.countListed(), 6);
+    fleet.get("router-5").up = false;
+    fleet.advance(8_000);
+    assert.is(slices.countListedAlive(), 5);
+    fleet.deliver(identity, { type: "hostsListed", hosts: fleet.store.hosts.filter(host => host.name !== "router-5") });
+    assert.is(slices.countListed(), 5);
+    fleet.advance(70_000);
+    assert.is(slices.getMember("router-5"), undefined);
+});
+
+test("the messages of one router do not grow with the fleet", () => {
+    // Guards against control traffic over the budget at the two-year size.
+    const rates = [8, 64].map(count => {
+        const fleet = createFleet(13, count);
+        fleet.measure(fleet.isComplete);
+        fleet.advance(10_000);
+        fleet.list().forEach(router => void (router.sent = 0));
+        fleet.advance(20_000);
+        return fleet.list().reduce((sum, router) => sum + router.sent, 0) / count / 20;
+    });
+    assert.ok((rates[1] ?? 0) < (rates[0] ?? 0) * 1.2, rates.join(" and "));
+});
+
+test("rendezvous hashing spreads keys, and a lost name moves only its own keys", () => {
+    // Guards against one router that coordinates everything, and against needless takeovers.
+    const routers = Array.from({ length: 16 }, (_, index) => `router-${index}`);
+    const keys = Array.from({ length: 1_600 }, (_, index) => `pool-${index}`);
+    const counts = new Map<string, number>();
+    for (const key of keys) {
+        const chosen = chooseByRendezvous(key, routers) as string;
+        counts.set(chosen, (counts.get(chosen) ?? 0) + 1);
+        assert.is(rankByRendezvous(key, routers)[0], chosen);
+        if (chosen !== "router-3")
+            assert.is(chooseByRendezvous(key, routers.filter(name => name !== "router-3")), chosen);
+    }
+    assert.is(counts.size, 16);
+    assert.ok(Math.max(...counts.values()) < 160);
+    assert.is(chooseByRendezvous("pool", []), undefined);
+});
+
+test.run();
--- a/packages/types/src/peer-messages.ts
+++ b/packages/types/src/peer-messages.ts
@@ -12,6 +12,16 @@
     readonly failureDomain: string;
 }
 
+/** What a router knows of the platform's host list, read by itself or learned from peers. */
+export interface HostListDigest {
+    /** Time since the list was read. */
+    readonly ageMs: number;
+    /** Number of routers on the list, seeds included. */
+    readonly routerCount: number;
+    /** Hash of the names of the targets that are leaving. */
+    readonly leavingHash: number;
+}
+
 /** What a router knows about its configuration; travels on probes and acknowledgements. */
 export interface ConfigurationDigest {
     /** Greatest store revision up to which the sender holds every change. */
@@ -22,6 +32,8 @@
     readonly storeUnreachable: boolean;
     /** Time since the call on which `storeUnreachable` is based, the sender's or a peer's; `undefined` without any. */
     readonly storeCheckedAgeMs?: number;
+    /** Missing until the sender knows of a host list. */
+    readonly hosts?: HostListDigest;
 }
 
 export interface ProbeMessage {
@@ -152,12 +164,16 @@
     readonly fromRevision: number;
     readonly revision: number;
     readonly digest: ConfigurationDigest;
+    /** Targets that are leaving according to the host list; present if the request asked for them. */
+    readonly leavingTargets?: readonly string[];
 }
 
 /** Asks for every change after `revision`. */
 export interface ConfigurationRequestMessage {
     readonly type: "configurationRequest";
     readonly revision: number;
+    /** Set to ask also for the targets that are leaving, unless they have this hash. */
+    readonly leavingHash?: number;
 }
 
 export type PeerMessage =
