--- a/packages/configuration/src/configurationSettings.ts
+++ b/packages/configuration/src/configurationSettings.ts
@@ -28,7 +28,7 @@
 export const maxBackoffMs = 1_000;
 
 /** Age of the confirmation by peers at which a router calls the store itself. Above the age that is usual for peers. */
-export const suspectAfterMs = 1_300;
+export const suspectAfterMs = 1_400;
 
 /** Slows calls of routers that are not watchers, so that the whole fleet makes at most 100 such calls a second. */
 export const callPaceMsPerRouter = 10;
@@ -39,7 +39,7 @@
 /** A router that is no watcher reads the host list itself once its knowledge is older than this. */
 export const hostsUnknownAfterMs = 2_000;
 
-/** Each router reads the whole list this often, because peers tell it only the number of routers. */
+/** Each router reads the whole list this often, or a tenth as often as its pace: peers tell only the number of routers. */
 export const routersUnknownAfterMs = 30_000;
 
 /** A host list read without an answer is repeated after this time. */
--- a/packages/configuration/src/createConfiguration.ts
+++ b/packages/configuration/src/createConfiguration.ts
@@ -170,6 +170,7 @@
         const isComplete = fromRevision <= revision;
         applyRange({ resources: event.resources, fromRevision, revision: event.revision }, undefined);
         if (isComplete) freshness.confirm(event.askedAt, "store");
+        updateState(event.now);
         advanceCalls(event.now);
     };
 
@@ -234,7 +235,7 @@
         const next = roles.choose(now, freshness.getPeerAge(now));
         if (next !== role) log(roleEvent, { from: role, to: next });
         role = next;
-        caller.advance(now, revision, role);
+        caller.advance(now, revision, role, state === "empty");
         caller.advanceHosts(now, role, hostView.getAge(now));
     };
 
--- a/packages/configuration/src/createStoreCaller.ts
+++ b/packages/configuration/src/createStoreCaller.ts
@@ -28,7 +28,7 @@
 
 export interface StoreCaller {
     /** Sends the next read or watch if one is due. */
-    readonly advance: (now: number, revision: number, role: CallerRole) => void;
+    readonly advance: (now: number, revision: number, role: CallerRole, isEmpty: boolean) => void;
     /** Reads the host list if that is due; `ageMs` is the age of what is known of it. */
     readonly advanceHosts: (now: number, role: CallerRole, ageMs: number) => void;
     /** Records an answer; returns whether it came too late to count as a working store. */
@@ -51,7 +51,7 @@
 export function createStoreCaller(opts: StoreCallerOptions): StoreCaller {
     const { random, emit } = opts;
     let outstanding: OutstandingCall | undefined;
-    let mustRead = true;
+    let mustRead = false;
     let backoffMs = 0;
     let nextCallAt: number | undefined;
     let lastRole: CallerRole = "none";
@@ -67,8 +67,9 @@
         return now - outstanding.sentAt > outstanding.timeoutMs + graceMs;
     };
 
-    const sendCall = (now: number, revision: number) => {
-        if (mustRead) {
+    const sendCall = (now: number, revision: number, isEmpty: boolean) => {
+        // A router that holds the configuration of its peers goes on from there and need not read everything.
+        if (mustRead || isEmpty) {
             outstanding = { call: "readConfiguration", sentAt: now, timeoutMs: 0 };
             emit({ type: "readConfiguration" });
             return;
@@ -79,7 +80,7 @@
         emit({ type: "watchConfiguration", afterRevision: revision, timeoutMs });
     };
 
-    const advanceCalls = (now: number, revision: number, role: CallerRole) => {
+    const advanceCalls = (now: number, revision: number, role: CallerRole, isEmpty: boolean) => {
         // A router that knows no member yet ranks first in its failure domain, so each start would read everything.
         nextCallAt ??= opts.countListed() > 1 ? now + firstCallDelayMs : now;
         // Routers that begin to call at the same moment are spread over the time that the pace allows for.
@@ -87,14 +88,15 @@
         lastRole = role;
         if (outstanding !== undefined && now - outstanding.sentAt > callLostAfterMs) outstanding = undefined;
         if (role === "none" || outstanding !== undefined || now < nextCallAt) return;
-        sendCall(now, revision);
+        sendCall(now, revision, isEmpty);
     };
 
     const advanceHosts = (now: number, role: CallerRole, ageMs: number) => {
         nextListAt ??= now + random() * listHostsIntervalMs;
         if (listSentAt !== undefined && now - listSentAt > listHostsLostAfterMs) listSentAt = undefined;
         if (now < nextListAt || listSentAt !== undefined) return;
-        const isKnown = ageMs < hostsUnknownAfterMs && now - listReadAt < Math.max(routersUnknownAfterMs, getPace());
+        const routersAgeMs = now - listReadAt;
+        const isKnown = ageMs < hostsUnknownAfterMs && routersAgeMs < Math.max(routersUnknownAfterMs, 10 * getPace());
         if (role !== "watcher" && isKnown) return;
         const intervalMs = role === "watcher" ? listHostsIntervalMs : Math.max(listHostsIntervalMs, getPace());
         nextListAt = now + intervalMs * (0.9 + 0.1 * random());
