--- a/packages/configuration/src/configurationSettings.ts
+++ b/packages/configuration/src/configurationSettings.ts
@@ -28,14 +28,20 @@
 export const maxBackoffMs = 1_000;
 
 /** Age of the confirmation by peers at which a router calls the store itself. Above the age that is usual for peers. */
-export const suspectAfterMs = 1_300;
+export const suspectAfterMs = 1_400;
 
 /** Slows calls of routers that are not watchers, so that the whole fleet makes at most 100 such calls a second. */
 export const callPaceMsPerRouter = 10;
 
-/** Least time between two reads of the host list. */
+/** Time between two reads of the host list by a watcher. */
 export const listHostsIntervalMs = 1_000;
 
+/** A router that is no watcher reads the host list itself once its knowledge is older than this. */
+export const hostsUnknownAfterMs = 2_000;
+
+/** Each router reads the whole list this often, or a tenth as often as its pace: peers tell only the number of routers. */
+export const routersUnknownAfterMs = 30_000;
+
 /** A host list read without an answer is repeated after this time. */
 export const listHostsLostAfterMs = 5_000;
 
@@ -73,3 +79,9 @@
 
 /** Changes that are logged one by one; larger batches get one line. */
 export const maxChangesLogged = 20;
+
+/** Ranges of changes held beyond a gap; a router that misses more than this asks for all of them. */
+export const maxRevisionRanges = 64;
+
+/** Wait before the first call after a start, in which peers can send their configuration instead of the store. */
+export const firstCallDelayMs = 600;
