Settle streams between routers and test their faults

A peer may be down, restart, use another secret, claim another name or answer late. The transport now refuses its own name, delivers messages to itself without a stream and detects a silent peer sooner.

--- a/packages/peer-protocol/src/authentication.ts
+++ b/packages/peer-protocol/src/authentication.ts
@@ -81,6 +81,8 @@
                 reason: `the call is for ${fields.recipient}, this router is ${identity.router}`,
             };
         }
+        if (fields.router === identity.router)
+            return { type: "refused", reason: `both routers are named ${identity.router}` };
         const difference = Math.abs(getTime() - Number(fields.timestamp));
         if (!(difference <= maxClockDifferenceMs))
             return { type: "refused", reason: `the clocks of the two hosts differ by ${difference} ms` };
--- a/packages/peer-protocol/src/createPeerTransport.ts
+++ b/packages/peer-protocol/src/createPeerTransport.ts
@@ -138,7 +138,11 @@
     idleTimer.unref();
 
     return {
-        send: (router, address, message) => getLink(router).send(address, message),
+        send: (router, address, message) => {
+            // A router may be the coordinator of its own reports; these need no stream.
+            if (router === identity.router) setImmediate(() => closing || opts.onMessage(router, message));
+            else getLink(router).send(address, message);
+        },
         forwardCall: (router, address, call) => getConnection(address).forwardCall(router, call),
         countTraffic: () => ({ ...traffic }),
         countStreams: () => [...links.values()].reduce((sum, link) => sum + link.countStreams(), 0),
--- a/packages/peer-protocol/src/peerExchange.ts
+++ b/packages/peer-protocol/src/peerExchange.ts
@@ -22,7 +22,7 @@
 } as const satisfies ServiceDefinition;
 
 /** A peer that answers no ping for this long after the last sign of life is unreachable. */
-const keepalive = { "grpc.keepalive_time_ms": 5_000, "grpc.keepalive_timeout_ms": 2_000 };
+const keepalive = { "grpc.keepalive_time_ms": 3_000, "grpc.keepalive_timeout_ms": 2_000 };
 
 export function makeServerOptions(maxMessageBytes: number): ChannelOptions {
     return { ...keepalive, "grpc.max_receive_message_length": maxMessageBytes, "grpc.max_send_message_length": -1 };
--- a/packages/peer-protocol/src/peerServer.ts
+++ b/packages/peer-protocol/src/peerServer.ts
@@ -37,11 +37,11 @@
         call.on("error", () => undefined);
         if (result.type === "refused") {
             opts.onProblem("", `A peer at ${call.getPeer()} was refused: ${result.reason}`);
-            call.destroy(makeStatusError(status.UNAUTHENTICATED, result.reason));
+            call.emit("error", makeStatusError(status.UNAUTHENTICATED, result.reason));
             return;
         }
         const { peer, nonce } = result;
-        const destroyCall = () => call.destroy(makeStatusError(status.ABORTED, "superseded"));
+        const destroyCall = () => call.emit("error", makeStatusError(status.ABORTED, "superseded"));
         const observer = opts.getObserver(peer.router);
         const stream = createPeerStream({ call, peer, openedBy: peer.router, observer, destroyCall });
         let ended = false;
--- a/packages/peer-protocol/test/createPeerTransport.test.ts
+++ b/packages/peer-protocol/test/createPeerTransport.test.ts
@@ -1,74 +1,24 @@
-/** Guards against messages that are lost, reordered or accepted from the wrong router, and against calls run twice. */
-import type { PeerMessage } from "@rhubarbwheel/types/peer-messages";
-import type { ForwardedAnswer, ForwardedCall } from "@rhubarbwheel/types/ports";
+/** Guards against messages that are lost, reordered or accepted from the wrong router. */
+import { Client, credentials } from "@grpc/grpc-js";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { ListeningPeerTransport, PeerTransportOptions } from "../src/createPeerTransport.js";
-import { createPeerTransport } from "../src/createPeerTransport.js";
-
-interface TestRouter {
-    readonly name: string;
-    readonly transport: ListeningPeerTransport;
-    readonly address: string;
-    readonly received: [string, PeerMessage][];
-    readonly unreachable: string[];
-    readonly problems: string[];
-    readonly calls: ForwardedCall[];
-}
-
-const opened: ListeningPeerTransport[] = [];
-
-async function startRouter(name: string, opts: Partial<PeerTransportOptions> = {}, port = 0): Promise<TestRouter> {
-    const lists = { received: [], unreachable: [], problems: [], calls: [] };
-    const router: Omit<TestRouter, "transport" | "address"> = { name, ...lists };
-    const transport = createPeerTransport({
-        identity: { router: name, incarnation: 1, address: "", failureDomain: "north" },
-        fleetSecret: "fleet secret",
-        onMessage: (from, message) => router.received.push([from, message]),
-        onUnreachable: peer => router.unreachable.push(peer),
-        onProblem: (_peer, problem) => router.problems.push(problem),
-        onForwardedCall: call => {
-            router.calls.push(call);
-            return Promise.resolve(answer);
-        },
-        ...opts,
-    });
-    opened.push(transport);
-    const listening = await transport.listen(`127.0.0.1:${port}`);
-    return { ...router, transport, address: `127.0.0.1:${listening.port}` };
-}
-
-/** Polls, because the time that a connection takes is not under the test's control. */
-async function waitFor(what: string, isDone: () => boolean): Promise<void> {
-    for (let round = 0; round < 2_000; round += 1) {
-        if (isDone()) return;
-        await new Promise(resolve => setTimeout(resolve, 5));
-    }
-    throw new Error(`timed out: ${what}`);
-}
-
-function makeRequest(revision: number): PeerMessage {
-    return { type: "configurationRequest", revision };
-}
+import { createAuthenticator } from "../src/authentication.js";
+import { encodePeerBatch } from "../src/peerCodec.js";
+import { peerExchange } from "../src/peerExchange.js";
+import {
+    call,
+    closeAll,
+    findClosedPort,
+    fleetSecret,
+    makeRequest,
+    startRelay,
+    startRouter,
+    waitFor,
+} from "./testRouters.js";
 
-const answer: ForwardedAnswer = { outcome: "complete", status: 201, headers: { a: "b" }, body: Buffer.from("done") };
-const call: ForwardedCall = {
-    requestId: "r1",
-    forwardedBy: "a",
-    mintedKey: "k",
-    workspace: "w",
-    service: "s",
-    method: "POST",
-    path: "/orders",
-    headers: { "content-type": "text/plain" },
-    body: Buffer.from("order"),
-};
-
-test.after.each(async () => {
-    await Promise.all(opened.splice(0).map(transport => transport.close()));
-});
+test.after.each(closeAll);
 
-test("messages arrive in order, and those of one turn share a batch", async () => {
+test("messages of one turn share a batch and arrive in order", async () => {
     const [a, b] = [await startRouter("a"), await startRouter("b")];
     for (let revision = 0; revision < 50; revision += 1) a.transport.send("b", b.address, makeRequest(revision));
     await waitFor("50 messages", () => b.received.length === 50);
@@ -77,6 +27,14 @@
     assert.ok(a.transport.countTraffic().bytes < 400, "one batch has one header");
 });
 
+test("order is kept when a batch is split because of its size", async () => {
+    const limits = { maxMessageBytes: 500 };
+    const [a, b] = [await startRouter("a", { limits }), await startRouter("b", { limits })];
+    for (let revision = 0; revision < 300; revision += 1) a.transport.send("b", b.address, makeRequest(revision));
+    await waitFor("300 messages", () => b.received.length === 300);
+    assert.equal(b.received.map(([, message]) => message), Array.from({ length: 300 }, (_, n) => makeRequest(n)));
+});
+
 test("the answer uses the stream that the other side opened", async () => {
     const [a, b] = [await startRouter("a"), await startRouter("b")];
     b.transport.send("a", a.address, makeRequest(1));
@@ -86,10 +44,134 @@
     assert.equal([a.transport.countStreams(), b.transport.countStreams()], [1, 1]);
 });
 
-test("a forwarded call is answered", async () => {
+test("simultaneous opens settle on one stream without loss", async () => {
+    const [a, b] = [await startRouter("a"), await startRouter("b")];
+    for (let revision = 0; revision < 100; revision += 1) {
+        a.transport.send("b", b.address, makeRequest(revision));
+        b.transport.send("a", a.address, makeRequest(revision));
+        if (revision % 10 === 0) await new Promise(resolve => setTimeout(resolve, 1));
+    }
+    await waitFor("all messages", () => a.received.length + b.received.length === 200);
+    await waitFor("one stream", () => a.transport.countStreams() === 1 && b.transport.countStreams() === 1);
+    assert.equal([...a.unreachable, ...b.unreachable, ...a.problems, ...b.problems], []);
+});
+
+const refusals: [string, { secret?: string; recipient?: string; getWallTime?: () => number; }, RegExp][] = [
+    ["with another fleet secret", { secret: "other" }, /fleet secrets differ/],
+    ["that looks for another router", { recipient: "c" }, /the call is for c, this router is b/],
+    ["whose clock is an hour ahead", { getWallTime: () => Date.now() + 3_600_000 }, /clocks .* differ/],
+];
+for (const [title, fault, problem] of refusals) {
+    test(`a peer ${title} is refused on both sides`, async () => {
+        const b = await startRouter("b");
+        const a = await startRouter("a", {
+            fleetSecret: fault.secret ?? fleetSecret,
+            ...(fault.getWallTime === undefined ? {} : { getWallTime: fault.getWallTime }),
+        });
+        const recipient = fault.recipient ?? "b";
+        a.transport.send(recipient, b.address, makeRequest(1));
+        await waitFor("refusal", () => a.unreachable.length > 0);
+        assert.equal([a.unreachable, b.received], [[recipient], []]);
+        assert.match(b.problems.join(), problem);
+        assert.match(a.problems.join(), /refused this router/);
+    });
+}
+
+test("a batch that names another sender than the authenticated one is dropped", async () => {
+    const b = await startRouter("b");
+    const identity = { router: "x", incarnation: 1, address: "", failureDomain: "north" };
+    const { metadata } = createAuthenticator(identity, fleetSecret, Date.now).signCall("exchange", "b");
+    const client = new Client(b.address, credentials.createInsecure());
+    const { path, requestSerialize, responseDeserialize } = peerExchange.exchange;
+    const stream = client.makeBidiStreamRequest(path, requestSerialize, responseDeserialize, metadata);
+    for (const [from, incarnation] of [["y", 1], ["x", 2], ["x", 1]] as const)
+        stream.write(encodePeerBatch({ from, incarnation, messages: [makeRequest(incarnation)] }));
+    stream.write(Buffer.from("not a batch"));
+    stream.end();
+    await waitFor("problems", () => b.problems.length === 3);
+    assert.equal(b.received, [["x", makeRequest(1)]]);
+    client.close();
+});
+
+test("a peer that is down is reported, and reached once it is up", async () => {
+    const a = await startRouter("a");
+    const port = await findClosedPort();
+    const send = () => a.transport.send("b", `127.0.0.1:${port}`, makeRequest(1));
+    send();
+    await waitFor("report", () => a.unreachable.length > 0);
+    const b = await startRouter("b", { port });
+    await waitFor("message", () => b.received.length > 0, send);
+});
+
+test("a peer that restarted is reached at its new start", async () => {
+    const a = await startRouter("a");
+    const first = await startRouter("b");
+    const send = () => a.transport.send("b", first.address, makeRequest(1));
+    send();
+    await waitFor("message", () => first.received.length > 0);
+    await first.transport.close();
+    const second = await startRouter("b", { incarnation: 2, port: Number(first.address.split(":")[1]) });
+    await waitFor("message at the new start", () => second.received.length > 0, send);
+});
+
+test("a later start of a peer replaces streams of an earlier one, and refuses it from then on", async () => {
+    const [a, first, second] = [
+        await startRouter("a"),
+        await startRouter("b"),
+        await startRouter("b", { incarnation: 2 }),
+    ];
+    first.transport.send("a", a.address, makeRequest(1));
+    await waitFor("first start", () => a.received.length === 1);
+    second.transport.send("a", a.address, makeRequest(2));
+    await waitFor("second start", () => a.received.length === 2);
+    await waitFor("loss of the first start's stream", () => first.unreachable.length > 0);
+    first.transport.send("a", a.address, makeRequest(3));
+    await waitFor("refusal of the first start", () => first.unreachable.length > 1);
+    assert.is(a.received.length, 2);
+});
+
+test("a broken connection is reported, and restored on the next message", async () => {
     const [a, b] = [await startRouter("a"), await startRouter("b")];
-    assert.equal(await a.transport.forwardCall("b", b.address, call), { type: "answered", answer });
-    assert.equal(b.calls, [call]);
+    const relay = await startRelay(b.address);
+    const send = () => a.transport.send("b", relay.address, makeRequest(1));
+    send();
+    await waitFor("message", () => b.received.length === 1);
+    relay.cut();
+    await waitFor("reports on both sides", () => a.unreachable.length > 0 && b.unreachable.length > 0);
+    relay.restore();
+    await waitFor("message", () => b.received.length > 1, send);
+});
+
+test("an idle stream is closed without a report and opened again on demand", async () => {
+    const [a, b] = [await startRouter("a", { limits: { idleMs: 20 } }), await startRouter("b")];
+    a.transport.send("b", b.address, makeRequest(1));
+    await waitFor("message", () => b.received.length === 1);
+    await waitFor("closed streams", () => a.transport.countStreams() + b.transport.countStreams() === 0);
+    a.transport.send("b", b.address, makeRequest(2));
+    await waitFor("message", () => b.received.length === 2);
+    assert.equal([...a.unreachable, ...b.unreachable], []);
+});
+
+test("what is queued when the transport closes is still sent", async () => {
+    const [a, b] = [await startRouter("a"), await startRouter("b")];
+    a.transport.send("b", b.address, makeRequest(1));
+    await a.transport.close();
+    await waitFor("message", () => b.received.length === 1);
+});
+
+test("a message to the router itself is delivered, but a peer of the same name is refused", async () => {
+    const [a, other] = [await startRouter("a"), await startRouter("a")];
+    a.transport.send("a", a.address, makeRequest(1));
+    await waitFor("message", () => a.received.length === 1);
+    assert.is(a.transport.countTraffic().messages, 0);
+    assert.equal(await other.transport.forwardCall("a", a.address, call), { type: "broken" });
+    assert.match(a.problems.join(), /both routers are named a/);
+});
+
+test("an address that needs name resolution is unreachable", async () => {
+    const a = await startRouter("a");
+    a.transport.send("b", "localhost:1", makeRequest(1));
+    await waitFor("report", () => a.unreachable.length > 0);
 });
 
 test.run();
--- /dev/null
+++ b/packages/peer-protocol/test/peerQueue.test.ts
@@ -0,0 +1,30 @@
+/** Guards against a queue that grows without bound, and against reports that are dropped before stale probes. */
+import type { PeerMessage } from "@rhubarbwheel/types/peer-messages";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createPeerQueue } from "../src/peerQueue.js";
+
+function makeProbe(sequence: number): PeerMessage {
+    return { type: "probeRequest", sequence, router: "b", updates: [] };
+}
+
+function makeRequest(revision: number): PeerMessage {
+    return { type: "configurationRequest", revision };
+}
+
+test("a full queue drops its oldest probe first", () => {
+    const queue = createPeerQueue(3);
+    for (const message of [makeRequest(1), makeProbe(1), makeProbe(2)]) queue.add(message);
+    assert.ok(queue.add(makeRequest(2)));
+    assert.equal(queue.takeAll(), [makeRequest(1), makeProbe(2), makeRequest(2)]);
+    assert.is(queue.getLength(), 0);
+});
+
+test("a queue that is full of other messages is emptied and says so", () => {
+    const queue = createPeerQueue(2);
+    for (const message of [makeRequest(1), makeRequest(2)]) queue.add(message);
+    assert.not.ok(queue.add(makeRequest(3)));
+    assert.is(queue.getLength(), 0);
+});
+
+test.run();
