Add the operators' command line tool

Operators and scripts need to apply, read, watch and delete resources with results that they can rely on. A write goes to another router only if it was provably not run, and a lost answer ends with its own exit code.

--- /dev/null
+++ b/packages/cli/bin/rhubarbwheel.mjs
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { main } from "../lib/src/runCli.js";
+
+await main();
--- /dev/null
+++ b/packages/cli/src/renderTable.ts
@@ -0,0 +1,18 @@
+/** Renders rows as columns that are padded with spaces. */
+
+type Cell = string | number | undefined;
+
+/** Control characters in a name could otherwise move the cursor of the operator's terminal. */
+function formatCell(cell: Cell): string {
+    // eslint-disable-next-line no-control-regex -- these are the characters to replace
+    return cell === undefined || cell === "" ? "-" : String(cell).replace(/[\u0000-\u001f\u007f-\u009f]/g, "?");
+}
+
+export function renderTable(headings: readonly string[], rows: readonly (readonly Cell[])[]): string {
+    const lines = [[...headings], ...rows.map(row => row.map(formatCell))];
+    const widths = headings.map((_, column) => Math.max(...lines.map(line => line[column]?.length ?? 0)));
+    return lines.map(line => {
+        const cells = line.map((cell, column) => cell.padEnd(widths[column] ?? 0));
+        return `${cells.join("  ").trimEnd()}\n`;
+    }).join("");
+}
--- /dev/null
+++ b/packages/cli/src/runCli.ts
@@ -0,0 +1,163 @@
+/** The operators' command line tool: reads the arguments, runs one command, and returns the exit code. */
+import { readFileSync } from "node:fs";
+import { setTimeout as waitFor } from "node:timers/promises";
+import { parseArgs } from "node:util";
+import type { CliIo, CommandContext } from "./cliContext.js";
+import { CliError, exitCodes, makeUsageError } from "./cliError.js";
+import type { ExitCode } from "./cliError.js";
+import { applyResources } from "./commands/applyResources.js";
+import { deleteResource } from "./commands/deleteResource.js";
+import { getResource } from "./commands/getResource.js";
+import { listResources } from "./commands/listResources.js";
+import { showStatus } from "./commands/showStatus.js";
+import { watchResources } from "./commands/watchResources.js";
+import { writeCompletion } from "./commands/writeCompletion.js";
+import { createOperatorClient } from "./operatorClient.js";
+import type { OutputFormat } from "./renderResources.js";
+
+type Environment = Readonly<Record<string, string | undefined>>;
+
+const commands: Readonly<Record<string, (context: CommandContext) => Promise<void>>> = {
+    apply: applyResources,
+    get: getResource,
+    list: listResources,
+    watch: watchResources,
+    delete: deleteResource,
+    status: showStatus,
+};
+
+const help = `Usage: rhubarbwheel COMMAND [flags]
+
+Commands:
+  apply -f FILE [--wait]   Create or update the resources in a JSON file; "-" is standard input.
+  get KIND [NAME]          Show one resource, or all of a kind.
+  list KIND                Show all resources of a kind.
+  watch KIND               Show resources and their changes until interrupted.
+  delete KIND NAME         Delete a resource.
+  status                   Show routers, targets and backlogged workspaces.
+  completion bash          Print a completion script.
+
+Kinds: workspaces, services, failuredomains
+
+Flags:
+  --router URL,...         Routers, tried in turn. Also RHUBARBWHEEL_ROUTER.
+  --token-file FILE        File with the operator token. RHUBARBWHEEL_OPERATOR_TOKEN may hold the token instead.
+  --output FORMAT          json, table or names. Default table.
+  -f, --file FILE          File to apply.
+  --wait                   Return when the change is in force on all routers.
+  --timeout SECONDS        Longest wait. Default 30.
+  --help                   Print this text.
+
+Exit codes: 0 done, 1 refused or invalid, 2 wrong usage, 3 conflict with another change, 4 not run, 5 unknown whether
+the change took effect or is in force.
+`;
+
+const flags = {
+    router: { type: "string" },
+    "token-file": { type: "string" },
+    output: { type: "string" },
+    file: { type: "string", short: "f" },
+    wait: { type: "boolean" },
+    timeout: { type: "string" },
+    help: { type: "boolean" },
+} as const;
+
+export async function runCli(argv: readonly string[], environment: Environment, io: CliIo): Promise<ExitCode> {
+    try {
+        await runCommand(argv, environment, io);
+        return exitCodes.ok;
+    }
+    catch (error) {
+        const known = error instanceof CliError ? error : makeOtherError(error, io.signal.aborted);
+        io.writeError(`error ${known.code}: ${known.message}\nhint: ${known.hint}\n`);
+        return known.exitCode;
+    }
+}
+
+async function runCommand(argv: readonly string[], environment: Environment, io: CliIo): Promise<void> {
+    const { values, positionals: [name = "", ...positionals] } = parseArguments(argv);
+    if (values.help) return io.writeOutput(help);
+    if (name === "completion") {
+        const names = [...Object.keys(commands), "completion"];
+        return writeCompletion(positionals, names, io.writeOutput);
+    }
+    const run = Object.hasOwn(commands, name) ? commands[name] : undefined;
+    if (run === undefined) throw makeUsageError(name === "" ? "Name a command." : `There is no command ${name}.`);
+    const client = createOperatorClient({
+        routers: readRouters(values.router ?? environment.RHUBARBWHEEL_ROUTER),
+        token: readToken(values["token-file"], environment.RHUBARBWHEEL_OPERATOR_TOKEN, io),
+        signal: io.signal,
+    });
+    await run({
+        io,
+        client,
+        output: readOutput(values.output),
+        positionals,
+        wait: values.wait ?? false,
+        timeoutMs: readTimeout(values.timeout),
+        ...(values.file === undefined ? {} : { file: values.file }),
+    });
+}
+
+function parseArguments(argv: readonly string[]) {
+    try {
+        return parseArgs({ args: [...argv], options: flags, allowPositionals: true });
+    }
+    catch (error) {
+        throw makeUsageError(`${(error as Error).message.split(". ")[0]}.`);
+    }
+}
+
+function readRouters(text: string | undefined): readonly string[] {
+    const routers = (text ?? "").split(",").map(part => part.trim()).filter(part => part !== "");
+    if (routers.length === 0) throw makeUsageError("Name a router with --router URL or RHUBARBWHEEL_ROUTER.");
+    return routers.map(router => {
+        const url = URL.canParse(router) ? new URL(router) : undefined;
+        if (url === undefined || !/^https?:$/.test(url.protocol))
+            throw makeUsageError("--router is not a list of http or https URLs.");
+        return url.origin;
+    });
+}
+
+function readToken(file: string | undefined, token: string | undefined, io: CliIo): string {
+    const text = (file === undefined ? token ?? "" : io.readFile(file)).trim();
+    if (text === "") throw makeUsageError("Set RHUBARBWHEEL_OPERATOR_TOKEN, or --token-file to a file with the token.");
+    return text;
+}
+
+function readOutput(text = "table"): OutputFormat {
+    if (text === "json" || text === "table" || text === "names") return text;
+    throw makeUsageError("--output is none of json, table, names.");
+}
+
+function readTimeout(text = "30"): number {
+    const seconds = Number(text);
+    if (!(seconds > 0)) throw makeUsageError("--timeout is not a number of seconds above 0.");
+    return seconds * 1_000;
+}
+
+function makeOtherError(error: unknown, isInterrupted: boolean): CliError {
+    if (isInterrupted) {
+        const hint = "Check with status and get before running the command again.";
+        return new CliError(exitCodes.unknown, "INTERRUPTED", "The command was interrupted.", hint);
+    }
+    const { code, message } = error as NodeJS.ErrnoException;
+    if (code === "ENOENT" || code === "EACCES" || code === "EISDIR") return makeUsageError(message);
+    return new CliError(exitCodes.refused, "INTERNAL", String(message), "Report this with the command that you ran.");
+}
+
+/** Entry point of the `rhubarbwheel` command. */
+export async function main(): Promise<void> {
+    const interrupt = new AbortController();
+    process.once("SIGINT", () => interrupt.abort());
+    process.once("SIGTERM", () => interrupt.abort());
+    // A reader such as head may close the pipe early.
+    process.stdout.on("error", () => process.exit(exitCodes.ok));
+    process.exitCode = await runCli(process.argv.slice(2), process.env, {
+        writeOutput: text => void process.stdout.write(text),
+        writeError: text => void process.stderr.write(text),
+        readFile: path => readFileSync(path === "-" ? 0 : path, "utf8"),
+        wait: durationMs => waitFor(durationMs, undefined, { signal: interrupt.signal }).catch(() => undefined),
+        signal: interrupt.signal,
+    });
+}
