--- a/packages/peer-protocol/src/peerExchange.ts
+++ b/packages/peer-protocol/src/peerExchange.ts
@@ -24,14 +24,21 @@
 /** A peer that answers no ping for this long after the last sign of life is unreachable. */
 const keepalive = { "grpc.keepalive_time_ms": 3_000, "grpc.keepalive_timeout_ms": 2_000 };
 
-export function makeServerOptions(maxMessageBytes: number): ChannelOptions {
+/** Connections without a call are closed, so that strangers can't hold sockets open for long. */
+const serverIdleMs = 120_000;
+
+function makeCommonOptions(maxMessageBytes: number): ChannelOptions {
     return { ...keepalive, "grpc.max_receive_message_length": maxMessageBytes, "grpc.max_send_message_length": -1 };
 }
 
+export function makeServerOptions(maxMessageBytes: number): ChannelOptions {
+    return { ...makeCommonOptions(maxMessageBytes), "grpc.max_connection_idle_ms": serverIdleMs };
+}
+
 /** No retries, proxies, service configuration or shared connections: a call goes to one address, once. */
 export function makeClientOptions(maxMessageBytes: number): ChannelOptions {
     return {
-        ...makeServerOptions(maxMessageBytes),
+        ...makeCommonOptions(maxMessageBytes),
         "grpc.enable_retries": 0,
         "grpc.enable_http_proxy": 0,
         "grpc.service_config_disable_resolution": 1,
--- a/packages/peer-protocol/src/wireFields.ts
+++ b/packages/peer-protocol/src/wireFields.ts
@@ -105,25 +105,26 @@
 
 /** A message with the given fields. Missing optional properties stay missing. */
 export function shape<T extends object>(fields: WireFields<T>): WireField<T> {
-    const entries = Object.entries(fields) as [string, WireField<unknown>][];
+    const names = Object.keys(fields);
+    const members = Object.values(fields) as WireField<unknown>[];
+    // One handler around the loop and no closure per field: reports of many workspaces are converted on every tick.
     const convert = (source: unknown, direction: keyof WireField<unknown>): Record<string, unknown> => {
         if (!isObject(source)) throw new WireError("is missing");
         const result: Record<string, unknown> = {};
-        for (const [name, field] of entries) {
-            const value = convertNamed(name, () => field[direction]((source as Record<string, unknown>)[name]));
-            if (value !== undefined) result[name] = value;
+        let index = 0;
+        try {
+            for (; index < names.length; index += 1) {
+                const name = names[index] as string;
+                const value = (members[index] as WireField<unknown>)[direction](
+                    (source as Record<string, unknown>)[name],
+                );
+                if (value !== undefined) result[name] = value;
+            }
+        }
+        catch (error) {
+            throw error instanceof WireError ? new WireError(`${names[index]} ${error.message}`) : error;
         }
         return result;
     };
     return { toWire: value => convert(value, "toWire"), fromWire: wire => convert(wire, "fromWire") as T };
 }
-
-function convertNamed(name: string, convert: () => unknown): unknown {
-    try {
-        return convert();
-    }
-    catch (error) {
-        if (error instanceof WireError) throw new WireError(`${name} ${error.message}`);
-        throw error;
-    }
-}
--- a/packages/peer-protocol/test/forwardCall.test.ts
+++ b/packages/peer-protocol/test/forwardCall.test.ts
@@ -55,6 +55,34 @@
     });
 }
 
+test("while connections break, no call runs twice, and none that is unreachable runs at all", async () => {
+    const a = await startRouter("a");
+    const runs = new Map<string, number>();
+    const b = await startRouter("b", {
+        onForwardedCall: async forwarded => {
+            runs.set(forwarded.mintedKey, (runs.get(forwarded.mintedKey) ?? 0) + 1);
+            await new Promise(resolve => setTimeout(resolve, 1));
+            return answer;
+        },
+    });
+    const relay = await startRelay(b.address);
+    const results = new Map<string, string>();
+    const sendCalls = async (worker: number): Promise<void> => {
+        for (let n = 0; n < 40; n += 1) {
+            const mintedKey = `${worker}-${n}`;
+            const result = await a.transport.forwardCall("b", relay.address, { ...call, mintedKey });
+            results.set(mintedKey, result.type);
+            if (n % 8 === worker) relay.cut();
+            else relay.restore();
+        }
+    };
+    await Promise.all(Array.from({ length: 8 }, (_, worker) => sendCalls(worker)));
+    const expectations = { answered: [1], broken: [0, 1], unreachable: [0] } as Record<string, number[]>;
+    for (const [key, type] of results)
+        assert.ok(expectations[type]?.includes(runs.get(key) ?? 0), `${key} is ${type} and ran ${runs.get(key)} times`);
+    assert.is(results.size, 320);
+});
+
 test("a call that the peer can't finish is broken, whatever the reason", async () => {
     const a = await startRouter("a", { limits: { forwardTimeoutMs: 100 } });
     const handlers = [
