--- a/packages/daemon/src/parseSettings.ts
+++ b/packages/daemon/src/parseSettings.ts
@@ -3,8 +3,10 @@
 import { parseArgs } from "node:util";
 import results from "ts-results";
 import type { Result } from "ts-results";
-import type { HostPort, Seed, SettingKey, SettingRow } from "./settingsTable.js";
-import { formatFlag, formatVariable, settingKeys, settingsTable } from "./settingsTable.js";
+import type { ReadFile } from "./settingsReader.js";
+import { createSettingsReader, findGiven } from "./settingsReader.js";
+import type { HostPort, Seed } from "./settingsTable.js";
+import { formatFlag, formatVariable, settingKeys } from "./settingsTable.js";
 
 const { Err, Ok } = results;
 
@@ -56,24 +58,14 @@
 /** What the command line asks for; help and the check need no network. */
 export type SettingsAction = "run" | "help" | "checkSettings";
 
-type ReadFile = (path: string) => Buffer;
-type ParsedValue<K extends SettingKey> = (typeof settingsTable)[K] extends SettingRow<infer T> ? T : never;
-
-/** A setting given by flag is used even when its variable is set too. */
-interface Given {
-    readonly text: string;
-    readonly source: EffectiveSetting["source"];
-}
-
-const minSecretLength = 16;
-
-const optionTypes = Object.fromEntries([
-    ...settingKeys.map(key => [formatFlag(key).slice(2), { type: "string" }] as const),
-    ...["help", "check-settings"].map(name => [name, { type: "boolean" }] as const),
+const optionTypes: ReadonlyMap<string, "string" | "boolean"> = new Map([
+    ...settingKeys.map(key => [formatFlag(key).slice(2), "string"] as const),
+    ...["help", "check-settings"].map(name => [name, "boolean"] as const),
 ]);
+const parserOptions = Object.fromEntries([...optionTypes].map(([name, type]) => [name, { type }]));
 
 function parseTokens(argv: readonly string[]) {
-    return parseArgs({ args: [...argv], options: optionTypes, strict: false, tokens: true }).tokens;
+    return parseArgs({ args: [...argv], options: parserOptions, strict: false, tokens: true }).tokens;
 }
 
 export function readSettingsAction(argv: readonly string[]): SettingsAction {
@@ -96,53 +88,12 @@
     const flags = readFlags(argv, problems);
     const given = new Map(settingKeys.map(key => [key, findGiven(key, flags, environment)]));
 
-    const parseOne = <K extends SettingKey>(key: K): ParsedValue<K> | undefined => {
-        const row: SettingRow<unknown> = settingsTable[key];
-        const text = given.get(key)?.text;
-        if (text === undefined)
-            return row.required ? report(key, "is missing", `Set it to ${row.value}.`) : undefined;
-        const result = row.parse(text);
-        if (result.ok) return result.val as ParsedValue<K>;
-        return report(key, `${result.val}`, `Set it to ${row.value}. ${row.description}`);
-    };
-    const readNamedFile = (key: SettingKey): Buffer | undefined => {
-        const path = given.get(key)?.text;
-        if (path === undefined) return undefined;
-        try {
-            return readFile(path);
-        }
-        catch (error) {
-            const code = (error as NodeJS.ErrnoException).code ?? "error";
-            return report(key, `names a file that can't be read (${code})`, "Check the path and its permissions.");
-        }
-    };
-    const readSecret = (key: "operatorToken" | "fleetSecret"): string | undefined => {
-        const fileKey = `${key}File` as const;
-        const fromFile = given.get(fileKey) !== undefined;
-        const secret = fromFile ? readNamedFile(fileKey)?.toString("utf8") : environment[formatVariable(key)];
-        const remedy = `Set ${formatFlag(fileKey)} to a file, or ${formatVariable(key)} to the secret itself.`;
-        if (secret === undefined) return fromFile ? undefined : report(fileKey, "is missing", remedy);
-        const trimmed = secret.trim();
-        return trimmed.length >= minSecretLength
-            ? trimmed
-            : report(fileKey, `holds fewer than ${minSecretLength} characters`, "Use a longer random value.");
-    };
-    const readTls = (): Settings["peerTls"] => {
-        const keys = ["peerTlsCertificateFile", "peerTlsKeyFile", "peerTlsAuthorityFile"] as const;
-        const missing = keys.filter(key => given.get(key) === undefined);
-        if (missing.length === keys.length) return undefined;
-        for (const key of missing) report(key, "is missing", "Set all three peer TLS files, or none.");
-        const [certificate, key, authority] = keys.map(readNamedFile);
-        return certificate && key && authority ? { certificate, key, authority } : undefined;
-    };
-    const findPeerAddress = (peerListen: string | undefined): string | undefined => {
-        if (given.get("peerAddress") !== undefined || peerListen === undefined) return parseOne("peerAddress");
-        const result = settingsTable.peerAddress.parse(peerListen);
-        if (result.ok) return result.val;
-        const remedy = "Set it to the IP address and port at which other routers reach this one.";
-        return report("peerAddress", `is missing, and --peer-listen ${result.val}`, remedy);
-    };
-
+    const { parseOne, readSecret, readTls, findPeerAddress } = createSettingsReader({
+        given,
+        environment,
+        readFile,
+        report,
+    });
     const peerListen = parseOne("peerListen");
     const peerTls = readTls();
     const statsd = parseOne("statsd");
@@ -184,8 +135,8 @@
     for (const token of parseTokens(argv)) {
         // What follows an unknown flag is most likely its value.
         if (token.kind === "positional" && token.index - 1 === unknownFlagAt) continue;
-        if (token.kind === "option" && optionTypes[token.name] === undefined) unknownFlagAt = token.index;
-        if (token.kind === "option" && optionTypes[token.name]?.type === "boolean") continue;
+        if (token.kind === "option" && optionTypes.get(token.name) === undefined) unknownFlagAt = token.index;
+        if (token.kind === "option" && optionTypes.get(token.name) === "boolean") continue;
         const problem = describeTokenProblem(token);
         if (problem !== undefined) problems.push(problem);
         else if (token.kind === "option") flags.set(token.name, token.value ?? "");
@@ -198,7 +149,7 @@
     if (token.kind !== "option")
         return { flag: "", variable: "", problem: "an argument is not a flag", remedy: "See --help." };
     const flag = token.rawName;
-    if (optionTypes[token.name] === undefined) {
+    if (optionTypes.get(token.name) === undefined) {
         const remedy = /token|secret/.test(flag)
             ? "Give secrets in a file or an environment variable; see --help."
             : "See --help for all flags.";
@@ -208,12 +159,3 @@
     const variable = `RHUBARBWHEEL_${token.name.replaceAll("-", "_").toUpperCase()}`;
     return { flag, variable, problem: "has no value", remedy: "Give the value after the flag." };
 }
-
-function findGiven(key: SettingKey, flags: Map<string, string>, environment: Environment): Given | undefined {
-    const flag = flags.get(formatFlag(key).slice(2));
-    if (flag !== undefined) return { text: flag, source: "flag" };
-    const variable = environment[formatVariable(key)];
-    if (variable !== undefined && variable !== "") return { text: variable, source: "variable" };
-    const { defaultText }: SettingRow<unknown> = settingsTable[key];
-    return defaultText === undefined ? undefined : { text: defaultText, source: "default" };
-}
--- a/packages/daemon/test/parseSettings.test.ts
+++ b/packages/daemon/test/parseSettings.test.ts
@@ -104,6 +104,12 @@
         "--peer-tls-authority-file (RHUBARBWHEEL_PEER_TLS_AUTHORITY_FILE) is missing",
     ],
     ["an unknown flag", ["--colour", "red"], {}, "--colour is not a known flag"],
+    [
+        "a flag with a name from the prototype of objects",
+        ["--constructor", "x"],
+        {},
+        "--constructor is not a known flag",
+    ],
     ["a flag without a value", ["--log-level"], {}, "--log-level (RHUBARBWHEEL_LOG_LEVEL) has no value"],
     ["a stray argument", ["run"], {}, "an argument is not a flag"],
 ];
