Refuse an earlier start of a router before its stream is opened

An earlier start was refused after its stream had been accepted, which reset its backoff to the first step of 50 ms on each attempt. It is now refused while it opens the stream, with the reason, and its backoff grows to the cap.

--- a/packages/peer-protocol/src/createPeerTransport.ts
+++ b/packages/peer-protocol/src/createPeerTransport.ts
@@ -118,7 +118,12 @@
         authenticator,
         maxMessageBytes: limits.maxMessageBytes,
         getObserver: router => getLink(router).observer,
-        onStream: stream => !closing && getLink(stream.peer.router).addStream(stream),
+        findRefusal: peer => {
+            if (closing) return "the router is closing";
+            const isAcceptable = getLink(peer.router).isAcceptable(peer.incarnation);
+            return isAcceptable ? undefined : "a later start of this router is connected";
+        },
+        onStream: stream => getLink(stream.peer.router).addStream(stream),
         onForwardedCall: opts.onForwardedCall,
         onProblem: reportProblem,
     });
--- a/packages/peer-protocol/src/peerConnection.ts
+++ b/packages/peer-protocol/src/peerConnection.ts
@@ -11,6 +11,8 @@
 /** Routers are a few milliseconds apart; a connection that takes longer is of no use to a call that waits for it. */
 const connectTimeoutMs = 1_000;
 
+const refusalCodes = [status.UNAUTHENTICATED, status.ABORTED];
+
 export interface PeerConnectionOptions {
     readonly address: string;
     readonly self: string;
@@ -73,7 +75,7 @@
                 resolve(stream);
             });
             call.on("error", (error: ServiceError) => {
-                if (error.code === status.UNAUTHENTICATED)
+                if (refusalCodes.includes(error.code))
                     opts.onProblem(router, `The peer at ${address} refused this router: ${error.details}`);
             });
             call.on("status", result => {
--- a/packages/peer-protocol/src/peerLink.ts
+++ b/packages/peer-protocol/src/peerLink.ts
@@ -28,8 +28,10 @@
 
 export interface PeerLink {
     readonly send: (address: string, message: PeerMessage) => void;
-    /** Takes over a stream that the peer opened; false when a later start of the same router is already connected. */
-    readonly addStream: (stream: PeerStream) => boolean;
+    /** False while a later start of the same router is connected. */
+    readonly isAcceptable: (incarnation: number) => boolean;
+    /** Takes over a stream that the peer opened. */
+    readonly addStream: (stream: PeerStream) => void;
     readonly observer: PeerStreamObserver;
     /** Ends the streams of a link that was not used since `usedBefore`. */
     readonly closeIdle: (usedBefore: number) => void;
@@ -133,8 +135,10 @@
         opts.onUnreachable();
     };
 
-    const addStream = (stream: PeerStream): boolean => {
-        if (streams.some(other => other.peer.incarnation > stream.peer.incarnation)) return false;
+    const isAcceptable = (incarnation: number): boolean => !streams.some(other => other.peer.incarnation > incarnation);
+
+    const addStream = (stream: PeerStream): void => {
+        if (!isAcceptable(stream.peer.incarnation)) return stream.destroy();
         // A stream of an earlier start, or an earlier stream of the same side, has lost its other end.
         const lost = streams.filter(other =>
             other.peer.incarnation < stream.peer.incarnation
@@ -147,7 +151,6 @@
         lastUsedAt = opts.getTime();
         endSuperseded();
         flush();
-        return true;
     };
 
     const endSuperseded = (): void => {
@@ -192,6 +195,7 @@
             }
             scheduleFlush();
         },
+        isAcceptable,
         addStream,
         observer,
         closeIdle: usedBefore => {
--- a/packages/peer-protocol/src/peerServer.ts
+++ b/packages/peer-protocol/src/peerServer.ts
@@ -2,7 +2,7 @@
 import type { sendUnaryData, ServerCredentials, ServerDuplexStream, ServerUnaryCall } from "@grpc/grpc-js";
 import { Server, status } from "@grpc/grpc-js";
 import type { ForwardedAnswer, ForwardedCall } from "@rhubarbwheel/types/ports";
-import type { Authenticator } from "./authentication.js";
+import type { Authenticator, PeerIdentity } from "./authentication.js";
 import { decodeForwardedCall, encodeForwardedAnswer } from "./peerCodec.js";
 import { makeServerOptions, peerExchange } from "./peerExchange.js";
 import type { PeerStream, PeerStreamObserver } from "./peerStream.js";
@@ -17,8 +17,9 @@
     readonly authenticator: Authenticator;
     readonly maxMessageBytes: number;
     readonly getObserver: (router: string) => PeerStreamObserver;
-    /** False refuses the stream. */
-    readonly onStream: (stream: PeerStream) => boolean;
+    /** Why a stream of the peer is refused, before it is opened, so that the peer backs off; undefined accepts it. */
+    readonly findRefusal: (peer: PeerIdentity) => string | undefined;
+    readonly onStream: (stream: PeerStream) => void;
     readonly onForwardedCall: (call: ForwardedCall) => Promise<ForwardedAnswer>;
     readonly onProblem: (router: string, problem: string) => void;
 }
@@ -41,6 +42,11 @@
             return;
         }
         const { peer, nonce } = result;
+        const refusal = opts.findRefusal(peer);
+        if (refusal !== undefined) {
+            call.emit("error", makeStatusError(status.ABORTED, refusal));
+            return;
+        }
         const destroyCall = () => call.emit("error", makeStatusError(status.ABORTED, "superseded"));
         const observer = opts.getObserver(peer.router);
         const stream = createPeerStream({ call, peer, openedBy: peer.router, observer, destroyCall });
@@ -52,7 +58,7 @@
         call.on("cancelled", () => stream.close(false));
         call.on("close", () => stream.close(ended));
         call.sendMetadata(authenticator.signAnswer("exchange", peer.router, nonce));
-        if (!opts.onStream(stream)) stream.destroy();
+        opts.onStream(stream);
     };
 
     const answerForward = (call: ServerUnaryCall<Buffer, Buffer>, callback: sendUnaryData<Buffer>): void => {
--- a/packages/peer-protocol/test/createPeerTransport.test.ts
+++ b/packages/peer-protocol/test/createPeerTransport.test.ts
@@ -127,6 +127,7 @@
     await waitFor("loss of the first start's stream", () => first.unreachable.length > 0);
     first.transport.send("a", a.address, makeRequest(3));
     await waitFor("refusal of the first start", () => first.unreachable.length > 1);
+    assert.match(first.problems.join(), /a later start of this router is connected/);
     assert.is(a.received.length, 2);
 });
 
