--- a/packages/peer-protocol/src/createPeerTransport.ts
+++ b/packages/peer-protocol/src/createPeerTransport.ts
@@ -118,7 +118,12 @@
         authenticator,
         maxMessageBytes: limits.maxMessageBytes,
         getObserver: router => getLink(router).observer,
-        onStream: stream => !closing && getLink(stream.peer.router).addStream(stream),
+        findRefusal: peer => {
+            if (closing) return "the router is closing";
+            const isAcceptable = getLink(peer.router).isAcceptable(peer.incarnation);
+            return isAcceptable ? undefined : "a later start of this router is connected";
+        },
+        onStream: stream => getLink(stream.peer.router).addStream(stream),
         onForwardedCall: opts.onForwardedCall,
         onProblem: reportProblem,
     });
@@ -138,7 +143,11 @@
     idleTimer.unref();
 
     return {
-        send: (router, address, message) => getLink(router).send(address, message),
+        send: (router, address, message) => {
+            // A router may be the coordinator of its own reports; these need no stream.
+            if (router === identity.router) setImmediate(() => closing || opts.onMessage(router, message));
+            else getLink(router).send(address, message);
+        },
         forwardCall: (router, address, call) => getConnection(address).forwardCall(router, call),
         countTraffic: () => ({ ...traffic }),
         countStreams: () => [...links.values()].reduce((sum, link) => sum + link.countStreams(), 0),
