Void slots after pauses and restarts of routers

A resumed router took buffered announcements as current, and a coordinator took buffered reports as current and counted slots that had been given to others meanwhile. A coordinator that restarted between two reports dropped the copy of the target states. Change: announcements count from the time of the report that they cover; reports that arrive within 500 ms after a pause do not end a takeover; slots in circulation above the limit are withdrawn by a new generation; copies are kept when they arrive before the takeover begins.

--- a/packages/fair-share/src/announcePool.ts
+++ b/packages/fair-share/src/announcePool.ts
@@ -16,7 +16,7 @@
 import { computeEffectiveTime, listUnserved } from "./grantSlots.js";
 
 function listTargetStates(pool: CoordinatorPool): TargetState[] {
-    return [...pool.targets.values()].filter(target => target.generation > 0).map(target => ({
+    return [...pool.targets.values()].filter(target => target.known).map(target => ({
         target: target.spec.name,
         generation: target.generation,
         condition: target.condition,
--- a/packages/fair-share/src/applyAnnouncement.ts
+++ b/packages/fair-share/src/applyAnnouncement.ts
@@ -36,6 +36,8 @@
         return false;
     }
     applyTimes(pool, message);
+    while ((pool.sentReports[0]?.sequence ?? Infinity) <= message.reportSequence)
+        pool.confirmedAt = pool.sentReports.shift()?.at ?? pool.confirmedAt;
     pool.lastAnnouncementAt = now;
     pool.sendCopy = false;
     for (const state of message.targets)
--- a/packages/fair-share/src/applyReport.ts
+++ b/packages/fair-share/src/applyReport.ts
@@ -1,6 +1,7 @@
 /** Includes the report of an entry router in the coordinator's state. */
-import type { PoolReportMessage } from "@rhubarbwheel/types/peer-messages";
+import type { PoolReportMessage, TargetState } from "@rhubarbwheel/types/peer-messages";
 import {
+    type CoordinatedTarget,
     type CoordinatorContext,
     type CoordinatorPool,
     createRouterRecord,
@@ -50,19 +51,31 @@
         const workspace = getCoordinatedWorkspace(context, pool, entry.workspace);
         workspace.virtualTime = Math.max(workspace.virtualTime, entry.virtualTime);
     }
-    if (pool.takeoverUntil === undefined) return;
+    // Outside of a takeover the coordinator's own state is the latest one.
+    if (pool.since !== undefined && pool.takeoverUntil === undefined) return;
     for (const state of copy.targets) {
         const target = pool.targets.get(state.target);
-        if (target === undefined || copy.version <= target.stateVersion) continue;
-        target.stateVersion = copy.version;
-        if (state.generation > target.generation) raiseGeneration(pool, target, state.generation, context.now);
-        if (target.startId !== undefined && state.startId !== undefined && target.startId !== state.startId) continue;
-        target.startId ??= state.startId;
-        target.condition = state.condition;
-        target.coldLimit = state.limit;
+        if (target !== undefined && (!target.known || copy.version > target.stateVersion))
+            applyTargetCopy(context, pool, target, state, copy.version);
     }
 }
 
+function applyTargetCopy(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    target: CoordinatedTarget,
+    state: TargetState,
+    version: number,
+): void {
+    target.stateVersion = version;
+    target.known = true;
+    if (state.generation > target.generation) raiseGeneration(pool, target, state.generation, context.now);
+    const restarted = target.startId !== undefined && state.startId !== undefined && target.startId !== state.startId;
+    target.condition = restarted ? "cold" : state.condition;
+    target.coldLimit = restarted ? pool.service.spec.coldLimit : state.limit;
+    target.startId ??= state.startId;
+}
+
 /** Sets the totals up to which the virtual times already contain the router's cost. */
 function setBaseline(record: RouterRecord, message: PoolReportMessage): void {
     const baseline = (workspace: string, totalCost: number) => {
@@ -70,13 +83,13 @@
         if (usage === undefined) record.usage.set(workspace, { totalCost, queued: 0, pending: 0 });
         else usage.totalCost = totalCost;
     };
-    if (message.copy !== undefined) 
+    if (message.copy !== undefined) {
         for (const entry of message.totalsInCopy) baseline(entry.workspace, entry.totalCost);
-    
+    }
     // A router that knows generations has had announcements before: its cost was counted by a coordinator that is gone.
-    else if (message.granted.length > 0 && record.usage.size === 0) 
+    else if (message.granted.length > 0 && record.usage.size === 0) {
         for (const entry of message.usage) baseline(entry.workspace, entry.totalCost);
-    
+    }
 }
 
 function applyUsage(
@@ -152,7 +165,7 @@
     if (record === undefined) return false;
     const first = !record.inTenure;
     record.sequence = message.sequence;
-    record.inTenure = true;
+    record.inTenure = context.now >= pool.reportsFrom;
     applyCopy(context, pool, message);
     if (first) setBaseline(record, message);
     applyUsage(context, pool, record, message);
@@ -163,6 +176,6 @@
         if (!first && change < 0) target.returned -= change;
     }
     for (const observation of message.observations) handleObservation(context, pool, observation);
-    if (first) record.announce = true;
+    if (first && record.inTenure) record.announce = true;
     return true;
 }
--- a/packages/fair-share/src/constants.ts
+++ b/packages/fair-share/src/constants.ts
@@ -26,6 +26,9 @@
 /** Unchanged reports are repeated at this interval, so that a coordinator that lost its state learns of the router. */
 export const reportIntervalMs = 500;
 
+/** Reports whose time of sending is kept until an announcement covers them. */
+export const sentReportsMax = 1000;
+
 export const announceIntervalBusyMs = 100;
 export const announceIntervalIdleMs = 1000;
 /** A router that asks is answered at once after this silence, even without a grant. */
@@ -54,3 +57,5 @@
 
 /** A longer time between two events means that the process was paused; ticks come every 100 ms. */
 export const pauseMs = 1000;
+/** Time after a pause in which reports from before it may still arrive, and in which membership notices the pause. */
+export const pauseSettleMs = 500;
--- a/packages/fair-share/src/coordinatorPool.ts
+++ b/packages/fair-share/src/coordinatorPool.ts
@@ -22,6 +22,13 @@
     pending: number;
 }
 
+/** Slots of one target: all, those that are free, and those of the current generation, which may be reused. */
+export interface CountedSlots {
+    readonly taken: number;
+    readonly unused: number;
+    readonly reusable: number;
+}
+
 /** What the coordinator knows about one entry router. */
 export interface RouterRecord {
     readonly router: string;
@@ -39,7 +46,7 @@
     readonly carried: Map<string, { untilGeneration: number; count: number; }>;
     pending: PendingGrant[];
     /** Slots that this router adds to the sums of each target. */
-    readonly counted: Map<string, { taken: number; unused: number; }>;
+    readonly counted: Map<string, CountedSlots>;
     lastAnnouncedAt: number;
     /** An announcement is due in this step. */
     announce: boolean;
@@ -65,13 +72,14 @@
 
 export interface CoordinatedTarget {
     spec: TargetSpec;
-    /** 0 until the state is known or the target is taken as new. */
     generation: number;
+    /** Whether condition and limit are known, from a former coordinator or because the target was taken as new. */
+    known: boolean;
     condition: TargetCondition;
     /** Limit during a cold start. */
     coldLimit: number;
     startId?: string;
-    /** Version of the announcement from which the state was taken over. */
+    /** Version of the latest announcement that contained this state. */
     stateVersion: number;
     /** Slots are granted only after a load report has arrived since the target was new, refused or closed. */
     confirmed: boolean;
@@ -81,6 +89,7 @@
     completed: number;
     taken: number;
     unused: number;
+    reusable: number;
     /** Running requests that no record accounts for, from the last two load reports. */
     foreign: number;
     lastForeign: number;
@@ -108,6 +117,8 @@
     /** Time since which this router is the coordinator; `undefined` while it is not. */
     since?: number;
     takeoverUntil?: number;
+    /** Earlier reports do not count for the takeover: after a pause, messages from before it may still arrive. */
+    reportsFrom: number;
     version: number;
     poolVirtualTime: number;
     readonly workspaces: Map<string, CoordinatedWorkspace>;
@@ -152,6 +163,7 @@
     return {
         name: service.name,
         service,
+        reportsFrom: -Infinity,
         version: 0,
         poolVirtualTime: 0,
         workspaces: new Map(),
@@ -166,6 +178,7 @@
     return {
         spec,
         generation: 0,
+        known: false,
         condition: "cold",
         coldLimit: 0,
         stateVersion: 0,
@@ -173,6 +186,7 @@
         completed: 0,
         taken: 0,
         unused: 0,
+        reusable: 0,
         foreign: 0,
         lastForeign: 0,
         unaccounted: { count: 0, since: 0 },
@@ -237,6 +251,20 @@
     return target.condition === "cold" ? Math.min(target.coldLimit, targetLimit) : targetLimit;
 }
 
+/** Part of a limit for this side of a partition: the parts of a majority and its minority add up to the limit. */
+export function computePart(pool: CoordinatorPool, limit: number): number {
+    if (pool.aliveRatio >= 1) return limit;
+    const part = limit * pool.aliveRatio;
+    return pool.aliveRatio > 0.5 ? Math.ceil(part) : Math.floor(part);
+}
+
+/** Greatest number of slots that may be in circulation before those of the target are withdrawn and granted anew. */
+export function computeReusableLimit(pool: CoordinatorPool, target: CoordinatedTarget): number {
+    const limit = computeLimit(pool, target);
+    if (pool.aliveRatio >= 1) return limit;
+    return Math.max(computePart(pool, limit), Math.min(limit - target.foreign, target.partitionCap));
+}
+
 /** Number of slots of the target that may be granted now. */
 export function computeAvailable(pool: CoordinatorPool, target: CoordinatedTarget): number {
     if (target.condition === "cold" && !target.mayGrantCold) return 0;
--- a/packages/fair-share/src/countSlots.ts
+++ b/packages/fair-share/src/countSlots.ts
@@ -1,5 +1,5 @@
 /** Counts the slots that are taken at each target, from reports and from grants that reports have not confirmed. */
-import type { CoordinatedTarget, CoordinatorPool, RouterRecord } from "./coordinatorPool.js";
+import type { CoordinatedTarget, CoordinatorPool, CountedSlots, RouterRecord } from "./coordinatorPool.js";
 
 /** Values of `taken` are kept as long as a load report may be on its way. */
 const historyMs = 3000;
@@ -13,19 +13,21 @@
     return Math.max(0, issued.total - received);
 }
 
-function countRouterSlots(record: RouterRecord, target: CoordinatedTarget): { taken: number; unused: number; } {
+function countRouterSlots(record: RouterRecord, target: CoordinatedTarget): CountedSlots {
     const name = target.spec.name;
     const inTransit = countInTransit(record, name);
     let taken = inTransit + (record.carried.get(name)?.count ?? 0);
     let unused = inTransit;
+    let reusable = inTransit;
     for (const slot of record.slots) {
         if (slot.target !== name) continue;
         taken += slot.held;
         unused += slot.held - slot.inUse;
+        if (slot.generation === target.generation) reusable += slot.held;
     }
     for (const grant of record.pending)
         if (grant.target === name) unused -= 1;
-    return { taken, unused: Math.max(0, unused) };
+    return { taken, unused: Math.max(0, unused), reusable };
 }
 
 function recordTaken(target: CoordinatedTarget, now: number): void {
@@ -35,10 +37,11 @@
 
 /** Brings the sums of a target up to date after the record of a router has changed. Returns the change of `taken`. */
 export function updateCount(record: RouterRecord, target: CoordinatedTarget, now: number): number {
-    const before = record.counted.get(target.spec.name) ?? { taken: 0, unused: 0 };
+    const before = record.counted.get(target.spec.name) ?? { taken: 0, unused: 0, reusable: 0 };
     const after = countRouterSlots(record, target);
     record.counted.set(target.spec.name, after);
     target.unused += after.unused - before.unused;
+    target.reusable += after.reusable - before.reusable;
     const change = after.taken - before.taken;
     if (change === 0) return 0;
     target.taken += change;
@@ -53,6 +56,7 @@
         if (counted === undefined) continue;
         target.taken -= counted.taken;
         target.unused -= counted.unused;
+        target.reusable -= counted.reusable;
         recordTaken(target, now);
         if (counted.taken > 0) target.unaccounted = { count: target.unaccounted.count + counted.taken, since: now };
     }
@@ -79,6 +83,9 @@
     now: number,
 ): void {
     const name = target.spec.name;
+    target.generation = generation;
+    target.completed = 0;
+    target.returned = 0;
     for (const record of pool.routers.values()) {
         const inTransit = countInTransit(record, name);
         const carried = record.carried.get(name)?.count ?? 0;
@@ -89,9 +96,6 @@
         updateCount(record, target, now);
         record.announce = true;
     }
-    target.generation = generation;
-    target.completed = 0;
-    target.returned = 0;
 }
 
 /** Forgets unconfirmed grants that match, together with their estimated cost. */
--- a/packages/fair-share/src/createEntryQueue.ts
+++ b/packages/fair-share/src/createEntryQueue.ts
@@ -22,6 +22,7 @@
     createEntryPool,
     type EntryPool,
     getWorkspaceQueue,
+    isConfirmed,
     removeWaiting,
     setVirtualTime,
 } from "./entryPool.js";
@@ -93,7 +94,7 @@
     addWaiting(pool, queue, tracked.waiting, false);
     dispatchRequests(context, pool);
     if (!context.requests.has(request.id) || tracked.running !== undefined) return;
-    if (startsToWait || !pool.contended) pool.urgent = true;
+    if (isConfirmed(pool, context.now) && (startsToWait || !pool.contended)) pool.urgent = true;
     logEntryEvent(context, "queued", {
         requestId: request.id,
         workspace: request.workspace,
@@ -214,9 +215,9 @@
     else if (event.type === "configurationApplied") updatePools(context);
     else if (event.type === "peerMessage" && event.message.type === "poolAnnouncement")
         handleAnnouncement(context, event.from, event.message);
-    else if (event.type === "membershipChanged") 
+    else if (event.type === "membershipChanged") {
         for (const pool of context.pools.values()) updateCoordinator(context, pool);
-    
+    }
 }
 
 const dispatchingEvents: readonly RouterEvent["type"][] = [
@@ -254,9 +255,9 @@
             context.now = event.now;
             context.effects = [];
             handleEvent(context, event);
-            if (dispatchingEvents.includes(event.type)) 
+            if (dispatchingEvents.includes(event.type)) {
                 for (const pool of context.pools.values()) dispatchRequests(context, pool);
-            
+            }
 
             sendReports(context);
             if (context.draining && !context.stopped && context.requests.size === 0) {
--- a/packages/fair-share/src/createPoolCoordinator.ts
+++ b/packages/fair-share/src/createPoolCoordinator.ts
@@ -11,7 +11,6 @@
     type CoordinatorPool,
     createCoordinatorPool,
 } from "./coordinatorPool.js";
-import { raiseGeneration } from "./countSlots.js";
 import { updateGrants } from "./grantSlots.js";
 import { startTakeover, stopCoordination, updatePartition, updateTakeover } from "./takeover.js";
 import {
@@ -75,13 +74,8 @@
     for (const service of configuration.listServices()) {
         const known = context.pools.get(service.name);
         const pool = known ?? createCoordinatorPool(service);
-        const lowered = known !== undefined && service.spec.targetLimit < known.service.spec.targetLimit;
         pool.service = service;
         context.pools.set(service.name, pool);
-        if (lowered) {
-            for (const target of pool.targets.values())
-                raiseGeneration(pool, target, target.generation + 1, context.now);
-        }
     }
     for (const pool of [...context.pools.values()]) {
         if (configuration.getService(pool.name) === undefined) context.pools.delete(pool.name);
--- a/packages/fair-share/src/dispatchRequests.ts
+++ b/packages/fair-share/src/dispatchRequests.ts
@@ -1,12 +1,13 @@
 /** Dispatch on held slots: the least-served workspace first, and unused slots go back when requests wait elsewhere. */
 import type { TargetSpec } from "@rhubarbwheel/types/resources";
-import { announcementLifeMs, defaultAnswerTimeoutMs } from "./constants.js";
+import { defaultAnswerTimeoutMs } from "./constants.js";
 import { type EntryContext, isActive, logEntryEvent, type TrackedRequest } from "./entryContext.js";
 import {
     chargeCost,
     computeVirtualTime,
     type EntryPool,
     estimateCost,
+    isConfirmed,
     removeWaiting,
     type RunningRequest,
     type WorkspaceQueue,
@@ -151,7 +152,7 @@
         returnSlots(context, pool, true);
         return;
     }
-    if (context.now - pool.lastAnnouncementAt > announcementLifeMs) return;
+    if (!isConfirmed(pool, context.now)) return;
     while (pool.backlogged.size > 0) {
         const queue = findLeastServed(pool);
         const first = queue?.waiting[0];
--- a/packages/fair-share/src/endAttempt.ts
+++ b/packages/fair-share/src/endAttempt.ts
@@ -183,8 +183,8 @@
         closeRequest(context, tracked, "complete");
     }
     else if (running.cancelled)
-        {closeRequest(context, tracked, waiting.sent ? "unknown" : "notRun");}
+        closeRequest(context, tracked, waiting.sent ? "unknown" : "notRun");
     else
-        {handleFailure(context, tracked, running, event.reason);}
+        handleFailure(context, tracked, running, event.reason);
     dispatchRequests(context, pool);
 }
--- a/packages/fair-share/src/entryPool.ts
+++ b/packages/fair-share/src/entryPool.ts
@@ -1,7 +1,7 @@
 /** State of one pool at an entry router. */
 import type { NamedService, RequestSummary } from "@rhubarbwheel/types/events";
 import type { VirtualTimeCopy } from "@rhubarbwheel/types/peer-messages";
-import { averageWeight, defaultCostPerCall, initialRestCost } from "./constants.js";
+import { announcementLifeMs, averageWeight, defaultCostPerCall, initialRestCost } from "./constants.js";
 import { createRetryBudget, type RetryBudget } from "./retryBudget.js";
 import { createHeldTarget, type HeldTarget } from "./slotTable.js";
 
@@ -68,6 +68,10 @@
     ackedSequence: number;
     lastReportAt: number;
     lastAnnouncementAt: number;
+    /** Times at which the latest reports were sent, oldest first. */
+    readonly sentReports: { readonly sequence: number; readonly at: number; }[];
+    /** Time of the latest report that an announcement has covered. */
+    confirmedAt: number;
     copy?: VirtualTimeCopy;
     sendCopy: boolean;
     poolVirtualTime: number;
@@ -94,6 +98,8 @@
         ackedSequence: 0,
         lastReportAt: -Infinity,
         lastAnnouncementAt: -Infinity,
+        sentReports: [],
+        confirmedAt: -Infinity,
         sendCopy: true,
         poolVirtualTime: 0,
         ceiling: 0,
@@ -184,3 +190,11 @@
     queue.changed = true;
     pool.changed = true;
 }
+
+/**
+ * Whether the coordinator's answers are recent enough to use its slots. They count from the time of the report that they
+ * cover, because announcements that were sent before a pause of this process arrive after it.
+ */
+export function isConfirmed(pool: EntryPool, now: number): boolean {
+    return now - pool.confirmedAt <= announcementLifeMs;
+}
--- a/packages/fair-share/src/grantSlots.ts
+++ b/packages/fair-share/src/grantSlots.ts
@@ -161,9 +161,9 @@
         if (
             workspace.queuedAt.size === 0 && workspace.pendingCost === 0
             && workspace.virtualTime <= pool.poolVirtualTime
-        ) 
+        ) {
             pool.workspaces.delete(workspace.workspace);
-        
+        }
     }
 }
 
--- a/packages/fair-share/src/reportPool.ts
+++ b/packages/fair-share/src/reportPool.ts
@@ -8,7 +8,7 @@
     WorkspaceUsage,
 } from "@rhubarbwheel/types/peer-messages";
 import type { Member, RouterIdentity } from "@rhubarbwheel/types/slices";
-import { copyAfterSilenceMs, reportIntervalMs } from "./constants.js";
+import { copyAfterSilenceMs, reportIntervalMs, sentReportsMax } from "./constants.js";
 import { type EntryPool, estimateCost, type WorkspaceQueue } from "./entryPool.js";
 import { type HeldTarget, listSlotCounts } from "./slotTable.js";
 
@@ -85,6 +85,9 @@
     }
     pool.reportSequence += 1;
     pool.lastReportAt = opts.now;
+    pool.sentReports.push({ sequence: pool.reportSequence, at: opts.now });
+    // Without a coordinator the list would grow for as long as it takes.
+    if (pool.sentReports.length > sentReportsMax) pool.sentReports.shift();
     pool.changed = false;
     pool.urgent = false;
     const message: PoolReportMessage = {
--- a/packages/fair-share/src/takeover.ts
+++ b/packages/fair-share/src/takeover.ts
@@ -1,19 +1,35 @@
 /** Start and end of a router's time as coordinator of a pool. */
-import { takeoverMs } from "./constants.js";
-import { computeLimit, type CoordinatorContext, type CoordinatorPool, logCoordinatorEvent } from "./coordinatorPool.js";
-import { raiseGeneration } from "./countSlots.js";
+import { pauseSettleMs, takeoverMs } from "./constants.js";
+import {
+    computeLimit,
+    computePart,
+    type CoordinatorContext,
+    type CoordinatorPool,
+    logCoordinatorEvent,
+} from "./coordinatorPool.js";
 import { startNewTargets } from "./targetStates.js";
 
+function recordStateVersion(pool: CoordinatorPool): void {
+    if (pool.takeoverUntil !== undefined) return;
+    for (const target of pool.targets.values()) target.stateVersion = pool.version;
+}
+
 /** Until every router has reported, only slots that are returned are granted. */
-export function startTakeover(context: CoordinatorContext, pool: CoordinatorPool, reason: string): void {
+export function startTakeover(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    reason: "coordinator" | "pause",
+): void {
+    // After a pause, announcements of another coordinator may be later than the state of this one.
+    if (pool.since !== undefined) recordStateVersion(pool);
     pool.since ??= context.now;
+    pool.reportsFrom = reason === "pause" ? context.now + pauseSettleMs : context.now;
     pool.takeoverUntil = context.now + takeoverMs;
     for (const record of pool.routers.values()) record.inTenure = false;
     for (const target of pool.targets.values()) {
         target.returned = 0;
         target.polledAt = -Infinity;
         target.pollPending = false;
-        target.stateVersion = pool.version;
     }
     logCoordinatorEvent(context, "takeoverStarted", { pool: pool.name, reason });
 }
@@ -39,6 +55,7 @@
 }
 
 export function stopCoordination(context: CoordinatorContext, pool: CoordinatorPool): void {
+    recordStateVersion(pool);
     pool.since = undefined;
     pool.takeoverUntil = undefined;
     pool.contended = false;
@@ -63,15 +80,9 @@
     const fewer = ratio < pool.aliveRatio;
     pool.aliveRatio = ratio;
     for (const target of pool.targets.values()) {
-        if (ratio >= 1) {
-            target.partitionCap = Infinity;
-            continue;
-        }
         target.polledAt = -Infinity;
-        if (!fewer || target.condition === "closed") continue;
-        const part = pool.service.spec.targetLimit * ratio;
-        target.partitionCap = Math.max(1, ratio > 0.5 ? Math.ceil(part) : Math.floor(part));
         target.idleReports = 0;
-        if (target.taken > target.partitionCap) raiseGeneration(pool, target, target.generation + 1, now);
+        if (ratio >= 1) target.partitionCap = Infinity;
+        else if (fewer) target.partitionCap = computePart(pool, computeLimit(pool, target));
     }
 }
--- a/packages/fair-share/src/targetStates.ts
+++ b/packages/fair-share/src/targetStates.ts
@@ -12,6 +12,8 @@
 } from "./constants.js";
 import {
     computeLimit,
+    computePart,
+    computeReusableLimit,
     type CoordinatedTarget,
     type CoordinatorContext,
     type CoordinatorPool,
@@ -49,6 +51,7 @@
     reason: string,
 ): void {
     target.condition = "cold";
+    target.known = true;
     target.coldLimit = pool.service.spec.coldLimit;
     target.suspect = undefined;
     raiseGeneration(pool, target, target.generation + 1, context.now);
@@ -117,8 +120,8 @@
     }
     const spare = Math.max(0, computeLimit(pool, target) - Math.max(running, accounted));
     target.idleReports = spare > 0 ? target.idleReports + 1 : 0;
-    const part = pool.aliveRatio > 0.5 ? Math.ceil(spare * pool.aliveRatio) : Math.floor(spare * pool.aliveRatio);
-    target.partitionCap = target.taken + Math.max(part, target.idleReports > 1 && spare > 0 ? 1 : 0);
+    // The last slots, which no side would take after rounding down, are taken once they have been unused for a while.
+    target.partitionCap = target.taken + Math.max(computePart(pool, spare), target.idleReports > 1 ? 1 : 0);
 }
 
 export function handleLoadReport(context: CoordinatorContext, pool: CoordinatorPool, report: LoadReport): void {
@@ -130,7 +133,7 @@
         markCold(context, pool, target, "startIdChanged");
     }
     else if (target.suspect === "refused")
-        {markCold(context, pool, target, "refused");}
+        markCold(context, pool, target, "refused");
     else if (target.suspect !== undefined) {
         target.suspect = undefined;
         logTarget(context, pool, target, "confirmed");
@@ -160,7 +163,7 @@
 /** Raises the limit of a cold target after as many completed requests as the limit allows at once. */
 function updateRamp(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
     const { targetLimit } = pool.service.spec;
-    if (target.condition !== "cold" || target.suspect !== undefined) return;
+    if (target.condition !== "cold" || target.suspect !== undefined || !target.known) return;
     if (target.completed < target.coldLimit && target.coldLimit < targetLimit) return;
     target.completed = 0;
     target.coldLimit = Math.min(target.coldLimit * 2, targetLimit);
@@ -185,7 +188,7 @@
 
 /** Acquires or renews the lease of a cold target, and withdraws its slots when the right to grant them has ended. */
 function updateLease(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
-    if (target.condition !== "cold" || pool.takeoverUntil !== undefined) return;
+    if (target.condition !== "cold" || !target.known || pool.takeoverUntil !== undefined) return;
     const { lease } = target;
     const may = computeMayGrantCold(context, pool, target);
     if (target.mayGrantCold && !may) {
@@ -252,7 +255,14 @@
 /** Takes targets without a known state as new. */
 export function startNewTargets(context: CoordinatorContext, pool: CoordinatorPool): void {
     for (const target of pool.targets.values())
-        if (target.generation === 0 && target.condition !== "closed") markCold(context, pool, target, "new");
+        if (!target.known && target.condition !== "closed") markCold(context, pool, target, "new");
+}
+
+/** Withdraws slots that exceed the limit, after the limit was lowered or routers that were thought dead have returned. */
+function updateExcess(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
+    if (!target.confirmed || target.reusable <= computeReusableLimit(pool, target)) return;
+    raiseGeneration(pool, target, target.generation + 1, context.now);
+    logTarget(context, pool, target, "excess");
 }
 
 /** Brings limits and leases up to date with the time of the event. */
@@ -260,6 +270,7 @@
     for (const target of pool.targets.values()) {
         updateRamp(context, pool, target);
         updateLease(context, pool, target);
+        updateExcess(context, pool, target);
     }
 }
 
--- a/packages/fair-share/test/fakeFleet.ts
+++ b/packages/fair-share/test/fakeFleet.ts
@@ -51,8 +51,10 @@
     const effects: Effect[] = [];
     const state = { messages: 0, lastId: 0, freshness: "fresh" as "fresh" | "stale" };
 
+    const isReachable = (from: FakeRouter<R>, to: FakeRouter<R>) =>
+        to.alive && from.side === to.side && to.pausedUntil <= clock.getNow();
     const sees = (from: FakeRouter<R>, to: FakeRouter<R>) =>
-        (to.alive && from.side === to.side) || clock.getNow() - Math.max(from.changedAt, to.changedAt) < detectMs;
+        isReachable(from, to) || clock.getNow() - Math.max(from.changedAt, to.changedAt) < detectMs;
     const listSeen = (from: FakeRouter<R>) =>
         [...routers.values()].filter(to => to === from || sees(from, to)).map(to => to.member);
     const createMembership = (name: string): MembershipQueries => {
@@ -102,9 +104,9 @@
     };
     const runEffect = (router: FakeRouter<R>, effect: Effect): void => {
         const later = (run: () => void) => clock.add(clock.getNow() + oneWayMs, run);
-        if (effect.type === "sendToPeer") {sendMessage(router, effect);}
+        if (effect.type === "sendToPeer") sendMessage(router, effect);
         else if (effect.type === "sendToTarget")
-            {later(() => targets.startAttempt(effect, event => deliver(router, event)));}
+            later(() => targets.startAttempt(effect, event => deliver(router, event)));
         else if (effect.type === "pollLoad") {
             later(() => {
                 const answer = targets.samplePoll(effect.target);
@@ -115,20 +117,22 @@
             const answer = store.acquire(effect.lease, router.member.router, clock.getNow(), effect.durationMs);
             later(() => deliver(router, answer));
         }
-        else if (effect.type === "releaseLease") {store.release(effect.lease);}
-        else if (effect.type === "endRequest") {ended.push(effect);}
+        else if (effect.type === "releaseLease") store.release(effect.lease);
+        else if (effect.type === "endRequest") ended.push(effect);
         else if (effect.type === "cancelAtTarget")
-            {targets.breakAttempts(({ effect: { requestId } }) => requestId === effect.requestId);}
+            targets.breakAttempts(({ effect: { requestId } }) => requestId === effect.requestId);
     };
-    const raiseMembership = ({ member, alive, side }: FakeRouter<R>) => {
-        const about = { type: "membershipChanged" as const, now: 0, router: member.router };
+    const raiseMembership = (changed: FakeRouter<R>) => {
+        if (routers.get(changed.member.router) !== changed) return;
+        const about = { type: "membershipChanged" as const, now: 0, router: changed.member.router, incarnation: 1 };
         for (const router of routers.values())
-            deliver(router, { ...about, state: alive && side === router.side ? "alive" : "dead", incarnation: 1 });
+            deliver(router, { ...about, state: isReachable(router, changed) ? "alive" : "dead" });
     };
     const change = (name: string, changed: Partial<FakeRouter<R>>) => {
         const router = routers.get(name) as FakeRouter<R>;
         Object.assign(router, changed, { changedAt: clock.getNow() });
-        clock.add(clock.getNow() + detectMs, () => routers.get(name) === router && raiseMembership(router));
+        clock.add(clock.getNow() + detectMs, () => raiseMembership(router));
+        clock.add(router.pausedUntil, () => raiseMembership(router));
     };
     const start = (name: string, failureDomain: string) => {
         const incarnation = clock.getNow() + 1;
--- a/packages/fair-share/test/naiveRouter.ts
+++ b/packages/fair-share/test/naiveRouter.ts
@@ -39,7 +39,7 @@
         }
     };
     const reduce = (event: RouterEvent): readonly Effect[] => {
-        if (event.type === "requestArrived") {getQueue(event.request.workspace).waiting.push(event.request);}
+        if (event.type === "requestArrived") getQueue(event.request.workspace).waiting.push(event.request);
         else if (event.type === "targetEnded") {
             const request = running.get(event.requestId);
             running.delete(event.requestId);
