Start targets that opened after a takeover

Cause: a target that was closed while its coordinator changed stayed without slots after it opened. Change: opening makes its state known.

--- a/packages/fair-share/src/targetStates.ts
+++ b/packages/fair-share/src/targetStates.ts
@@ -229,6 +229,7 @@
         // The target may have restarted while it was closed: a load report with its start id comes first.
         target.condition = target.warmWhenClosed ? "warm" : "cold";
         target.coldLimit = pool.service.spec.coldLimit;
+        target.known = true;
         target.confirmed = false;
         target.polledAt = -Infinity;
         logTarget(context, pool, target, "opened");
