Count completed requests once per coordinator

Change: the first report of a router sets the baseline. The fake clock no longer loses tasks that a step adds for its own time.

--- a/packages/fair-share/src/applyReport.ts
+++ b/packages/fair-share/src/applyReport.ts
@@ -128,13 +128,20 @@
     }
 }
 
-function applyGranted(pool: CoordinatorPool, record: RouterRecord, message: PoolReportMessage, now: number): void {
+function applyGranted(
+    pool: CoordinatorPool,
+    record: RouterRecord,
+    message: PoolReportMessage,
+    first: boolean,
+    now: number,
+): void {
     for (const grant of message.granted) {
         const target = pool.targets.get(grant.target);
         if (target === undefined) continue;
         if (grant.generation > target.generation) raiseGeneration(pool, target, grant.generation, now);
         const before = record.confirmed.get(grant.target);
-        if (grant.generation === target.generation && grant.completed !== undefined) {
+        // What a first report tells was counted by the former coordinator.
+        if (!first && grant.generation === target.generation && grant.completed !== undefined) {
             const counted = before?.generation === grant.generation ? before.completed ?? 0 : 0;
             target.completed += Math.max(0, grant.completed - counted);
         }
@@ -170,7 +177,7 @@
     if (first) setBaseline(record, message);
     applyUsage(context, pool, record, message);
     record.slots = message.slots;
-    applyGranted(pool, record, message, context.now);
+    applyGranted(pool, record, message, first, context.now);
     for (const target of pool.targets.values()) {
         const change = updateCount(record, target, context.now);
         if (!first && change < 0) target.returned -= change;
--- a/packages/fair-share/test/fakeClock.ts
+++ b/packages/fair-share/test/fakeClock.ts
@@ -16,11 +16,11 @@
         },
         run: (until: number, onStep?: () => void) => {
             for (; now < until; now += 1) {
+                onStep?.();
                 for (let tasks = agenda.get(now); tasks !== undefined; tasks = agenda.get(now)) {
                     agenda.delete(now);
                     for (const task of tasks) task();
                 }
-                onStep?.();
             }
         },
         choose: (least: number, greatest: number) => uniformInt(random, least, greatest),
--- a/packages/fair-share/test/fakeFleet.ts
+++ b/packages/fair-share/test/fakeFleet.ts
@@ -132,7 +132,7 @@
         const router = routers.get(name) as FakeRouter<R>;
         Object.assign(router, changed, { changedAt: clock.getNow() });
         clock.add(clock.getNow() + detectMs, () => raiseMembership(router));
-        clock.add(router.pausedUntil, () => raiseMembership(router));
+        if (router.pausedUntil > clock.getNow()) clock.add(router.pausedUntil, () => raiseMembership(router));
     };
     const start = (name: string, failureDomain: string) => {
         const incarnation = clock.getNow() + 1;
