--- a/packages/bench/src/createCaller.ts
+++ b/packages/bench/src/createCaller.ts
@@ -120,10 +120,10 @@
     token: string,
     body: string,
     headers: Record<string, string>,
-    patienceMs = callLimitMs,
+    patienceMs?: number,
 ) {
     return request(url, {
-        signal: AbortSignal.timeout(patienceMs),
+        signal: patienceMs === undefined ? undefined : AbortSignal.timeout(patienceMs),
         dispatcher: agent,
         method: "POST",
         headers: { authorization: `Bearer ${token}`, "content-type": "application/json", ...headers },
--- a/packages/fair-share/src/applyReport.ts
+++ b/packages/fair-share/src/applyReport.ts
@@ -1,6 +1,7 @@
 /** Includes the report of an entry router in the coordinator's state. */
-import type { PoolReportMessage } from "@rhubarbwheel/types/peer-messages";
+import type { PoolReportMessage, TargetState } from "@rhubarbwheel/types/peer-messages";
 import {
+    type CoordinatedTarget,
     type CoordinatorContext,
     type CoordinatorPool,
     createRouterRecord,
@@ -50,19 +51,31 @@
         const workspace = getCoordinatedWorkspace(context, pool, entry.workspace);
         workspace.virtualTime = Math.max(workspace.virtualTime, entry.virtualTime);
     }
-    if (pool.takeoverUntil === undefined) return;
+    // Outside of a takeover the coordinator's own state is the latest one.
+    if (pool.since !== undefined && pool.takeoverUntil === undefined) return;
     for (const state of copy.targets) {
         const target = pool.targets.get(state.target);
-        if (target === undefined || copy.version <= target.stateVersion) continue;
-        target.stateVersion = copy.version;
-        if (state.generation > target.generation) raiseGeneration(pool, target, state.generation, context.now);
-        if (target.startId !== undefined && state.startId !== undefined && target.startId !== state.startId) continue;
-        target.startId ??= state.startId;
-        target.condition = state.condition;
-        target.coldLimit = state.limit;
+        if (target !== undefined && (!target.known || copy.version > target.stateVersion))
+            applyTargetCopy(context, pool, target, state, copy.version);
     }
 }
 
+function applyTargetCopy(
+    context: CoordinatorContext,
+    pool: CoordinatorPool,
+    target: CoordinatedTarget,
+    state: TargetState,
+    version: number,
+): void {
+    target.stateVersion = version;
+    target.known = true;
+    if (state.generation > target.generation) raiseGeneration(pool, target, state.generation, context.now);
+    const restarted = target.startId !== undefined && state.startId !== undefined && target.startId !== state.startId;
+    target.condition = restarted ? "cold" : state.condition;
+    target.coldLimit = restarted ? pool.service.spec.coldLimit : state.limit;
+    target.startId ??= state.startId;
+}
+
 /** Sets the totals up to which the virtual times already contain the router's cost. */
 function setBaseline(record: RouterRecord, message: PoolReportMessage): void {
     const baseline = (workspace: string, totalCost: number) => {
@@ -115,13 +128,20 @@
     }
 }
 
-function applyGranted(pool: CoordinatorPool, record: RouterRecord, message: PoolReportMessage, now: number): void {
+function applyGranted(
+    pool: CoordinatorPool,
+    record: RouterRecord,
+    message: PoolReportMessage,
+    first: boolean,
+    now: number,
+): void {
     for (const grant of message.granted) {
         const target = pool.targets.get(grant.target);
         if (target === undefined) continue;
         if (grant.generation > target.generation) raiseGeneration(pool, target, grant.generation, now);
         const before = record.confirmed.get(grant.target);
-        if (grant.generation === target.generation && grant.completed !== undefined) {
+        // What a first report tells was counted by the former coordinator.
+        if (!first && grant.generation === target.generation && grant.completed !== undefined) {
             const counted = before?.generation === grant.generation ? before.completed ?? 0 : 0;
             target.completed += Math.max(0, grant.completed - counted);
         }
@@ -152,17 +172,17 @@
     if (record === undefined) return false;
     const first = !record.inTenure;
     record.sequence = message.sequence;
-    record.inTenure = true;
+    record.inTenure = context.now >= pool.reportsFrom;
     applyCopy(context, pool, message);
     if (first) setBaseline(record, message);
     applyUsage(context, pool, record, message);
     record.slots = message.slots;
-    applyGranted(pool, record, message, context.now);
+    applyGranted(pool, record, message, first, context.now);
     for (const target of pool.targets.values()) {
         const change = updateCount(record, target, context.now);
         if (!first && change < 0) target.returned -= change;
     }
     for (const observation of message.observations) handleObservation(context, pool, observation);
-    if (first) record.announce = true;
+    if (first && record.inTenure) record.announce = true;
     return true;
 }
--- a/packages/fair-share/src/createEntryQueue.ts
+++ b/packages/fair-share/src/createEntryQueue.ts
@@ -22,6 +22,7 @@
     createEntryPool,
     type EntryPool,
     getWorkspaceQueue,
+    isConfirmed,
     removeWaiting,
     setVirtualTime,
 } from "./entryPool.js";
@@ -93,7 +94,7 @@
     addWaiting(pool, queue, tracked.waiting, false);
     dispatchRequests(context, pool);
     if (!context.requests.has(request.id) || tracked.running !== undefined) return;
-    if (startsToWait || !pool.contended) pool.urgent = true;
+    if (isConfirmed(pool, context.now) && (startsToWait || !pool.contended)) pool.urgent = true;
     logEntryEvent(context, "queued", {
         requestId: request.id,
         workspace: request.workspace,
--- a/packages/fair-share/src/dispatchRequests.ts
+++ b/packages/fair-share/src/dispatchRequests.ts
@@ -1,12 +1,13 @@
 /** Dispatch on held slots: the least-served workspace first, and unused slots go back when requests wait elsewhere. */
 import type { TargetSpec } from "@rhubarbwheel/types/resources";
-import { announcementLifeMs, defaultAnswerTimeoutMs } from "./constants.js";
+import { defaultAnswerTimeoutMs } from "./constants.js";
 import { type EntryContext, isActive, logEntryEvent, type TrackedRequest } from "./entryContext.js";
 import {
     chargeCost,
     computeVirtualTime,
     type EntryPool,
     estimateCost,
+    isConfirmed,
     removeWaiting,
     type RunningRequest,
     type WorkspaceQueue,
@@ -125,17 +126,22 @@
     });
 }
 
-/** Returns unused slots; slots that may not be used at present are returned in any case. */
+/**
+ * Returns unused slots. Slots of a target that only this router considers closed go back with the next tick: an immediate
+ * return would be answered by the same grant until the coordinator has the same configuration.
+ */
 function returnSlots(context: EntryContext, pool: EntryPool, all: boolean): void {
     let returned = 0;
     for (const held of pool.targets.values()) {
-        if (held.free === 0 || (!all && isUsable(context, pool, held))) continue;
+        if (held.free === 0) continue;
+        const usable = isUsable(context, pool, held);
+        if (!all && usable) continue;
+        if (usable) pool.urgent = true;
         returned += held.free;
         held.free = 0;
     }
     if (returned === 0) return;
     pool.changed = true;
-    pool.urgent = true;
     logEntryEvent(context, "slotsReturned", { pool: pool.name, slots: returned });
 }
 
@@ -146,7 +152,7 @@
         returnSlots(context, pool, true);
         return;
     }
-    if (context.now - pool.lastAnnouncementAt > announcementLifeMs) return;
+    if (!isConfirmed(pool, context.now)) return;
     while (pool.backlogged.size > 0) {
         const queue = findLeastServed(pool);
         const first = queue?.waiting[0];
