Carry the host list digest and leaving targets between routers

The configuration slice spreads them by digest; the codec now has their fields. The curly rule of eslint is off, because dprint decides braces and the two contradict each other.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -23,7 +23,6 @@
                 { selector: "typeLike", format: ["PascalCase"] },
                 { selector: "interface", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
             ],
-            curly: ["error", "multi-or-nest", "consistent"],
             eqeqeq: "error",
             "max-lines": ["error", { max: 330, skipBlankLines: false, skipComments: false }],
             "max-lines-per-function": ["error", { max: 320 }],
--- a/packages/peer-protocol/src/messageFields.ts
+++ b/packages/peer-protocol/src/messageFields.ts
@@ -4,6 +4,7 @@
     ConfigurationRequestMessage,
     ConfigurationUpdateMessage,
     GrantTotal,
+    HostListDigest,
     LeavingMessage,
     MemberUpdate,
     PeerMessage,
@@ -22,7 +23,19 @@
 import type { ForwardedAnswer, ForwardedCall } from "@rhubarbwheel/types/ports";
 import { resourceField } from "./resourceFields.js";
 import type { WireField } from "./wireFields.js";
-import { bytes, choice, double, flag, integer, list, optional, shape, text, textRecord } from "./wireFields.js";
+import {
+    bytes,
+    choice,
+    double,
+    flag,
+    integer,
+    list,
+    optional,
+    shape,
+    text,
+    textRecord,
+    wrappedList,
+} from "./wireFields.js";
 
 type Untyped<T> = Omit<T, "type">;
 
@@ -39,6 +52,7 @@
     confirmedAgeMs: optional(double),
     storeUnreachable: flag,
     storeCheckedAgeMs: optional(double),
+    hosts: optional(shape<HostListDigest>({ ageMs: double, routerCount: integer, leavingHash: integer })),
 });
 
 const slotCount = shape<SlotCount>({ target: text, generation: integer, held: integer, inUse: integer });
@@ -121,8 +135,12 @@
         fromRevision: integer,
         revision: integer,
         digest,
+        leavingTargets: optional(wrappedList(text)),
+    }),
+    configurationRequest: shape<Untyped<ConfigurationRequestMessage>>({
+        revision: integer,
+        leavingHash: optional(integer),
     }),
-    configurationRequest: shape<Untyped<ConfigurationRequestMessage>>({ revision: integer }),
 };
 
 export const forwardedCallField = shape<ForwardedCall>({
