Resume broken streams only after news of their target

Cause: a stream that broke after output was resumed at once. When the connection broke because the target had restarted, every router sent its resumptions to the cold target within 20 ms, next to the slots granted for the cold start. A load report with a lag could also clear the suspicion with a sample from before the failure. Ruled out: grants on their way and slots of an old generation; the trace of the target showed only resumed requests beside the two granted ones. Change: a broken stream keeps its slot and waits, at most 3 s, until a load report newer than the failure shows the same start id; load reports older than the last failure are ignored. The test resumeStreams guards the rule.

--- a/packages/bench/src/runCold.ts
+++ b/packages/bench/src/runCold.ts
@@ -76,6 +76,17 @@
     return { recoveryMs: Date.now() - lastFaultAt, noticedMs: betweenFaultsMs };
 }
 
+/** Counts the results that are not complete by their code; killed routers and restarted targets break connections. */
+function countCodes(results: readonly CallerResult[]): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {};
+    for (const { outcome, code } of results) {
+        if (outcome === "complete") continue;
+        const key = code ?? outcome;
+        counts[key] = (counts[key] ?? 0) + 1;
+    }
+    return counts;
+}
+
 export async function runCold(): Promise<object> {
     const fleet = await startFleet(plan);
     const caller = createCaller();
@@ -108,7 +119,7 @@
             fellOver: stats.reduce((sum, entry) => sum + entry.fellOver, 0),
             recoveryMs,
             requests: results.length,
-            incomplete: results.filter(result => result.outcome !== "complete").length,
+            incomplete: countCodes(results),
             crossed: results.filter(result => result.crossed).length,
         };
     }
--- a/packages/fair-share/src/constants.ts
+++ b/packages/fair-share/src/constants.ts
@@ -13,6 +13,9 @@
 /** Cost beyond the input that is assumed for the first request of a workspace, in the order of a short answer. */
 export const initialRestCost = 200;
 
+/** Longest time that a broken stream waits for news of its target: two polls of a suspect target and the report's lag. */
+export const resumeWaitMs = 3000;
+
 /** Part of the requests that may be retried, and retries available before any request has arrived. */
 export const retryRatio = 0.1;
 export const retryReserve = 3;
--- a/packages/fair-share/src/coordinatorPool.ts
+++ b/packages/fair-share/src/coordinatorPool.ts
@@ -85,6 +85,8 @@
     confirmed: boolean;
     /** A failure was observed; the next load report decides whether the target is cold. */
     suspect?: "refused" | "broken";
+    /** Load reports sampled before this time say nothing about the target after its last failure. */
+    trustSince: number;
     /** Completed requests since the limit was raised last. */
     completed: number;
     /** Multiplies the warm-up after the target failed while its limit was rising. */
@@ -187,6 +189,7 @@
         confirmed: false,
         completed: 0,
         warmUpFactor: 1,
+        trustSince: -Infinity,
         taken: 0,
         unused: 0,
         reusable: 0,
--- a/packages/fair-share/src/createEntryQueue.ts
+++ b/packages/fair-share/src/createEntryQueue.ts
@@ -6,7 +6,7 @@
 import { applyAnnouncement } from "./applyAnnouncement.js";
 import { defaultMaxQueued, defaultQueueTimeoutMs } from "./constants.js";
 import { dispatchRequests } from "./dispatchRequests.js";
-import { handleTargetAccepted, handleTargetEnded, handleTargetProgress } from "./endAttempt.js";
+import { handleTargetAccepted, handleTargetEnded, handleTargetProgress, updateResumptions } from "./endAttempt.js";
 import {
     closeRequest,
     endRequest,
@@ -113,7 +113,9 @@
     }
     else if (waiting.request.idempotent && !running.cancelled) {
         running.cancelled = true;
-        context.effects.push({ type: "cancelAtTarget", requestId, attempt: running.attempt });
+        if (running.resumption === undefined)
+            context.effects.push({ type: "cancelAtTarget", requestId, attempt: running.attempt });
+        else updateResumptions(context, tracked.pool);
     }
     logEntryEvent(context, "cancelled", {
         requestId,
@@ -184,13 +186,16 @@
     if (pool === undefined || message.incarnation !== context.identity.incarnation) return;
     // Grants of a router that is no longer the coordinator are not counted by the new one.
     if (context.membership.findCoordinator(pool.name).router !== from) return;
-    if (applyAnnouncement(pool, message, context.now)) dispatchRequests(context, pool);
+    if (!applyAnnouncement(pool, message, context.now)) return;
+    updateResumptions(context, pool);
+    dispatchRequests(context, pool);
 }
 
 function handleTick(context: EntryContext): void {
     for (const pool of context.pools.values()) {
         updateCoordinator(context, pool);
         endExpired(context, pool);
+        updateResumptions(context, pool);
         dispatchRequests(context, pool);
         if (isReportDue(pool, context.now)) pool.urgent = true;
     }
--- a/packages/fair-share/src/endAttempt.ts
+++ b/packages/fair-share/src/endAttempt.ts
@@ -2,7 +2,7 @@
 import type { TargetAcceptedEvent, TargetEndedEvent, TargetProgressEvent } from "@rhubarbwheel/types/events";
 import type { TargetObservation } from "@rhubarbwheel/types/peer-messages";
 import { averageWeight, slowCount, slowFactor, slowMinimumMs } from "./constants.js";
-import { dispatchRequests, sendAttempt } from "./dispatchRequests.js";
+import { dispatchRequests } from "./dispatchRequests.js";
 import {
     closeRequest,
     endRequest,
@@ -13,6 +13,7 @@
     type TrackedRequest,
 } from "./entryContext.js";
 import { addWaiting, type EntryPool, getHeldTarget, recordCost, type RunningRequest } from "./entryPool.js";
+import { continueStreams, holdForResume, mayResume } from "./resumeStreams.js";
 import { recordCompletion, releaseSlot } from "./slotTable.js";
 
 /** Stops the reuse of a target's slots until the coordinator, which is told at once, has raised the generation. */
@@ -86,30 +87,6 @@
         settleCost(found.tracked, found.running, event.cost);
 }
 
-/** A broken stream continues once on its slot if the target still runs under the same start id. */
-function mayResume(context: EntryContext, tracked: TrackedRequest, running: RunningRequest): boolean {
-    const held = getHeldTarget(tracked.pool, running.target);
-    return tracked.pool.service.spec.kind === "model" && !running.resumed && held.generation === running.generation
-        && held.suspended === undefined && held.condition !== "closed"
-        && context.configuration.getFreshness() === "fresh"
-        && context.configuration.isTargetOpen(tracked.pool.name, running.target);
-}
-
-function resumeAttempt(context: EntryContext, tracked: TrackedRequest, running: RunningRequest): void {
-    const spec = tracked.pool.service.spec.targets.find(target => target.name === running.target);
-    if (spec === undefined) return;
-    tracked.waiting.attempts += 1;
-    tracked.waiting.chargedBefore += running.charged;
-    tracked.running = { ...running, attempt: tracked.waiting.attempts, charged: 0, accepted: false, resumed: true };
-    sendAttempt(context, tracked, spec);
-    logEntryEvent(context, "resumed", {
-        requestId: tracked.waiting.request.id,
-        service: tracked.pool.name,
-        target: running.target,
-        attempt: tracked.waiting.attempts,
-    });
-}
-
 function requeueRequest(
     context: EntryContext,
     tracked: TrackedRequest,
@@ -166,16 +143,17 @@
     settleCost(tracked, running, event.cost);
     if (event.sent) waiting.sent = true;
     if (event.answered) waiting.answered = true;
+    const startId = event.startId ?? getHeldTarget(pool, running.target).startId;
     const sameStart = checkStartId(context, pool, running, event.startId);
+    if (event.result !== "complete" && !running.cancelled)
+        suspendTarget(context, pool, running, event.result, event.startId);
     if (
         event.result === "broken" && event.answered && !running.cancelled && sameStart
-        && mayResume(context, tracked, running)
+        && mayResume(context, tracked, running, startId)
     ) {
-        resumeAttempt(context, tracked, running);
+        holdForResume(context, tracked, running, startId);
         return;
     }
-    if (event.result !== "complete" && !running.cancelled)
-        suspendTarget(context, pool, running, event.result, event.startId);
     releaseAttempt(context, tracked, running);
     if (event.result === "complete") {
         recordCost(queue, waiting.request, event.cost);
@@ -188,3 +166,13 @@
         handleFailure(context, tracked, running, event.reason);
     dispatchRequests(context, pool);
 }
+
+/** Continues broken streams where that has become possible, and ends those for which it never will. */
+export function updateResumptions(context: EntryContext, pool: EntryPool): void {
+    for (const tracked of continueStreams(context, pool)) {
+        const { running } = tracked;
+        if (running === undefined) continue;
+        releaseAttempt(context, tracked, running);
+        handleFailure(context, tracked, running, "stream not resumed");
+    }
+}
--- a/packages/fair-share/src/entryPool.ts
+++ b/packages/fair-share/src/entryPool.ts
@@ -30,6 +30,8 @@
     accepted: boolean;
     resumed: boolean;
     cancelled: boolean;
+    /** Set while the broken attempt waits for news of its target. */
+    resumption?: { readonly startId: string | undefined; readonly generation: number; readonly until: number; };
 }
 
 export interface WorkspaceQueue {
@@ -61,6 +63,8 @@
     readonly budget: RetryBudget;
     /** Target that served each prompt prefix last. */
     readonly prefixTargets: Map<number, string>;
+    /** Broken attempts that wait to be resumed. */
+    readonly resuming: Set<RunningRequest>;
     readonly latencies: Map<string, { average: number; slowInRow: number; }>;
     /** Coordinator that reports go to, with its incarnation. */
     coordinator: string;
@@ -92,6 +96,7 @@
         targets: new Map(),
         budget: createRetryBudget(),
         prefixTargets: new Map(),
+        resuming: new Set(),
         latencies: new Map(),
         coordinator: "",
         reportSequence: 0,
--- a/packages/fair-share/src/targetStates.ts
+++ b/packages/fair-share/src/targetStates.ts
@@ -73,6 +73,7 @@
 ): void {
     const target = pool.targets.get(observation.target);
     if (target === undefined || observation.generation !== target.generation || target.condition === "closed") return;
+    target.trustSince = context.now;
     if (observation.kind === "startIdChanged" && observation.startId !== target.startId) {
         target.startId = observation.startId;
         markCold(context, pool, target, "startIdChanged");
@@ -132,6 +133,7 @@
     const target = pool.targets.get(report.target);
     if (target === undefined) return;
     target.pollPending = false;
+    if (context.now - report.ageMs < target.trustSince) return;
     if (target.startId !== undefined && target.startId !== report.startId) {
         target.startId = report.startId;
         markCold(context, pool, target, "startIdChanged");
--- /dev/null
+++ b/packages/fair-share/test/resumeStreams.test.ts
@@ -0,0 +1,137 @@
+/** Guards against broken streams that overload a target which has just restarted, and against streams that never end. */
+import type { Effect } from "@rhubarbwheel/types/effects";
+import type { RouterEvent } from "@rhubarbwheel/types/events";
+import type { PoolAnnouncementMessage, TargetState } from "@rhubarbwheel/types/peer-messages";
+import type { ConfigurationQueries, MembershipQueries } from "@rhubarbwheel/types/slices";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createEntryQueue } from "../src/createEntryQueue.js";
+
+const self = { router: "r0", incarnation: 1, address: "r0:1", failureDomain: "fd1" };
+const coordinator = { router: "r1", incarnation: 1, state: "alive" as const, address: "r1:1", failureDomain: "fd1" };
+const service = {
+    name: "proofs",
+    version: 1,
+    spec: {
+        kind: "model" as const,
+        targets: [{ name: "t1", address: "http://t1", failureDomain: "fd1" }],
+        targetLimit: 4,
+        coldLimit: 2,
+    },
+};
+
+function createFixture() {
+    const state = { open: true, version: 0, now: 0 };
+    const membership = { findCoordinator: () => coordinator } as unknown as MembershipQueries;
+    const configuration = {
+        listServices: () => [service],
+        getService: () => service,
+        getWorkspace: () => ({ share: 1, credentialHashes: [] }),
+        getFreshness: () => "fresh",
+        isTargetOpen: () => state.open,
+    } as unknown as ConfigurationQueries;
+    const queue = createEntryQueue({ identity: self, membership, configuration });
+    const reduce = (event: Record<string, unknown>): readonly Effect[] => {
+        state.now += 10;
+        return queue.reduce({ ...event, now: state.now } as unknown as RouterEvent);
+    };
+    const announce = (target: Partial<TargetState>, granted: number): readonly Effect[] => {
+        state.version += 1;
+        const known: TargetState = { target: "t1", generation: 1, condition: "warm", limit: 4, startId: "a" };
+        const message: PoolAnnouncementMessage = {
+            type: "poolAnnouncement",
+            pool: "proofs",
+            incarnation: 1,
+            version: state.version,
+            reportSequence: 1,
+            granted: [{ target: "t1", generation: target.generation ?? 1, total: granted }],
+            poolVirtualTime: 0,
+            virtualTimes: [],
+            ceiling: Number.MAX_VALUE,
+            contended: false,
+            targets: [{ ...known, ...target }],
+        };
+        return reduce({ type: "peerMessage", from: "r1", message });
+    };
+    return { state, queue, reduce, announce };
+}
+
+/** Brings one request to the point where its stream breaks after output. */
+function breakStream(fixture: ReturnType<typeof createFixture>): readonly Effect[] {
+    const { reduce, announce } = fixture;
+    reduce({ type: "tick" });
+    announce({}, 1);
+    const request = { id: "q1", workspace: "w", service: "proofs", idempotent: true, inputCost: 10 };
+    reduce({ type: "requestArrived", request });
+    const attempt = { requestId: "q1", attempt: 1, target: "t1" };
+    reduce({ type: "targetAccepted", ...attempt, startId: "a" });
+    const broken = { result: "broken", sent: true, answered: true, cost: 20, startId: "a" };
+    return reduce({ type: "targetEnded", ...attempt, ...broken });
+}
+
+const listTypes = (effects: readonly Effect[]) => effects.map(effect => effect.type);
+const isSentAgain = (effects: readonly Effect[]) =>
+    effects.some(effect => effect.type === "sendToTarget" && effect.resume === true);
+const isEnded = (effects: readonly Effect[]) =>
+    effects.some(effect => effect.type === "endRequest" && effect.outcome === "unknown");
+
+test("a broken stream sends nothing to its target before news of the target", () => {
+    const effects = breakStream(createFixture());
+    assert.not(listTypes(effects).includes("sendToTarget"));
+    assert.not(isEnded(effects));
+});
+
+const rows: readonly {
+    readonly name: string;
+    readonly target: Partial<TargetState>;
+    readonly resumed: boolean;
+    readonly ended: boolean;
+}[] = [
+    { name: "the target runs on", target: { generation: 2 }, resumed: true, ended: false },
+    { name: "the target is still suspect", target: { generation: 2, limit: 0 }, resumed: false, ended: false },
+    { name: "the news is older than the failure", target: {}, resumed: false, ended: false },
+    { name: "the target restarted", target: { generation: 2, startId: "b" }, resumed: false, ended: true },
+];
+
+for (const row of rows) {
+    test(`a broken stream when ${row.name}: resumed ${row.resumed}, ended ${row.ended}`, () => {
+        const fixture = createFixture();
+        breakStream(fixture);
+        const effects = fixture.announce(row.target, 0);
+        assert.is(isSentAgain(effects), row.resumed);
+        assert.is(isEnded(effects), row.ended);
+    });
+}
+
+test("a broken stream without news of its target ends after the wait", () => {
+    const fixture = createFixture();
+    breakStream(fixture);
+    fixture.state.now += 3_000;
+    assert.ok(isEnded(fixture.reduce({ type: "tick" })));
+    assert.is(fixture.queue.countInProgress(), 0);
+});
+
+test("a broken stream ends when its failure domain goes out", () => {
+    const fixture = createFixture();
+    breakStream(fixture);
+    fixture.state.open = false;
+    assert.ok(isEnded(fixture.reduce({ type: "tick" })));
+});
+
+test("a broken stream ends when its caller hangs up", () => {
+    const fixture = createFixture();
+    breakStream(fixture);
+    fixture.reduce({ type: "requestCancelled", requestId: "q1" });
+    assert.is(fixture.queue.countInProgress(), 0);
+});
+
+test("a stream that breaks a second time ends", () => {
+    const fixture = createFixture();
+    breakStream(fixture);
+    fixture.announce({ generation: 2 }, 0);
+    const broken = { result: "broken", sent: true, answered: true, cost: 20, startId: "a" };
+    const effects = fixture.reduce({ type: "targetEnded", requestId: "q1", attempt: 2, target: "t1", ...broken });
+    assert.ok(isEnded(effects));
+});
+
+test.run();
