Settle attempts in order and prove what left the router

The model stand-in breaks a stream only after the chunk has left, and a cancelled sequence makes room for the next one at once.

--- a/packages/stand-ins/src/createModelEngine.ts
+++ b/packages/stand-ins/src/createModelEngine.ts
@@ -32,6 +32,7 @@
     produced: number;
     /** Time at which the prefill is done. */
     readyAt: number;
+    ended: boolean;
 }
 
 /** Most steps caught up at once after the process was slow; later ones are forgotten. */
@@ -60,13 +61,15 @@
     };
 
     const runStep = (now: number): void => {
-        for (const sequence of [...batch]) {
-            if (sequence.readyAt > now || !batch.includes(sequence)) continue;
+        // Handlers may cancel sequences, this one included.
+        for (const sequence of batch) {
+            if (sequence.ended || sequence.readyAt > now) continue;
             stepSequence(sequence);
-            if (sequence.produced < sequence.opts.outputTokens) continue;
-            batch = batch.filter(other => other !== sequence);
+            if (sequence.ended || sequence.produced < sequence.opts.outputTokens) continue;
+            sequence.ended = true;
             sequence.opts.onDone();
         }
+        batch = batch.filter(sequence => !sequence.ended);
         admitQueued(now);
     };
 
@@ -88,7 +91,12 @@
 
     return {
         submit: sequenceOptions => {
-            const sequence = { opts: sequenceOptions, produced: sequenceOptions.finishedTokens, readyAt: 0 };
+            const sequence = {
+                opts: sequenceOptions,
+                produced: sequenceOptions.finishedTokens,
+                readyAt: 0,
+                ended: false,
+            };
             queue.push(sequence);
             const now = opts.clock();
             const wasIdle = batch.length === 0;
@@ -96,8 +104,11 @@
             if (wasIdle) nextStepAt = now + getStepMs();
             scheduleStep();
             return () => {
+                sequence.ended = true;
                 queue = queue.filter(other => other !== sequence);
                 batch = batch.filter(other => other !== sequence);
+                admitQueued(opts.clock());
+                scheduleStep();
             };
         },
         countRunning: () => batch.length,
--- a/packages/stand-ins/src/createModelStandIn.ts
+++ b/packages/stand-ins/src/createModelStandIn.ts
@@ -114,9 +114,10 @@
             : Number.POSITIVE_INFINITY;
         let sentChunks = 0;
         const sendEvent = (event: string): void => {
-            if (sentChunks >= closeAfter) return void response.destroy();
             sentChunks += 1;
-            response.write(event);
+            if (sentChunks < closeAfter) response.write(event);
+            // Breaks the connection once the chunk has left; a destroyed socket drops what it has queued.
+            else if (sentChunks === closeAfter) response.write(event, () => response.destroy());
         };
         const usage = createUsage(
             request,
@@ -125,7 +126,7 @@
                 onDone: () => {
                     if (request.includeUsage && from <= request.outputTokens)
                         sendEvent(formatUsageEvent(id, request, usage));
-                    if (sentChunks >= closeAfter) return void response.destroy();
+                    if (sentChunks >= closeAfter) return;
                     streams.delete(id);
                     response.end("data: [DONE]\n\n");
                 },
--- a/packages/target-client/src/createAnswerReader.ts
+++ b/packages/target-client/src/createAnswerReader.ts
@@ -1,4 +1,5 @@
 /** Readers of the three forms of answers: event streams and JSON of models, and any body of plain services. */
+import type { AnswerForm } from "./checkAnswer.js";
 import { createEventScanner, parseUsage } from "./createEventScanner.js";
 import type { ReportedUsage } from "./createEventScanner.js";
 import type { TargetLimits } from "./targetLimits.js";
@@ -17,7 +18,7 @@
 /** Passes on bytes; the first call begins the answer to the caller. */
 export type PassOn = (chunk: Uint8Array) => void;
 
-export function createEventReader(passOn: PassOn, limits: TargetLimits): AnswerReader {
+function createEventReader(passOn: PassOn, limits: TargetLimits): AnswerReader {
     const scanner = createEventScanner(limits);
     return {
         push: chunk => {
@@ -33,7 +34,7 @@
 }
 
 /** Holds the whole answer and checks that it is a JSON object before any of it is passed on. */
-export function createJsonReader(passOn: PassOn, limits: TargetLimits): AnswerReader {
+function createJsonReader(passOn: PassOn, limits: TargetLimits): AnswerReader {
     const held: Buffer[] = [];
     let heldBytes = 0;
     let usage: ReportedUsage | undefined;
@@ -63,7 +64,7 @@
 }
 
 /** Holds a small answer until it is complete; a larger one is passed on as it comes. */
-export function createBodyReader(passOn: PassOn, limits: TargetLimits): AnswerReader {
+function createBodyReader(passOn: PassOn, limits: TargetLimits): AnswerReader {
     let held: Buffer[] = [];
     let heldBytes = 0;
     const release = (): void => {
@@ -87,3 +88,8 @@
         getUsage: () => undefined,
     };
 }
+
+export function createAnswerReader(form: AnswerForm, passOn: PassOn, limits: TargetLimits): AnswerReader {
+    const create = { events: createEventReader, json: createJsonReader, body: createBodyReader }[form];
+    return create(passOn, limits);
+}
--- a/packages/target-client/src/runAttempt.ts
+++ b/packages/target-client/src/runAttempt.ts
@@ -1,10 +1,12 @@
 /** One attempt of a call at one target. */
 import type { AttemptEnd, AttemptOptions, Call } from "@rhubarbwheel/types/ports";
 import type { Dispatcher } from "undici";
-import { createAnswerReader, readErrorReason } from "./attemptParts.js";
 import { checkAnswer } from "./checkAnswer.js";
+import { createAnswerReader } from "./createAnswerReader.js";
 import type { AnswerReader } from "./createAnswerReader.js";
 import { createAnswerWriter } from "./createAnswerWriter.js";
+import { measureCost } from "./measureCost.js";
+import { readErrorReason } from "./readErrorReason.js";
 import { createRequestHeaders, filterAnswerHeaders, readHeader } from "./targetHeaders.js";
 import type { AnswerHeaders } from "./targetHeaders.js";
 import type { TargetLimits } from "./targetLimits.js";
@@ -15,7 +17,7 @@
     streamId: string | undefined;
     /** `data:` events passed on by all attempts. */
     events: number;
-    /** Cost reported by the attempts that have ended. */
+    /** Cost of the attempts that have ended. */
     earlierCost: number;
     /** Whether status and headers have gone to the caller. */
     begun: boolean;
@@ -30,8 +32,8 @@
     readonly dispose: () => void;
 }
 
-/** Cost of an output token relative to an input token; decoding costs more than prefill. */
-const outputTokenCost = 2;
+/** Bytes after the end of an answer that are read before the connection is given up. */
+const maxSurplusBytes = 65_536;
 
 export function runAttempt(
     call: Call,
@@ -42,34 +44,26 @@
     const requestId = `${call.id}.${opts.attempt}`;
     const resuming = opts.resume && progress.streamId !== undefined;
     const eventsBefore = progress.events;
+    const costOpts = { costPerCall: opts.costPerCall, resuming, earlierCost: progress.earlierCost };
     let controller: Dispatcher.DispatchController | undefined;
     let reader: AnswerReader | undefined;
     let started = false;
+    /** The result is decided; what is left is to hand over queued bytes. */
     let closing = false;
     let ended = false;
-    let accepted = false;
     let callerGone = false;
     let informational = 0;
+    let surplusBytes = 0;
     let startId: string | undefined;
     let begin: (() => void) | undefined;
     let lastProgressAt = clock();
 
-    const getCost = (): number => {
-        if (!accepted) return 0;
-        if (call.serviceKind === "plain") return opts.costPerCall;
-        const usage = reader?.getUsage();
-        const inputCost = resuming ? 0 : call.inputCost;
-        const counted = inputCost + outputTokenCost * (reader?.countEvents() ?? 0);
-        if (usage === undefined) return counted;
-        const total = usage.inputTokens + outputTokenCost * usage.outputTokens;
-        return resuming ? Math.max(0, total - progress.earlierCost) : total;
-    };
-
     const end = (result: AttemptEnd["result"], reason?: string): void => {
         if (ended) return;
         closing = true;
         ended = true;
-        const cost = result === "refused" ? 0 : getCost();
+        // A broken attempt is charged as well: otherwise a workspace whose calls never complete would use slots for free.
+        const cost = result === "refused" ? 0 : measureCost(call, reader, costOpts);
         progress.earlierCost += cost;
         progress.events = eventsBefore + (reader?.countEvents() ?? 0);
         context.dispose();
@@ -108,7 +102,17 @@
         const now = clock();
         if (now - lastProgressAt < limits.progressIntervalMs) return;
         lastProgressAt = now;
-        opts.observer.onProgress(getCost());
+        opts.observer.onProgress(measureCost(call, reader, costOpts));
+    };
+
+    /** Prepares to begin the answer to the caller with the first bytes of the body. */
+    const prepareBegin = (status: number, headers: AnswerHeaders, isStream: boolean): void => {
+        const passed = filterAnswerHeaders(headers, { keepLength: !isStream });
+        begin = () => {
+            progress.begun = true;
+            if (isStream) progress.streamId = requestId;
+            call.responder.begin(status, passed);
+        };
     };
 
     const acceptAnswer = (status: number, headers: AnswerHeaders): void => {
@@ -116,22 +120,34 @@
         const check = checkAnswer(call, { requestId, status, headers, resuming });
         if (check.type === "invalid") return fail(check.reason);
         if (check.type === "notRun") return close("refused", check.reason);
-        accepted = true;
         reader = createAnswerReader(check.form, passOn, limits);
-        if (!resuming) {
-            const passed = filterAnswerHeaders(headers, { keepLength: check.form !== "events" });
-            begin = () => {
-                progress.begun = true;
-                if (check.form === "events") progress.streamId = requestId;
-                call.responder.begin(status, passed);
-            };
-        }
+        if (!resuming) prepareBegin(status, headers, check.form === "events");
         opts.observer.onAccepted(startId);
     };
 
+    const readData = (chunk: Buffer): void => {
+        if (closing) {
+            surplusBytes += chunk.length;
+            if (surplusBytes > maxSurplusBytes) controller?.abort(new Error("bytes after the answer"));
+            return;
+        }
+        const invalid = reader?.push(chunk);
+        if (invalid !== undefined) return fail(invalid);
+        if (reader?.isDone() === true) close("complete");
+        else reportProgress();
+    };
+
+    const readEnd = (): void => {
+        if (closing) return;
+        const incomplete = reader?.end();
+        if (incomplete === undefined) close("complete");
+        else fail(incomplete);
+    };
+
     const handler: Dispatcher.DispatchHandler = {
+        /** Comes before the first byte is written to a connection. */
         onRequestStart: given => {
-            if (closing) return given.abort(new Error("ended"));
+            if (closing) return given.abort(new Error("attempt has ended"));
             controller = given;
             // undici may start a request again on a new connection; that would send a call twice.
             if (started) return fail("request started twice");
@@ -143,19 +159,8 @@
             informational += 1;
             if (informational > limits.maxInformational) fail("too many informational answers");
         },
-        onResponseData: (_controller, chunk) => {
-            if (closing || reader === undefined) return;
-            const invalid = reader.push(chunk);
-            if (invalid !== undefined) return fail(invalid);
-            if (reader.isDone()) close("complete");
-            else reportProgress();
-        },
-        onResponseEnd: () => {
-            if (closing || reader === undefined) return;
-            const incomplete = reader.end();
-            if (incomplete === undefined) close("complete");
-            else fail(incomplete);
-        },
+        onResponseData: (_controller, chunk) => readData(chunk),
+        onResponseEnd: readEnd,
         onResponseError: (_controller, error) => fail(readErrorReason(error)),
     };
 
@@ -171,9 +176,9 @@
         bodyTimeout: opts.answerTimeoutMs,
         reset: !call.idempotent,
     }, handler);
+
     const cancel = (): void => {
-        const result = started ? "broken" : "refused";
-        end(result, "cancelled");
+        end(started ? "broken" : "refused", "cancelled");
         controller?.abort(new Error("cancelled"));
     };
     return { cancel };
--- a/packages/target-client/test/callFixtures.ts
+++ b/packages/target-client/test/callFixtures.ts
@@ -1,6 +1,9 @@
 /** Calls with a responder that records the answer. */
 import type { AttemptEnd, AttemptOptions, Call, CallResponder, TargetClient } from "@rhubarbwheel/types/ports";
 
+import { createTargetClient } from "../src/createTargetClient.js";
+import type { TargetLimits } from "../src/targetLimits.js";
+
 export interface CallWishes {
     readonly id?: string;
     readonly kind?: "model" | "plain";
@@ -52,18 +55,33 @@
     };
 }
 
+/** Closes the client also when the test fails, so that a failure does not keep the process open. */
+export async function withClient<T>(
+    use: (client: TargetClient) => Promise<T>,
+    limits: Partial<TargetLimits> = {},
+): Promise<T> {
+    const client = createTargetClient({ clock: () => performance.now(), limits });
+    try {
+        return await use(client);
+    }
+    finally {
+        await client.close();
+    }
+}
+
 /** Runs one attempt to its end. */
 export async function runCall(
     client: TargetClient,
     call: RecordedCall,
     address: string,
     opts: Partial<AttemptOptions> = {},
+    onStarted: (attempt: { readonly cancel: () => void; }) => void = () => undefined,
 ): Promise<{ readonly end: AttemptEnd; readonly text: string; readonly status: number; readonly accepted: number; }> {
     let accepted = 0;
     const end = await new Promise<AttemptEnd>(resolve => {
         const observer = { onAccepted: () => (accepted += 1), onProgress: () => undefined, onEnded: resolve };
         const base = { attempt: 1, address, answerTimeoutMs: 2_000, costPerCall: 3, resume: false };
-        client.startAttempt(call, { ...base, ...opts, observer });
+        onStarted(client.startAttempt(call, { ...base, ...opts, observer }));
     });
     return { end, text: call.recorded.writes.join(""), status: call.recorded.status, accepted };
 }
