--- /dev/null
+++ b/packages/platform-client/test/leases.test.ts
@@ -0,0 +1,124 @@
+/** Guards against two holders of a lease at the same time, and against fencing numbers that do not grow. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createPlatformClient } from "../src/createPlatformClient.js";
+import { withPlatform } from "./platformFixtures.js";
+
+/** Two routers with clocks of their own, which differ and are moved by hand. */
+async function withRouters(
+    use: (routers: {
+        readonly acquire: (router: "a" | "b") => Promise<unknown>;
+        readonly release: (router: "a" | "b") => Promise<void>;
+        readonly pass: (durationMs: number) => void;
+        readonly setFaults: (faults: object) => void;
+        readonly countCalls: () => number;
+    }) => Promise<void>,
+): Promise<void> {
+    await withPlatform({}, async ({ address, platform }) => {
+        const times = { a: 1_000, b: 900_000 };
+        let writes = 0;
+        const create = (router: "a" | "b") =>
+            createPlatformClient({
+                addresses: [address],
+                timeoutMs: 1_000,
+                createWriteId: () => `${router}-${writes += 1}`,
+                clock: () => times[router],
+                retryDelayMs: 1,
+            });
+        const clients = { a: create("a"), b: create("b") };
+        try {
+            await use({
+                acquire: router => clients[router].acquireLease("target-1", router, 100),
+                release: router => clients[router].releaseLease("target-1", router),
+                pass: durationMs => {
+                    times.a += durationMs;
+                    times.b += durationMs;
+                },
+                setFaults: platform.setFaults,
+                countCalls: () => clients.a.countCalls() + clients.b.countCalls(),
+            });
+        }
+        finally {
+            await Promise.all([clients.a.close(), clients.b.close()]);
+        }
+    });
+}
+
+const held = (fencingNumber: number) => ({ result: "held", validForMs: 100, fencingNumber });
+const taken = (validForMs: number, fencingNumber: number) => ({ result: "taken", validForMs, fencingNumber });
+const unavailable = { result: "unavailable", validForMs: 0, fencingNumber: 0 };
+
+test("a lease is taken over only after it has not changed for a full duration", () =>
+    withRouters(async ({ acquire, pass }) => {
+        assert.equal(await acquire("a"), held(1));
+        assert.equal(await acquire("b"), taken(100, 1));
+        pass(60);
+        assert.equal(await acquire("a"), held(1));
+        pass(60);
+        assert.equal(await acquire("b"), taken(100, 1), "the renewal restarts the wait");
+        pass(99);
+        assert.equal(await acquire("b"), taken(1, 1));
+        pass(1);
+        assert.equal(await acquire("b"), held(2));
+        assert.equal(await acquire("a"), taken(100, 2), "the former holder finds out");
+    }));
+
+test("a released lease is free at once, and the fencing number grows", () =>
+    withRouters(async ({ acquire, release }) => {
+        assert.equal(await acquire("a"), held(1));
+        await release("b");
+        assert.equal(await acquire("b"), taken(100, 1));
+        await release("a");
+        assert.equal(await acquire("b"), held(2));
+        await release("b");
+        assert.equal(await acquire("b"), held(3));
+    }));
+
+test("a renewal is one call", () =>
+    withRouters(async ({ acquire, countCalls }) => {
+        await acquire("a");
+        const before = countCalls();
+        await acquire("a");
+        assert.is(countCalls() - before, 1);
+    }));
+
+const faultCases = [
+    { name: "answer lost", faults: { loseAnswers: 1 }, first: held(1), second: taken(100, 1) },
+    { name: "request lost", faults: { loseRequests: 1 }, first: held(1), second: taken(100, 1) },
+    { name: "every request lost", faults: { loseRequests: 4 }, first: unavailable, second: held(1) },
+    {
+        name: "answer and its reads lost",
+        faults: { loseAnswers: 4, loseReads: 0 },
+        first: held(1),
+        second: taken(100, 1),
+    },
+    { name: "store down", faults: { down: true }, first: unavailable, second: held(1) },
+];
+
+for (const { name, faults, first, second } of faultCases) {
+    test(`acquisition with ${name}: ${first.result}, then ${second.result} for another router`, () =>
+        withRouters(async ({ acquire, setFaults }) => {
+            setFaults(faults);
+            assert.equal(await acquire("a"), first);
+            setFaults({ down: false });
+            assert.equal(await acquire("b"), second);
+        }));
+}
+
+test("an acquisition that was applied but not confirmed holds nothing, and is held with the same number later", () =>
+    withRouters(async ({ acquire, setFaults }) => {
+        // The read before the write must pass, so the faults begin with a renewal, which writes at once.
+        assert.equal(await acquire("a"), held(1));
+        setFaults({ loseAnswers: 1, loseReads: 4, loseRequests: 0 });
+        assert.equal(await acquire("a"), unavailable);
+        assert.equal(await acquire("b"), taken(100, 1));
+        assert.equal(await acquire("a"), held(1));
+    }));
+
+test("of two routers that race for a free lease, one holds it", () =>
+    withRouters(async ({ acquire }) => {
+        const results = (await Promise.all([acquire("a"), acquire("b")])) as { result: string; }[];
+        assert.equal(results.map(result => result.result).sort(), ["held", "taken"]);
+    }));
+
+test.run();
--- a/packages/stand-ins/src/createPlatformStandIn.ts
+++ b/packages/stand-ins/src/createPlatformStandIn.ts
@@ -117,7 +117,7 @@
             return dropConnection(context);
         }
         const result = store.write(write);
-        if (faults.take("loseAnswers")) return dropConnection(context);
+        if (result.type === "applied" && faults.take("loseAnswers")) return dropConnection(context);
         if (result.type === "applied") return setAnswer(context, expectedVersion === 0 ? 201 : 200, result.object);
         const { current } = result;
         setAnswer(context, 409, { currentVersion: current?.version ?? 0, deleted: current?.deleted ?? false });
