Poll load with a plain undici handler

Change: one timer and a dispatch handler in place of a request with an abort signal and a body stream; the timeout covers the whole poll.

--- a/packages/target-client/src/pollLoad.ts
+++ b/packages/target-client/src/pollLoad.ts
@@ -30,29 +30,48 @@
     }
 }
 
-async function readText(body: AsyncIterable<Buffer>): Promise<string> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    for await (const chunk of body) {
-        size += chunk.length;
-        if (size > maxReportBytes) throw new Error("load report over the size limit");
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks).toString("utf8");
+/** Reads `/load` within the timeout. A plain handler with one timer takes less time than a request with an abort signal. */
+function readReport(address: string, opts: PollOptions): Promise<string> {
+    const { origin, pathname } = new URL(address);
+    return new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        let size = 0;
+        let failed = false;
+        let controller: Dispatcher.DispatchController | undefined;
+        const fail = (error: Error): void => {
+            failed = true;
+            clearTimeout(timer);
+            reject(error);
+            controller?.abort(error);
+        };
+        const timer = setTimeout(() => fail(new Error("load report timed out")), opts.timeoutMs);
+        opts.dispatcher.dispatch({ origin, path: `${pathname.replace(/\/$/, "")}/load`, method: "GET" }, {
+            onRequestStart: given => {
+                controller = given;
+                if (failed) given.abort(new Error("load report timed out"));
+            },
+            onResponseStart: (_controller, status) => {
+                if (status >= 200 && status !== 200) fail(new Error(`status ${status}`));
+            },
+            onResponseData: (_controller, chunk) => {
+                size += chunk.length;
+                chunks.push(chunk);
+                if (size > maxReportBytes) fail(new Error("load report over the size limit"));
+            },
+            onResponseEnd: () => {
+                clearTimeout(timer);
+                resolve(Buffer.concat(chunks).toString("utf8"));
+            },
+            onResponseError: (_controller, error) => fail(error),
+        });
+    });
 }
 
 export async function pollLoad(target: string, address: string, opts: PollOptions): Promise<PollResult> {
     const askedAt = opts.clock();
     try {
-        const { origin, pathname } = new URL(address);
-        const { statusCode, body } = await opts.dispatcher.request({
-            origin,
-            path: `${pathname.replace(/\/$/, "")}/load`,
-            method: "GET",
-            signal: AbortSignal.timeout(opts.timeoutMs),
-        });
-        const load = parseLoad(await readText(body));
-        if (statusCode !== 200 || load === undefined) return { type: "unavailable", refused: false };
+        const load = parseLoad(await readReport(address, opts));
+        if (load === undefined) return { type: "unavailable", refused: false };
         const { startId, running, queued, sampledAgeMs } = load;
         // The whole round trip counts as age, because the sample may have been taken just before the request arrived.
         const ageMs = sampledAgeMs + Math.max(0, opts.clock() - askedAt);
