Ask routers for their copy when a coordinator has lost its state

Cause: routers that had not noticed the restart of a coordinator sent no copy, so that it took warm targets as new; requests of lost routers were hidden by slots that had been granted but were not in use yet. Change: a coordinator without any state prompts such routers; slots of lost routers are released down to the running requests that no report shows; expired requests are looked for at the heads of queues; targets that a service no longer has are forgotten; a lease is released when coordination stops.

--- a/packages/fair-share/src/announcePool.ts
+++ b/packages/fair-share/src/announcePool.ts
@@ -65,7 +65,8 @@
     const { now } = context;
     const interval = pool.contended ? announceIntervalBusyMs : announceIntervalIdleMs;
     const due = [...pool.routers.values()].filter(record =>
-        record.inTenure && (record.announce || (onTick && now - record.lastAnnouncedAt >= interval))
+        record.prompt
+        || (record.inTenure && (record.announce || (onTick && now - record.lastAnnouncedAt >= interval)))
     );
     if (due.length === 0) return;
     const waiting = listUnserved(pool).sort((a, b) => computeEffectiveTime(a) - computeEffectiveTime(b));
@@ -75,6 +76,7 @@
         const member = context.membership.getMember(record.router);
         if (member === undefined) continue;
         record.announce = false;
+        record.prompt = false;
         record.lastAnnouncedAt = now;
         pool.version += 1;
         const message: PoolAnnouncementMessage = {
--- a/packages/fair-share/src/applyAnnouncement.ts
+++ b/packages/fair-share/src/applyAnnouncement.ts
@@ -32,7 +32,10 @@
 export function applyAnnouncement(pool: EntryPool, message: PoolAnnouncementMessage, now: number): boolean {
     if (message.version <= (pool.copy?.version ?? 0)) {
         // A coordinator that lost its state starts with low versions until it is told the last one.
-        if (message.reportSequence >= pool.ackedSequence) pool.sendCopy = true;
+        if (message.reportSequence > pool.ackedSequence) {
+            pool.sendCopy = true;
+            pool.urgent = true;
+        }
         return false;
     }
     applyTimes(pool, message);
--- a/packages/fair-share/src/applyReport.ts
+++ b/packages/fair-share/src/applyReport.ts
@@ -161,6 +161,11 @@
     });
 }
 
+/** Whether the router takes a restarted coordinator for the former process, which had announced states to it. */
+function needsCopy(pool: CoordinatorPool, message: PoolReportMessage): boolean {
+    return pool.version === 0 && message.copy === undefined && message.granted.length > 0;
+}
+
 /** Returns false if the report is older than one that was included before. */
 export function applyReport(
     context: CoordinatorContext,
@@ -172,6 +177,11 @@
     if (record === undefined) return false;
     const first = !record.inTenure;
     record.sequence = message.sequence;
+    if (first && needsCopy(pool, message)) {
+        // The version of this announcement is too low for the router, which answers with its copy.
+        record.prompt = true;
+        return true;
+    }
     record.inTenure = context.now >= pool.reportsFrom;
     applyCopy(context, pool, message);
     if (first) setBaseline(record, message);
--- a/packages/fair-share/src/coordinatorPool.ts
+++ b/packages/fair-share/src/coordinatorPool.ts
@@ -22,11 +22,12 @@
     pending: number;
 }
 
-/** Slots of one target: all, those that are free, and those of the current generation, which may be reused. */
+/** Slots of one target: all, those that are free, those of the current generation, and those that were reported in use. */
 export interface CountedSlots {
     readonly taken: number;
     readonly unused: number;
     readonly reusable: number;
+    readonly inUse: number;
 }
 
 /** What the coordinator knows about one entry router. */
@@ -50,6 +51,8 @@
     lastAnnouncedAt: number;
     /** An announcement is due in this step. */
     announce: boolean;
+    /** The router is to be asked for its copy. */
+    prompt: boolean;
 }
 
 export interface CoordinatedWorkspace {
@@ -90,10 +93,14 @@
     taken: number;
     unused: number;
     reusable: number;
+    inUse: number;
     /** Running requests that no record accounts for, from the last two load reports. */
     foreign: number;
     lastForeign: number;
-    /** Slots that may be in use although no report accounts for them, until a load report sampled after `since`. */
+    /**
+     * Slots of lost routers, which may be in use although no report accounts for them. Load reports sampled after `since`
+     * lower the number to the running requests that no report shows.
+     */
     unaccounted: { count: number; since: number; };
     /** Slots returned during a takeover, which may be granted again. */
     returned: number;
@@ -187,6 +194,7 @@
         taken: 0,
         unused: 0,
         reusable: 0,
+        inUse: 0,
         foreign: 0,
         lastForeign: 0,
         unaccounted: { count: 0, since: 0 },
@@ -217,6 +225,7 @@
         counted: new Map(),
         lastAnnouncedAt: -Infinity,
         announce: false,
+        prompt: false,
     };
 }
 
@@ -265,11 +274,15 @@
     return Math.max(computePart(pool, limit), Math.min(limit - target.foreign, target.partitionCap));
 }
 
+/** Requests that may run at the target although no report accounts for them. */
+export function countOutside(target: CoordinatedTarget): number {
+    return Math.max(target.foreign, target.unaccounted.count);
+}
+
 /** Number of slots of the target that may be granted now. */
 export function computeAvailable(pool: CoordinatorPool, target: CoordinatedTarget): number {
     if (target.condition === "cold" && !target.mayGrantCold) return 0;
     const limit = computeLimit(pool, target);
-    const foreign = target.foreign + target.unaccounted.count;
-    const free = Math.min(limit - foreign, target.partitionCap) - target.taken;
+    const free = Math.min(limit - countOutside(target), target.partitionCap) - target.taken;
     return Math.max(0, pool.takeoverUntil === undefined ? free : Math.min(free, target.returned));
 }
--- a/packages/fair-share/src/countSlots.ts
+++ b/packages/fair-share/src/countSlots.ts
@@ -19,15 +19,17 @@
     let taken = inTransit + (record.carried.get(name)?.count ?? 0);
     let unused = inTransit;
     let reusable = inTransit;
+    let inUse = 0;
     for (const slot of record.slots) {
         if (slot.target !== name) continue;
         taken += slot.held;
         unused += slot.held - slot.inUse;
+        inUse += slot.inUse;
         if (slot.generation === target.generation) reusable += slot.held;
     }
     for (const grant of record.pending)
         if (grant.target === name) unused -= 1;
-    return { taken, unused: Math.max(0, unused), reusable };
+    return { taken, unused: Math.max(0, unused), reusable, inUse };
 }
 
 function recordTaken(target: CoordinatedTarget, now: number): void {
@@ -37,11 +39,12 @@
 
 /** Brings the sums of a target up to date after the record of a router has changed. Returns the change of `taken`. */
 export function updateCount(record: RouterRecord, target: CoordinatedTarget, now: number): number {
-    const before = record.counted.get(target.spec.name) ?? { taken: 0, unused: 0, reusable: 0 };
+    const before = record.counted.get(target.spec.name) ?? { taken: 0, unused: 0, reusable: 0, inUse: 0 };
     const after = countRouterSlots(record, target);
     record.counted.set(target.spec.name, after);
     target.unused += after.unused - before.unused;
     target.reusable += after.reusable - before.reusable;
+    target.inUse += after.inUse - before.inUse;
     const change = after.taken - before.taken;
     if (change === 0) return 0;
     target.taken += change;
@@ -57,22 +60,21 @@
         target.taken -= counted.taken;
         target.unused -= counted.unused;
         target.reusable -= counted.reusable;
+        target.inUse -= counted.inUse;
         recordTaken(target, now);
         if (counted.taken > 0) target.unaccounted = { count: target.unaccounted.count + counted.taken, since: now };
     }
     record.counted.clear();
 }
 
-/** Greatest number of slots taken at any time since `at`. */
-export function computeTakenSince(target: CoordinatedTarget, at: number): number {
-    let greatest = target.taken;
-    for (let index = target.history.length - 1; index >= 0; index -= 1) {
-        const entry = target.history[index];
-        if (entry === undefined) break;
-        greatest = Math.max(greatest, entry.taken);
-        if (entry.at <= at) break;
+/** Number of slots that were taken at `time`. Later grants do not count: they would hide requests of lost routers. */
+export function computeTakenAt(target: CoordinatedTarget, time: number): number {
+    const { history } = target;
+    for (let index = history.length - 1; index >= 0; index -= 1) {
+        const entry = history[index];
+        if (entry !== undefined && entry.at < time) return entry.taken;
     }
-    return greatest;
+    return 0;
 }
 
 /** Withdraws the slots of a target: slots of older generations expire when their request ends. */
--- a/packages/fair-share/src/createEntryQueue.ts
+++ b/packages/fair-share/src/createEntryQueue.ts
@@ -123,13 +123,14 @@
     });
 }
 
+/** Queues are in order of arrival, and a request that is put back at the head is older than those behind it. */
 function endExpired(context: EntryContext, pool: EntryPool): void {
     const timeoutMs = pool.service.spec.queueTimeoutMs ?? defaultQueueTimeoutMs;
     for (const queue of [...pool.backlogged]) {
-        for (const item of [...queue.waiting]) {
+        for (let item = queue.waiting[0]; item !== undefined; item = queue.waiting[0]) {
             const tracked = context.requests.get(item.request.id);
-            if (tracked !== undefined && context.now - item.arrivedAt >= timeoutMs)
-                endWaiting(context, tracked, "QUEUE_TIMEOUT");
+            if (tracked === undefined || context.now - item.arrivedAt < timeoutMs) break;
+            endWaiting(context, tracked, "QUEUE_TIMEOUT");
         }
     }
 }
@@ -151,8 +152,8 @@
         else pool.service = service;
     }
     for (const pool of context.pools.values()) {
-        const service = context.configuration.getService(pool.name);
-        if (service === undefined) removePool(context, pool);
+        if (context.configuration.getService(pool.name) === undefined) removePool(context, pool);
+        removeTargets(pool);
         for (const queue of pool.workspaces.values()) {
             const share = context.configuration.getWorkspace(queue.workspace)?.share ?? queue.share;
             if (share === queue.share) continue;
@@ -162,6 +163,13 @@
     }
 }
 
+/** Forgets targets that the service no longer has once their last request has ended. */
+function removeTargets(pool: EntryPool): void {
+    const listed = new Set(pool.service.spec.targets.map(target => target.name));
+    for (const held of pool.targets.values())
+        if (!listed.has(held.target) && held.free === 0 && held.inUse.size === 0) pool.targets.delete(held.target);
+}
+
 function removePool(context: EntryContext, pool: EntryPool): void {
     endAllWaiting(context, pool, "SERVICE_UNKNOWN");
     // Requests in progress keep their reference to the pool until they end.
@@ -215,6 +223,9 @@
     else if (event.type === "configurationApplied") updatePools(context);
     else if (event.type === "peerMessage" && event.message.type === "poolAnnouncement")
         handleAnnouncement(context, event.from, event.message);
+    else if (event.type === "freshnessChanged") {
+        for (const pool of context.pools.values()) pool.urgent = pool.backlogged.size > 0;
+    }
     else if (event.type === "membershipChanged") {
         for (const pool of context.pools.values()) updateCoordinator(context, pool);
     }
--- a/packages/fair-share/src/grantSlots.ts
+++ b/packages/fair-share/src/grantSlots.ts
@@ -7,6 +7,7 @@
     type CoordinatedWorkspace,
     type CoordinatorContext,
     type CoordinatorPool,
+    countOutside,
     logCoordinatorEvent,
     type RouterRecord,
     type WorkspaceRecord,
@@ -142,7 +143,7 @@
     for (const target of pool.targets.values()) {
         const limit = computeLimit(pool, target);
         capacity += limit;
-        spare += Math.max(0, limit - target.taken + target.unused - target.foreign - target.unaccounted.count);
+        spare += Math.max(0, limit - target.taken + target.unused - countOutside(target));
     }
     return spare < capacity * (pool.contended ? relaxedRatio : tightRatio);
 }
--- a/packages/fair-share/src/takeover.ts
+++ b/packages/fair-share/src/takeover.ts
@@ -7,7 +7,7 @@
     type CoordinatorPool,
     logCoordinatorEvent,
 } from "./coordinatorPool.js";
-import { startNewTargets } from "./targetStates.js";
+import { getLeaseName, startNewTargets } from "./targetStates.js";
 
 function recordStateVersion(pool: CoordinatorPool): void {
     if (pool.takeoverUntil !== undefined) return;
@@ -61,6 +61,8 @@
     pool.contended = false;
     for (const target of pool.targets.values()) {
         target.mayGrantCold = false;
+        if (target.lease.result === "held")
+            context.effects.push({ type: "releaseLease", lease: getLeaseName(pool, target) });
         target.lease.validUntil = -Infinity;
         target.lease.result = undefined;
         target.lease.askedAt = -Infinity;
--- a/packages/fair-share/src/targetStates.ts
+++ b/packages/fair-share/src/targetStates.ts
@@ -21,7 +21,7 @@
     isTargetOpen,
     logCoordinatorEvent,
 } from "./coordinatorPool.js";
-import { computeTakenSince, raiseGeneration } from "./countSlots.js";
+import { computeTakenAt, raiseGeneration } from "./countSlots.js";
 
 export function getLeaseName(pool: CoordinatorPool, target: CoordinatedTarget): string {
     return `cold/${pool.name}/${target.spec.name}`;
@@ -51,9 +51,9 @@
     reason: string,
 ): void {
     target.condition = "cold";
-    target.known = true;
     target.coldLimit = pool.service.spec.coldLimit;
     target.suspect = undefined;
+    target.known = true;
     raiseGeneration(pool, target, target.generation + 1, context.now);
     logTarget(context, pool, target, reason);
 }
@@ -96,13 +96,16 @@
 ): void {
     const sampledAt = context.now - report.ageMs;
     const running = report.running + report.queued;
-    const accounted = computeTakenSince(target, sampledAt);
+    const accounted = computeTakenAt(target, sampledAt);
     const seen = Math.max(0, running - accounted);
     const settled = target.unaccounted.count === 0 && pool.aliveRatio >= 1;
     // A target may count a request for a moment after its answer has ended, so a single report is not enough normally.
     target.foreign = settled ? Math.min(seen, target.lastForeign) : seen;
     target.lastForeign = seen;
-    if (sampledAt >= target.unaccounted.since) target.unaccounted.count = 0;
+    // Slots that were granted but not reported in use could hide requests of lost routers.
+    const { unaccounted } = target;
+    if (sampledAt >= unaccounted.since)
+        unaccounted.count = Math.min(unaccounted.count, Math.max(0, running - target.inUse));
     target.running = running;
     updatePartitionCap(pool, target, running, accounted);
 }
@@ -163,7 +166,7 @@
 /** Raises the limit of a cold target after as many completed requests as the limit allows at once. */
 function updateRamp(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
     const { targetLimit } = pool.service.spec;
-    if (target.condition !== "cold" || target.suspect !== undefined || !target.known) return;
+    if (target.condition !== "cold" || target.suspect !== undefined) return;
     if (target.completed < target.coldLimit && target.coldLimit < targetLimit) return;
     target.completed = 0;
     target.coldLimit = Math.min(target.coldLimit * 2, targetLimit);
@@ -188,7 +191,7 @@
 
 /** Acquires or renews the lease of a cold target, and withdraws its slots when the right to grant them has ended. */
 function updateLease(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
-    if (target.condition !== "cold" || !target.known || pool.takeoverUntil !== undefined) return;
+    if (target.condition !== "cold" || pool.takeoverUntil !== undefined) return;
     const { lease } = target;
     const may = computeMayGrantCold(context, pool, target);
     if (target.mayGrantCold && !may) {
@@ -250,7 +253,11 @@
         if (known === undefined) pool.targets.set(spec.name, createCoordinatedTarget(spec));
         else known.spec = spec;
     }
-    for (const target of pool.targets.values()) updateClosed(context, pool, target);
+    for (const target of pool.targets.values()) {
+        updateClosed(context, pool, target);
+        const listed = pool.service.spec.targets.includes(target.spec);
+        if (!listed && target.taken === 0) pool.targets.delete(target.spec.name);
+    }
 }
 
 /** Takes targets without a known state as new. */
@@ -269,6 +276,7 @@
 /** Brings limits and leases up to date with the time of the event. */
 export function updateLimits(context: CoordinatorContext, pool: CoordinatorPool): void {
     for (const target of pool.targets.values()) {
+        if (!target.known) continue;
         updateRamp(context, pool, target);
         updateLease(context, pool, target);
         updateExcess(context, pool, target);
@@ -279,7 +287,8 @@
 export function pollTargets(context: CoordinatorContext, pool: CoordinatorPool): void {
     for (const target of pool.targets.values()) {
         if (target.condition === "closed") continue;
-        const interval = target.condition === "cold" || target.suspect ? pollIntervalColdMs : pollIntervalMs;
+        const watched = target.condition === "cold" || target.suspect !== undefined || target.unaccounted.count > 0;
+        const interval = watched ? pollIntervalColdMs : pollIntervalMs;
         const elapsed = context.now - target.polledAt;
         if (elapsed < (target.pollPending ? pollAnswerMs : interval)) continue;
         target.polledAt = context.now;
