--- /dev/null
+++ b/packages/fair-share/test/fairness.test.ts
@@ -0,0 +1,92 @@
+/**
+ * Guards G1, G2 and G11: compares the gap between backlogged workspaces and the utilisation with those of the naive
+ * version, which has fixed limits per router. The bound is computed from the formula of the design page.
+ */
+import type { Slice } from "@rhubarbwheel/types/slices";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createEntryQueue } from "../src/createEntryQueue.js";
+import { createPoolCoordinator } from "../src/createPoolCoordinator.js";
+import { createFakeFleet, type SliceOptions } from "./fakeFleet.js";
+import { createGapMeter, createLoad } from "./fakeLoad.js";
+import { createNaiveRouter } from "./naiveRouter.js";
+
+const routers = 12;
+const targetLimit = 8;
+const warmUpMs = 20_000;
+const measuredMs = 30_000;
+const targets = Array.from({ length: 8 }, (_, index) => ({
+    name: `t${index}`,
+    address: `http://t${index}`,
+    failureDomain: `fd${index % 4}`,
+}));
+const service = {
+    name: "proofs",
+    version: 1,
+    spec: { kind: "model" as const, targets, targetLimit, coldLimit: 2 },
+};
+const slots = targets.length * targetLimit;
+// 16 workspaces, three of them large, each at one to three of the routers.
+const names = Array.from({ length: 16 }, (_, index) => `w${index}`);
+const shares = Object.fromEntries(names.map((name, index) => [name, index < 3 ? 4 : 1]));
+const workspaces = Object.fromEntries(names.map(name => [name, { share: shares[name] ?? 1, credentialHashes: [] }]));
+const entries = Object.fromEntries(
+    names.map((name, index) => [
+        name,
+        Array.from({ length: 1 + index % 3 }, (_, at) => `r${(index * 5 + at * 3) % routers}`),
+    ]),
+);
+
+const createFair = (opts: SliceOptions): readonly Slice[] => [createEntryQueue(opts), createPoolCoordinator(opts)];
+const createNaive = () => {
+    let index = 0;
+    return (opts: SliceOptions): readonly Slice[] => [createNaiveRouter({ ...opts, index: index++, routers })];
+};
+
+function measure(seed: number, greatestCost: number, createSlices: typeof createFair, lossPercent = 0) {
+    const random = xoroshiro128plus(seed);
+    const chooseCost = () => uniformInt(random, greatestCost / 10, greatestCost);
+    const fleet = createFakeFleet({ seed, routers, service, workspaces, createSlices, lossPercent });
+    const load = createLoad(fleet, { entries, depth: 15, chooseCost });
+    const meter = createGapMeter(fleet, shares);
+    const step = () => {
+        if (fleet.getNow() % 20 === 0) load();
+    };
+    fleet.run(warmUpMs, step);
+    const busyBefore = fleet.state.targets.busyMs;
+    const messagesBefore = fleet.state.messages;
+    fleet.run(warmUpMs + measuredMs, () => {
+        step();
+        if (fleet.getNow() % 10 === 0) meter.sample();
+    });
+    return {
+        gap: Math.round(meter.computeGap()),
+        utilisation: (fleet.state.targets.busyMs - busyBefore) / (slots * measuredMs),
+        messages: Math.round((fleet.state.messages - messagesBefore) / routers / (measuredMs / 1000)),
+    };
+}
+
+/** Rate of one workspace / share x staleness + largest request / share + allowance / share, for the smallest share. */
+function computeBound(greatestCost: number): number {
+    const tickMs = 100;
+    const oneWayMs = 2;
+    const costPerMs = slots;
+    const smallestShare = 1;
+    return (costPerMs * (tickMs + oneWayMs) + greatestCost + greatestCost) / smallestShare;
+}
+
+for (const [greatestCost, lossPercent] of [[200, 0], [1000, 0], [1000, 5], [5000, 0]] as const) {
+    test(`gap and utilisation with requests of up to ${greatestCost} ms and ${lossPercent}% loss`, () => {
+        const bound = computeBound(greatestCost);
+        const fair = measure(1, greatestCost, createFair, lossPercent);
+        const naive = measure(1, greatestCost, createNaive(), lossPercent);
+        console.log(JSON.stringify({ greatestCost, lossPercent, bound, fair, naive }));
+        assert.ok(fair.gap <= bound, `gap ${fair.gap} over ${bound}`);
+        assert.ok(naive.gap > 3 * fair.gap, `naive gap ${naive.gap}`);
+        assert.ok(fair.utilisation >= 0.97, `utilisation ${fair.utilisation}`);
+    });
+}
+
+test.run();
