--- a/packages/fair-share/test/entryQueue.test.ts
+++ b/packages/fair-share/test/entryQueue.test.ts
@@ -1,36 +1,266 @@
-/** Guards against lost or repeated requests at the entry router: queue limits, cancellation, retries, drain. */
+/** Guards against lost, repeated or wrongly reported requests at an entry router (G5 to G7, G9), one case per failure. */
+import type { Effect } from "@rhubarbwheel/types/effects";
+import type { RequestSummary, RouterEvent } from "@rhubarbwheel/types/events";
+import type { PoolAnnouncementMessage, PoolReportMessage } from "@rhubarbwheel/types/peer-messages";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createEntryQueue } from "../src/createEntryQueue.js";
-import { createPoolCoordinator } from "../src/createPoolCoordinator.js";
-import { createFakeFleet, type SliceOptions } from "./fakeFleet.js";
-
-const createSlices = (opts: SliceOptions) => [createEntryQueue(opts), createPoolCoordinator(opts)] as const;
-const service = {
-    name: "proofs",
-    version: 1,
-    spec: {
-        kind: "model" as const,
-        targets: [1, 2].map(index => ({ name: `t${index}`, address: `http://t${index}`, failureDomain: `fd${index}` })),
-        targetLimit: 4,
-        coldLimit: 2,
-    },
+
+const targets = ["t1", "t2"].map(name => ({ name, address: `http://${name}`, failureDomain: "fd1" }));
+const spec = { kind: "model" as const, targets, targetLimit: 4, coldLimit: 2, queueTimeoutMs: 1000 };
+const self = { router: "r1", incarnation: 7, state: "alive" as const, address: "r1:1", failureDomain: "fd1" };
+
+/** An entry queue that is its own coordinator's only router; `steps` lists what it did in short form. */
+function createQueue(opts: { readonly slots?: number; readonly maxQueued?: number; } = {}) {
+    const service = { name: "proofs", version: 1, spec };
+    const state = { now: 0, freshness: "fresh" as "fresh" | "stale", version: 0, total: opts.slots ?? 1, report: 0 };
+    const steps: string[] = [];
+    const reports: PoolReportMessage[] = [];
+    const queue = createEntryQueue({
+        identity: self,
+        membership: {
+            listRoutable: () => [self],
+            getMember: () => self,
+            countListed: () => 1,
+            countListedAlive: () => 1,
+            findCoordinator: () => self,
+        },
+        configuration: {
+            listServices: () => [service],
+            getService: () => service,
+            getWorkspace: () => ({ share: 1, credentialHashes: [], maxQueuedPerRouter: opts.maxQueued ?? 10 }),
+            getFailureDomain: () => ({ state: "in" }),
+            isTargetOpen: () => true,
+            getFreshness: () => state.freshness,
+            getDigest: () => ({ revision: 1, storeUnreachable: false }),
+        },
+    });
+    const describe = (effect: Effect): void => {
+        if (effect.type === "sendToTarget")
+            steps.push(`send ${effect.requestId}#${effect.attempt} ${effect.target}${effect.resume ? " resume" : ""}`);
+        else if (effect.type === "cancelAtTarget") steps.push(`cancel ${effect.requestId}`);
+        else if (effect.type === "endRequest") steps.push(`end ${effect.requestId} ${effect.outcome} ${effect.code}`);
+        else if (effect.type === "stop") steps.push("stop");
+        else if (effect.type === "raise" && effect.event.type === "requestEnded")
+            steps.push(`ended ${effect.event.requestId} ${effect.event.outcome} ${effect.event.cost}`);
+        else if (effect.type === "sendToPeer" && effect.message.type === "poolReport") reports.push(effect.message);
+    };
+    const send = (event: RouterEvent) => queue.reduce({ ...event, now: state.now }).forEach(describe);
+    const announce = (changes: Partial<PoolAnnouncementMessage> = {}) => {
+        const message = {
+            type: "poolAnnouncement" as const,
+            pool: "proofs",
+            incarnation: self.incarnation,
+            version: state.version += 1,
+            reportSequence: reports.at(-1)?.sequence ?? 0,
+            granted: targets.map(({ name }) => ({ target: name, generation: 1, total: state.total })),
+            poolVirtualTime: 0,
+            virtualTimes: [],
+            ceiling: 1e9,
+            contended: false,
+            targets: targets.map(({ name }) => ({ target: name, generation: 1, condition: "warm" as const, limit: 4 })),
+            ...changes,
+        };
+        send({ type: "peerMessage", now: 0, from: "r1", message });
+    };
+    const tick = (now: number) => {
+        state.now = now;
+        send({ type: "tick", now });
+    };
+    const add = (id: string, extra: Partial<RequestSummary> = {}) =>
+        send({
+            type: "requestArrived",
+            now: 0,
+            request: { id, workspace: "a", service: "proofs", idempotent: true, inputCost: 10, ...extra },
+        });
+    const end = (id: string, attempt: number, target: string, how: Partial<RouterEvent> = {}) =>
+        send({
+            type: "targetEnded",
+            now: 0,
+            requestId: id,
+            attempt,
+            target,
+            result: "complete",
+            sent: true,
+            answered: false,
+            cost: 50,
+            ...how,
+        } as RouterEvent);
+    tick(100);
+    announce();
+    return { queue, state, steps, reports, send, announce, tick, add, end };
+}
+
+type Queue = ReturnType<typeof createQueue>;
+
+const broken = { result: "broken" as const, cost: 5 };
+const nonIdempotent = { idempotent: false };
+
+/** What happens to requests q1, q2, ... on one free slot per target, and what must be seen. */
+const cases: Readonly<Record<string, readonly [(queue: Queue) => void, readonly string[]]>> = {
+    "a complete request ends once, later events of it are ignored": [({ add, end }) => {
+        add("q1");
+        end("q1", 1, "t1");
+        end("q1", 1, "t1");
+    }, ["send q1#1 t1", "ended q1 complete 50"]],
+    "a broken idempotent request is repeated at another target": [({ add, end }) => {
+        add("q1");
+        end("q1", 1, "t1", broken);
+        end("q1", 1, "t1", broken);
+        end("q1", 2, "t2");
+    }, ["send q1#1 t1", "send q1#2 t2", "ended q1 complete 55"]],
+    "a non-idempotent request of which a byte may have left is never repeated": [({ add, end }) => {
+        add("q1", nonIdempotent);
+        end("q1", 1, "t1", broken);
+    }, ["send q1#1 t1", "end q1 unknown TARGET_BROKEN", "ended q1 unknown 5"]],
+    "a non-idempotent request that was provably not sent is repeated": [({ add, end }) => {
+        add("q1", nonIdempotent);
+        end("q1", 1, "t1", { result: "refused", sent: false, cost: 0 } as Partial<RouterEvent>);
+    }, ["send q1#1 t1", "send q1#2 t2"]],
+    "an answer that broke after output resumes once on the same target": [({ add, end }) => {
+        add("q1");
+        end("q1", 1, "t1", { ...broken, answered: true } as Partial<RouterEvent>);
+        end("q1", 2, "t1", broken);
+    }, ["send q1#1 t1", "send q1#2 t1 resume", "end q1 unknown TARGET_BROKEN", "ended q1 unknown 10"]],
+    "an answer does not resume at a target that has restarted": [({ add, end, send }) => {
+        add("q1");
+        send({ type: "targetAccepted", now: 0, requestId: "q1", attempt: 1, target: "t1", startId: "s1" });
+        end("q1", 1, "t1", { ...broken, answered: true, startId: "s2" } as Partial<RouterEvent>);
+    }, ["send q1#1 t1", "end q1 unknown TARGET_BROKEN", "ended q1 unknown 5"]],
+    "a queued request that is cancelled is never sent": [({ add, end, send }) => {
+        ["q1", "q2", "q3"].forEach(id => add(id));
+        send({ type: "requestCancelled", now: 0, requestId: "q3" });
+        end("q1", 1, "t1");
+    }, ["send q1#1 t1", "send q2#1 t2", "ended q3 notRun 0", "ended q1 complete 50"]],
+    "a cancelled idempotent request is cancelled at its target and not repeated": [({ add, end, send }) => {
+        add("q1");
+        send({ type: "requestCancelled", now: 0, requestId: "q1" });
+        end("q1", 1, "t1", broken);
+    }, ["send q1#1 t1", "cancel q1", "ended q1 unknown 5"]],
+    "a cancelled non-idempotent request runs on": [({ add, end, send }) => {
+        add("q1", nonIdempotent);
+        send({ type: "requestCancelled", now: 0, requestId: "q1" });
+        end("q1", 1, "t1");
+    }, ["send q1#1 t1", "ended q1 complete 50"]],
+    "a request waits no longer than the queue timeout": [({ add, tick }) => {
+        ["q1", "q2", "q3"].forEach(id => add(id));
+        tick(1100);
+    }, ["send q1#1 t1", "send q2#1 t2", "end q3 notRun QUEUE_TIMEOUT", "ended q3 notRun 0"]],
+    "a request that was sent before is not reported as not run": [({ add, end, tick, announce }) => {
+        add("q1");
+        add("q2");
+        announce({ contended: true });
+        end("q1", 1, "t1", broken);
+        tick(1100);
+    }, ["send q1#1 t1", "send q2#1 t2", "end q1 unknown TARGET_BROKEN", "ended q1 unknown 5"]],
+    "a stale router keeps waiting requests and refuses new ones": [({ add, end, send, state, announce }) => {
+        ["q1", "q2", "q3"].forEach(id => add(id));
+        state.freshness = "stale";
+        send({ type: "freshnessChanged", now: 0, freshness: "stale" });
+        add("q4");
+        end("q1", 1, "t1");
+        state.freshness = "fresh";
+        send({ type: "freshnessChanged", now: 0, freshness: "fresh" });
+        announce({ granted: [{ target: "t1", generation: 1, total: 2 }] });
+    }, [
+        "send q1#1 t1",
+        "send q2#1 t2",
+        "end q4 notRun CONFIGURATION_STALE",
+        "ended q4 notRun 0",
+        "ended q1 complete 50",
+        "send q3#1 t1",
+    ]],
+    "a drain ends what waits and stops after what runs": [({ add, end, send }) => {
+        ["q1", "q2", "q3"].forEach(id => add(id));
+        send({ type: "drainRequested", now: 0 });
+        add("q4");
+        end("q1", 1, "t1");
+        end("q2", 1, "t2");
+    }, [
+        "send q1#1 t1",
+        "send q2#1 t2",
+        "end q3 notRun DRAINING",
+        "ended q3 notRun 0",
+        "end q4 notRun DRAINING",
+        "ended q4 notRun 0",
+        "ended q1 complete 50",
+        "ended q2 complete 50",
+        "stop",
+    ]],
+    "a repeated or old announcement grants nothing": [({ add, announce, state }) => {
+        announce({ version: state.version });
+        announce();
+        announce({ version: 1, granted: [{ target: "t1", generation: 1, total: 9 }] });
+        ["q1", "q2", "q3"].forEach(id => add(id));
+    }, ["send q1#1 t1", "send q2#1 t2"]],
+    "an announcement for the former process grants nothing": [({ add, announce }) => {
+        announce({ incarnation: 6, granted: [{ target: "t1", generation: 1, total: 9 }] });
+        ["q1", "q2", "q3"].forEach(id => add(id));
+    }, ["send q1#1 t1", "send q2#1 t2"]],
+    "slots are not used after a pause until the coordinator has answered": [({ add, announce, state, tick }) => {
+        state.now = 5000;
+        announce();
+        add("q1");
+        tick(5001);
+        announce();
+    }, ["send q1#1 t1"]],
+    "slots of an older generation are not used": [({ add, announce }) => {
+        announce({ targets: [{ target: "t1", generation: 2, condition: "cold", limit: 2 }], granted: [] });
+        ["q1", "q2"].forEach(id => add(id));
+    }, ["send q1#1 t2"]],
+    "a workspace above the ceiling waits": [({ add, announce }) => {
+        announce({ ceiling: 100 });
+        ["q1", "q2"].forEach(id => add(id));
+    }, ["send q1#1 t1"]],
 };
 
-test("requests of two routers complete", () => {
-    const fleet = createFakeFleet({
-        seed: 1,
-        routers: 3,
-        service,
-        workspaces: { a: { share: 1, credentialHashes: [] } },
-        createSlices,
+for (const [name, [run, expected]] of Object.entries(cases)) {
+    test(name, () => {
+        const queue = createQueue();
+        run(queue);
+        assert.equal(queue.steps, expected);
     });
-    fleet.run(1000);
-    for (let index = 0; index < 40; index += 1) fleet.submit(`r${index % 3}`, "a", 50);
-    fleet.run(4000);
-    assert.is(fleet.runs.size, 40);
-    assert.is(fleet.measureService("a"), 2000);
-    assert.is(fleet.state.targets.overshoot, 0);
+}
+
+test("a flood of one workspace is refused at its limit", () => {
+    const { add, steps, queue } = createQueue({ slots: 0, maxQueued: 3 });
+    for (let index = 0; index < 5; index += 1) add(`q${index}`);
+    add("b1", { workspace: "b" });
+    assert.equal(steps.filter(step => step.startsWith("end ")), [
+        "end q3 notRun QUEUE_FULL",
+        "end q4 notRun QUEUE_FULL",
+    ]);
+    assert.is(queue.countQueued(), 4);
+});
+
+test("retries stay within a tenth of the requests plus three", () => {
+    const { add, end, steps, announce, state } = createQueue({ slots: 1 });
+    for (let index = 0; index < 60; index += 1) {
+        add(`q${index}`);
+        for (let attempt = 1; attempt <= 6; attempt += 1) {
+            const sent = steps.findLast(step => step.startsWith(`send q${index}#${attempt} `));
+            if (sent === undefined) continue;
+            end(`q${index}`, attempt, sent.split(" ")[2] ?? "", broken);
+            // The coordinator raises the generation of a target that breaks connections, and grants new slots.
+            state.total += 1;
+            const generation = state.total;
+            const states = targets.map(({ name }) => ({
+                target: name,
+                generation,
+                condition: "warm" as const,
+                limit: 4,
+            }));
+            announce({ targets: states, granted: states.map(({ target }) => ({ target, generation, total: 1 })) });
+        }
+    }
+    const repeated = steps.filter(step => /^send .*#[2-9]/.test(step)).length;
+    assert.is(repeated, 9);
+});
+
+test("in a contended pool, unused slots are returned in the same step", () => {
+    const { announce, reports } = createQueue();
+    announce({ contended: true });
+    assert.equal(reports.at(-1)?.slots, []);
 });
 
 test.run();
--- a/packages/fair-share/test/fakeFleet.ts
+++ b/packages/fair-share/test/fakeFleet.ts
@@ -31,7 +31,7 @@
     readonly detectMs?: number;
 }
 
-interface FakeRouter<R> {
+export interface FakeRouter<R> {
     readonly member: Member;
     slices: R;
     alive: boolean;
@@ -47,6 +47,7 @@
     const routers = new Map<string, FakeRouter<R>>();
     const store = createFakeStore();
     const closed = new Set<string>();
+    const owners = new Map<string, FakeRouter<R>>();
     const ended: EndRequestEffect[] = [];
     const effects: Effect[] = [];
     const state = { messages: 0, lastId: 0, freshness: "fresh" as "fresh" | "stale" };
@@ -164,11 +165,18 @@
         closed,
         kill,
         getSlices: (name: string) => (routers.get(name) as FakeRouter<R>).slices,
+        isAlive: (name: string) => routers.get(name)?.alive === true,
+        /** Whether the process that received the request still runs. */
+        isSameProcess: (id: string) => {
+            const owner = owners.get(id);
+            return owner?.alive === true && routers.get(owner.member.router) === owner;
+        },
         send: (name: string, event: RouterEvent) => deliver(routers.get(name) as FakeRouter<R>, event),
         submit: (name: string, workspace: string, cost: number, extra: Partial<RequestSummary> = {}) => {
             const id = `${name}-${state.lastId += 1}`;
             const request = { id, workspace, service: service.name, idempotent: true, inputCost: 0, ...extra };
             targets.requests.set(id, { cost, request });
+            owners.set(id, routers.get(name) as FakeRouter<R>);
             deliver(routers.get(name) as FakeRouter<R>, { type: "requestArrived", now: 0, request });
             return id;
         },
