--- a/packages/fair-share/test/fakeFleet.ts
+++ b/packages/fair-share/test/fakeFleet.ts
@@ -1,22 +1,15 @@
 /** Routers on a fake clock with seeded delays, loss, duplication, partitions, pauses, restarts and a store for leases. */
-import type { Effect, EndRequestEffect } from "@rhubarbwheel/types/effects";
+import type { Effect } from "@rhubarbwheel/types/effects";
 import type { NamedService, RequestSummary, RouterEvent } from "@rhubarbwheel/types/events";
 import type { WorkspaceSpec } from "@rhubarbwheel/types/resources";
-import type {
-    ConfigurationQueries,
-    Member,
-    MembershipQueries,
-    RouterIdentity,
-    Slice,
-} from "@rhubarbwheel/types/slices";
+import type { Member, RouterIdentity, Slice } from "@rhubarbwheel/types/slices";
 import { createFakeClock } from "./fakeClock.js";
+import { createFakeQueries, type FakeRouter, type Queries } from "./fakeQueries.js";
 import { createFakeStore } from "./fakeStore.js";
 import { createFakeTargets, oneWayMs } from "./fakeTargets.js";
 
-export interface SliceOptions {
+export interface SliceOptions extends Queries {
     readonly identity: RouterIdentity;
-    readonly membership: MembershipQueries;
-    readonly configuration: ConfigurationQueries;
 }
 
 export interface FleetOptions<R extends readonly Slice[]> {
@@ -31,15 +24,6 @@
     readonly detectMs?: number;
 }
 
-export interface FakeRouter<R> {
-    readonly member: Member;
-    slices: R;
-    alive: boolean;
-    pausedUntil: number;
-    side: number;
-    changedAt: number;
-}
-
 export function createFakeFleet<R extends readonly Slice[]>(opts: FleetOptions<R>) {
     const { service, detectMs = 2000, lossPercent = 0, duplicatePercent = 0 } = opts;
     const clock = createFakeClock(opts.seed);
@@ -48,36 +32,18 @@
     const store = createFakeStore();
     const closed = new Set<string>();
     const owners = new Map<string, FakeRouter<R>>();
-    const ended: EndRequestEffect[] = [];
     const effects: Effect[] = [];
     const state = { messages: 0, lastId: 0, freshness: "fresh" as "fresh" | "stale" };
 
-    const isReachable = (from: FakeRouter<R>, to: FakeRouter<R>) =>
-        to.alive && from.side === to.side && to.pausedUntil <= clock.getNow();
-    const sees = (from: FakeRouter<R>, to: FakeRouter<R>) =>
-        isReachable(from, to) || clock.getNow() - Math.max(from.changedAt, to.changedAt) < detectMs;
-    const listSeen = (from: FakeRouter<R>) =>
-        [...routers.values()].filter(to => to === from || sees(from, to)).map(to => to.member);
-    const createMembership = (name: string): MembershipQueries => {
-        const list = () => listSeen(routers.get(name) as FakeRouter<R>);
-        return {
-            listRoutable: list,
-            getMember: router => routers.get(router)?.member,
-            countListed: () => routers.size,
-            countListedAlive: () => list().length,
-            // The names are chosen so that the order of the list serves as the hash.
-            findCoordinator: () => list()[0] as Member,
-        };
-    };
-    const configuration: ConfigurationQueries = {
-        listServices: () => [service],
-        getService: name => name === service.name ? service : undefined,
-        getWorkspace: name => opts.workspaces[name],
-        getFailureDomain: () => ({ state: "in" }),
-        isTargetOpen: (_, target) => !closed.has(target),
-        getFreshness: () => state.freshness,
-        getDigest: () => ({ revision: 1, storeUnreachable: !store.state.up }),
-    };
+    const queries = createFakeQueries({
+        routers,
+        clock,
+        service,
+        workspaces: opts.workspaces,
+        closed,
+        state,
+        detectMs,
+    });
     const deliver = (router: FakeRouter<R>, event: RouterEvent): void => {
         const now = clock.getNow();
         if (!router.alive) return;
@@ -118,8 +84,7 @@
             const answer = store.acquire(effect.lease, router.member.router, clock.getNow(), effect.durationMs);
             later(() => deliver(router, answer));
         }
-        else if (effect.type === "releaseLease") store.release(effect.lease);
-        else if (effect.type === "endRequest") ended.push(effect);
+        else if (effect.type === "releaseLease") store.release(effect.lease, router.member.router);
         else if (effect.type === "cancelAtTarget")
             targets.breakAttempts(({ effect: { requestId } }) => requestId === effect.requestId);
     };
@@ -127,7 +92,7 @@
         if (routers.get(changed.member.router) !== changed) return;
         const about = { type: "membershipChanged" as const, now: 0, router: changed.member.router, incarnation: 1 };
         for (const router of routers.values())
-            deliver(router, { ...about, state: isReachable(router, changed) ? "alive" : "dead" });
+            deliver(router, { ...about, state: queries.isReachable(router, changed) ? "alive" : "dead" });
     };
     const change = (name: string, changed: Partial<FakeRouter<R>>) => {
         const router = routers.get(name) as FakeRouter<R>;
@@ -141,7 +106,7 @@
         const status = { alive: true, pausedUntil: 0, side: 0, changedAt: -detectMs };
         const router: FakeRouter<R> = { member, slices: [] as unknown as R, ...status };
         routers.set(name, router);
-        router.slices = opts.createSlices({ identity: member, membership: createMembership(name), configuration });
+        router.slices = opts.createSlices({ identity: member, ...queries.createQueries(name) });
         const tick = () => {
             if (routers.get(name) !== router || !router.alive) return;
             deliver(router, { type: "tick", now: 0 });
@@ -159,7 +124,6 @@
     return {
         ...targets,
         state: Object.assign(state, { targets: targets.state }),
-        ended,
         effects,
         store,
         closed,
--- a/packages/fair-share/test/fakeStore.ts
+++ b/packages/fair-share/test/fakeStore.ts
@@ -6,7 +6,9 @@
     const state = { up: true };
     return {
         state,
-        release: (lease: string) => leases.delete(lease),
+        release: (lease: string, holder: string) => {
+            if (leases.get(lease)?.holder === holder) leases.delete(lease);
+        },
         acquire: (lease: string, holder: string, now: number, durationMs: number): LeaseAnsweredEvent => {
             const held = leases.get(lease);
             const taken = held !== undefined && held.holder !== holder && held.until > now;
