--- a/packages/fair-share/src/targetStates.ts
+++ b/packages/fair-share/src/targetStates.ts
@@ -166,7 +166,7 @@
 /** Raises the limit of a cold target after as many completed requests as the limit allows at once. */
 function updateRamp(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
     const { targetLimit } = pool.service.spec;
-    if (target.condition !== "cold" || target.suspect !== undefined) return;
+    if (target.condition !== "cold" || target.suspect !== undefined || !target.known) return;
     if (target.completed < target.coldLimit && target.coldLimit < targetLimit) return;
     target.completed = 0;
     target.coldLimit = Math.min(target.coldLimit * 2, targetLimit);
@@ -191,7 +191,7 @@
 
 /** Acquires or renews the lease of a cold target, and withdraws its slots when the right to grant them has ended. */
 function updateLease(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
-    if (target.condition !== "cold" || pool.takeoverUntil !== undefined) return;
+    if (target.condition !== "cold" || !target.known || pool.takeoverUntil !== undefined) return;
     const { lease } = target;
     const may = computeMayGrantCold(context, pool, target);
     if (target.mayGrantCold && !may) {
@@ -276,7 +276,6 @@
 /** Brings limits and leases up to date with the time of the event. */
 export function updateLimits(context: CoordinatorContext, pool: CoordinatorPool): void {
     for (const target of pool.targets.values()) {
-        if (!target.known) continue;
         updateRamp(context, pool, target);
         updateLease(context, pool, target);
         updateExcess(context, pool, target);
