--- a/packages/fair-share/test/fairness.test.ts
+++ b/packages/fair-share/test/fairness.test.ts
@@ -25,7 +25,8 @@
 const service = {
     name: "proofs",
     version: 1,
-    spec: { kind: "model" as const, targets, targetLimit, coldLimit: 2 },
+    // A short warm-up: this test is about what follows it.
+    spec: { kind: "model" as const, targets, targetLimit, coldLimit: 2, warmUpRequests: 2 },
 };
 const slots = targets.length * targetLimit;
 // 16 workspaces, three of them large, each at one to three of the routers.
