Tell entry routers which targets are suspect

Cause: the announced limit of a cold target stays above 0 while it is suspect, so a resumption could not tell an unconfirmed target from a confirmed one by the limit. Change: targets carry a suspect flag until a load report newer than the failure.

--- a/packages/fair-share/src/announcePool.ts
+++ b/packages/fair-share/src/announcePool.ts
@@ -21,6 +21,7 @@
         generation: target.generation,
         condition: target.condition,
         limit: target.condition === "cold" ? target.coldLimit : computeLimit(pool, target),
+        ...(target.suspect === undefined ? {} : { suspect: true }),
         ...(target.startId === undefined ? {} : { startId: target.startId }),
     }));
 }
--- a/packages/fair-share/src/resumeStreams.ts
+++ b/packages/fair-share/src/resumeStreams.ts
@@ -45,8 +45,7 @@
     if (!context.configuration.isTargetOpen(pool.name, running.target)) return "end";
     if (state === undefined || state.startId === undefined) return context.now < resumption.until ? "wait" : "end";
     if (state.startId !== resumption.startId) return "end";
-    // The limit is 0 until a load report that is newer than the failure shows the target running.
-    if (state.generation > resumption.generation && state.limit > 0) return "resume";
+    if (state.generation > resumption.generation && state.suspect !== true) return "resume";
     return context.now < resumption.until ? "wait" : "end";
 }
 
--- a/packages/peer-protocol/src/messageFields.ts
+++ b/packages/peer-protocol/src/messageFields.ts
@@ -78,6 +78,7 @@
     generation: integer,
     condition: choice(["warm", "cold", "closed"]),
     limit: integer,
+    suspect: optional(flag),
     startId: optional(text),
 });
 
--- a/packages/types/src/peer-messages.ts
+++ b/packages/types/src/peer-messages.ts
@@ -140,6 +140,8 @@
     readonly condition: TargetCondition;
     /** Limit that the coordinator applies at present, which is lower than the configured one during a cold start. */
     readonly limit: number;
+    /** Set after a failure until a newer load report shows whether the target runs on. */
+    readonly suspect?: boolean;
     /** Start id that the coordinator saw last. */
     readonly startId?: string;
 }
