Release slots of lost routers after two load reports, and heed failures on older slots

A failure on a slot of an older generation was not reported, so that a target which restarted just after its generation was raised got a warm load; routers without a coordinator kept more unused slots than the reserve; a request on its way to the target could hide one of a lost router in a load report. Change: every failure is reported under the present generation; without a coordinator, slots that end go back; two load reports in a row decide. The fake fleet no longer starts requests of a router that has ended meanwhile.

--- a/packages/fair-share/src/applyReport.ts
+++ b/packages/fair-share/src/applyReport.ts
@@ -18,7 +18,6 @@
     removeCounts(pool, record, context.now);
     for (const workspace of pool.workspaces.values()) workspace.queuedAt.delete(record.router);
     pool.routers.delete(record.router);
-    for (const target of pool.targets.values()) if (target.unaccounted.count > 0) target.polledAt = -Infinity;
     logCoordinatorEvent(context, "routerLost", { pool: pool.name, router: record.router });
 }
 
--- a/packages/fair-share/src/constants.ts
+++ b/packages/fair-share/src/constants.ts
@@ -36,6 +36,8 @@
 export const takeoverMs = 1500;
 export const pollIntervalMs = 500;
 export const pollIntervalColdMs = 250;
+/** While slots of lost routers are to be released. */
+export const pollIntervalLostMs = 100;
 /** A poll without an answer is repeated after this time. */
 export const pollAnswerMs = 2000;
 
--- a/packages/fair-share/src/coordinatorPool.ts
+++ b/packages/fair-share/src/coordinatorPool.ts
@@ -99,9 +99,9 @@
     lastForeign: number;
     /**
      * Slots of lost routers, which may be in use although no report accounts for them. Load reports sampled after `since`
-     * lower the number to the running requests that no report shows.
+     * lower the number to the running requests that no report shows; `seen` is their number in the latest of them.
      */
-    unaccounted: { count: number; since: number; };
+    unaccounted: { count: number; readonly since: number; seen: number; };
     /** Slots returned during a takeover, which may be granted again. */
     returned: number;
     /** Greatest number of slots this side of a partition may grant. */
@@ -197,7 +197,7 @@
         inUse: 0,
         foreign: 0,
         lastForeign: 0,
-        unaccounted: { count: 0, since: 0 },
+        unaccounted: { count: 0, since: 0, seen: 0 },
         returned: 0,
         partitionCap: Infinity,
         idleReports: 0,
--- a/packages/fair-share/src/countSlots.ts
+++ b/packages/fair-share/src/countSlots.ts
@@ -52,6 +52,13 @@
     return change;
 }
 
+/** Counts slots as taken until two load reports that are sampled from now on show fewer requests. */
+export function markUnaccounted(target: CoordinatedTarget, count: number, now: number): void {
+    target.unaccounted = { count, since: now, seen: Infinity };
+    target.polledAt = -Infinity;
+    target.pollPending = false;
+}
+
 /** Removes a router from the sums; what it held counts as taken until a load report shows otherwise. */
 export function removeCounts(pool: CoordinatorPool, record: RouterRecord, now: number): void {
     for (const target of pool.targets.values()) {
@@ -62,7 +69,7 @@
         target.reusable -= counted.reusable;
         target.inUse -= counted.inUse;
         recordTaken(target, now);
-        if (counted.taken > 0) target.unaccounted = { count: target.unaccounted.count + counted.taken, since: now };
+        if (counted.taken > 0) markUnaccounted(target, target.unaccounted.count + counted.taken, now);
     }
     record.counted.clear();
 }
--- a/packages/fair-share/src/endAttempt.ts
+++ b/packages/fair-share/src/endAttempt.ts
@@ -12,10 +12,20 @@
     settleCost,
     type TrackedRequest,
 } from "./entryContext.js";
-import { addWaiting, type EntryPool, getHeldTarget, recordCost, type RunningRequest } from "./entryPool.js";
+import {
+    addWaiting,
+    type EntryPool,
+    getHeldTarget,
+    isConfirmed,
+    recordCost,
+    type RunningRequest,
+} from "./entryPool.js";
 import { recordCompletion, releaseSlot } from "./slotTable.js";
 
-/** Stops the reuse of a target's slots until the coordinator, which is told at once, has raised the generation. */
+/**
+ * Stops the reuse of a target's slots until the coordinator, which is told at once, has raised the generation. A failure
+ * on a slot of an older generation counts too: its reason may be newer than the present generation.
+ */
 function suspendTarget(
     context: EntryContext,
     pool: EntryPool,
@@ -24,7 +34,7 @@
     startId?: string,
 ): void {
     const held = getHeldTarget(pool, running.target);
-    if (held.generation !== running.generation || held.suspended !== undefined) return;
+    if (held.suspended !== undefined) return;
     held.suspended = { target: held.target, generation: held.generation, kind, ...(startId ? { startId } : {}) };
     held.free = 0;
     pool.changed = true;
@@ -48,6 +58,7 @@
 
 /** Suspends a target whose time to accept requests has grown suddenly and repeatedly. */
 function checkLatency(context: EntryContext, pool: EntryPool, running: RunningRequest): void {
+    if (getHeldTarget(pool, running.target).generation !== running.generation) return;
     const elapsed = context.now - running.dispatchedAt;
     const latency = pool.latencies.get(running.target) ?? { average: elapsed, slowInRow: 0 };
     pool.latencies.set(running.target, latency);
@@ -131,7 +142,10 @@
     });
 }
 
-/** Frees the slot for reuse. Where nothing waits, it goes back, so that the reserve stays within what was granted for it. */
+/**
+ * Frees the slot for reuse. Where nothing waits, or without a coordinator, it goes back, so that unused slots stay within
+ * what was granted as reserve: a target that restarts cold gets no more requests than that before its slots are withdrawn.
+ */
 function releaseAttempt(context: EntryContext, tracked: TrackedRequest, running: RunningRequest): void {
     const { pool, queue } = tracked;
     const held = getHeldTarget(pool, running.target);
@@ -141,7 +155,7 @@
         pool.urgent = true;
         return;
     }
-    if (pool.backlogged.size > 0) return;
+    if (pool.backlogged.size > 0 && isConfirmed(pool, context.now)) return;
     held.free -= 1;
     if (pool.contended || !isActive(context)) pool.urgent = true;
 }
--- a/packages/fair-share/src/takeover.ts
+++ b/packages/fair-share/src/takeover.ts
@@ -7,6 +7,7 @@
     type CoordinatorPool,
     logCoordinatorEvent,
 } from "./coordinatorPool.js";
+import { markUnaccounted } from "./countSlots.js";
 import { getLeaseName, startNewTargets } from "./targetStates.js";
 
 function recordStateVersion(pool: CoordinatorPool): void {
@@ -47,9 +48,7 @@
     startNewTargets(context, pool);
     for (const target of pool.targets.values()) {
         const limit = Math.max(computeLimit(pool, target), pool.service.spec.targetLimit);
-        target.unaccounted = { count: Math.max(0, limit - target.taken), since: context.now };
-        target.polledAt = -Infinity;
-        target.pollPending = false;
+        markUnaccounted(target, Math.max(0, limit - target.taken), context.now);
     }
     logCoordinatorEvent(context, "takeoverEnded", { pool: pool.name, complete, routers: pool.routers.size });
 }
--- a/packages/fair-share/src/targetStates.ts
+++ b/packages/fair-share/src/targetStates.ts
@@ -8,6 +8,7 @@
     leaseRetryMs,
     pollAnswerMs,
     pollIntervalColdMs,
+    pollIntervalLostMs,
     pollIntervalMs,
 } from "./constants.js";
 import {
@@ -78,15 +79,28 @@
         markCold(context, pool, target, "slow");
         return;
     }
-    // A new load report decides whether the target still runs under the same start id.
-    if (observation.kind !== "startIdChanged") target.suspect = observation.kind;
     raiseGeneration(pool, target, target.generation + 1, context.now);
-    if (target.condition === "cold") target.coldLimit = pool.service.spec.coldLimit;
+    const { kind, startId } = observation;
+    // A failure of another process of the target says nothing about the present one, but a new load report has to.
+    const otherProcess = startId !== undefined && target.startId !== undefined && startId !== target.startId;
+    if (kind !== "startIdChanged") target.suspect = otherProcess ? "broken" : kind;
+    if (target.condition === "cold" && !otherProcess) target.coldLimit = pool.service.spec.coldLimit;
     target.polledAt = -Infinity;
     target.pollPending = false;
     logTarget(context, pool, target, observation.kind);
 }
 
+/**
+ * Releases slots of lost routers. Requests on their way to the target are reported in use but not running yet, and may hide
+ * a request of a lost router in one load report, so that two in a row decide.
+ */
+function updateUnaccounted(target: CoordinatedTarget, running: number): void {
+    const { unaccounted } = target;
+    const seen = Math.max(0, running - target.inUse);
+    unaccounted.count = Math.min(unaccounted.count, Math.max(seen, unaccounted.seen));
+    unaccounted.seen = seen;
+}
+
 /** Compares a load report with the records: what they do not account for belongs to routers that do not report here. */
 function updateForeign(
     context: CoordinatorContext,
@@ -102,10 +116,7 @@
     // A target may count a request for a moment after its answer has ended, so a single report is not enough normally.
     target.foreign = settled ? Math.min(seen, target.lastForeign) : seen;
     target.lastForeign = seen;
-    // Slots that were granted but not reported in use could hide requests of lost routers.
-    const { unaccounted } = target;
-    if (sampledAt >= unaccounted.since)
-        unaccounted.count = Math.min(unaccounted.count, Math.max(0, running - target.inUse));
+    if (sampledAt >= target.unaccounted.since) updateUnaccounted(target, running);
     target.running = running;
     updatePartitionCap(pool, target, running, accounted);
 }
@@ -282,12 +293,16 @@
     }
 }
 
+function computePollInterval(target: CoordinatedTarget): number {
+    if (target.unaccounted.count > 0) return pollIntervalLostMs;
+    return target.condition === "cold" || target.suspect !== undefined ? pollIntervalColdMs : pollIntervalMs;
+}
+
 /** Asks targets for their load when that is due. */
 export function pollTargets(context: CoordinatorContext, pool: CoordinatorPool): void {
     for (const target of pool.targets.values()) {
         if (target.condition === "closed") continue;
-        const watched = target.condition === "cold" || target.suspect !== undefined || target.unaccounted.count > 0;
-        const interval = watched ? pollIntervalColdMs : pollIntervalMs;
+        const interval = computePollInterval(target);
         const elapsed = context.now - target.polledAt;
         if (elapsed < (target.pollPending ? pollAnswerMs : interval)) continue;
         target.polledAt = context.now;
--- a/packages/fair-share/test/fakeFleet.ts
+++ b/packages/fair-share/test/fakeFleet.ts
@@ -72,8 +72,10 @@
     const runEffect = (router: FakeRouter<R>, effect: Effect): void => {
         const later = (run: () => void) => clock.add(clock.getNow() + oneWayMs, run);
         if (effect.type === "sendToPeer") sendMessage(router, effect);
-        else if (effect.type === "sendToTarget")
-            later(() => targets.startAttempt(effect, event => deliver(router, event)));
+        else if (effect.type === "sendToTarget") {
+            // A request whose router has ended reaches the target together with the end of its connection.
+            later(() => router.alive && targets.startAttempt(effect, event => deliver(router, event)));
+        }
         else if (effect.type === "pollLoad") {
             later(() => {
                 const answer = targets.samplePoll(effect.target);
--- a/packages/fair-share/test/poolCoordinator.test.ts
+++ b/packages/fair-share/test/poolCoordinator.test.ts
@@ -95,6 +95,7 @@
     fleet.report("r1", 5);
     fleet.report("r2", 5);
     fleet.load(0);
+    fleet.load(0);
     fleet.tick(300);
     return fleet;
 }
@@ -150,12 +151,13 @@
     report("r2", 5, { copy: warmCopy, granted: [{ target: "t1", generation: 3, total: 4 }] });
     assert.is(countGranted("r1") + countGranted("r2"), 13);
     load(3);
+    load(3);
     assert.is(countGranted("r1") + countGranted("r2"), 14);
     assert.is(coordinator.listTargets()[0]?.condition, "warm");
     assert.ok((announced.get("r1")?.version ?? 0) > warmCopy.version);
 });
 
-test("slots of a dead router count as taken until a later load report shows fewer running requests", () => {
+test("slots of a dead router count as taken until two later load reports show fewer running requests", () => {
     const { report, load, tick, countGranted, send, state } = createCoordinator();
     const granted = { copy: warmCopy, granted: [{ target: "t1", generation: 3, total: 4 }] };
     tick(100);
@@ -167,6 +169,8 @@
     tick(state.now + 200);
     assert.is(countGranted("r1"), 0);
     load(3);
+    assert.is(countGranted("r1"), 0);
+    load(3);
     assert.is(countGranted("r1"), 1);
 });
 
