--- a/packages/fair-share/src/endAttempt.ts
+++ b/packages/fair-share/src/endAttempt.ts
@@ -9,17 +9,11 @@
     type EntryContext,
     isActive,
     logEntryEvent,
+    mayReuseSlots,
     settleCost,
     type TrackedRequest,
 } from "./entryContext.js";
-import {
-    addWaiting,
-    type EntryPool,
-    getHeldTarget,
-    isConfirmed,
-    recordCost,
-    type RunningRequest,
-} from "./entryPool.js";
+import { addWaiting, type EntryPool, getHeldTarget, recordCost, type RunningRequest } from "./entryPool.js";
 import { recordCompletion, releaseSlot } from "./slotTable.js";
 
 /**
@@ -155,7 +149,7 @@
         pool.urgent = true;
         return;
     }
-    if (pool.backlogged.size > 0 && isConfirmed(pool, context.now)) return;
+    if (mayReuseSlots(context, pool)) return;
     held.free -= 1;
     if (pool.contended || !isActive(context)) pool.urgent = true;
 }
--- a/packages/fair-share/src/entryContext.ts
+++ b/packages/fair-share/src/entryContext.ts
@@ -6,6 +6,7 @@
 import {
     chargeCost,
     type EntryPool,
+    isConfirmed,
     removeWaiting,
     type RunningRequest,
     type WaitingRequest,
@@ -59,6 +60,11 @@
     return !context.draining && context.configuration.getFreshness() === "fresh";
 }
 
+/** Whether a slot that becomes free stays here for the next request. */
+export function mayReuseSlots(context: EntryContext, pool: EntryPool): boolean {
+    return pool.backlogged.size > 0 && isConfirmed(pool, context.now);
+}
+
 /** Forgets a request and tells the other slices how it ended. */
 export function closeRequest(
     context: EntryContext,
