--- a/packages/fair-share/src/constants.ts
+++ b/packages/fair-share/src/constants.ts
@@ -43,6 +43,8 @@
 export const warmUpFactorMax = 8;
 export const pollIntervalMs = 500;
 export const pollIntervalColdMs = 250;
+/** While slots of lost routers are to be released. */
+export const pollIntervalLostMs = 100;
 /** A poll without an answer is repeated after this time. */
 export const pollAnswerMs = 2000;
 
