Keep broken streams for 30 s from their break

Cause: the model stand-in counted the 30 s from the start of a request, so a long stream could not be resumed at all.

Change: the time runs from the end of the connection. Tests with a clock that is moved by hand, and for a store slower than the client's timeout; the tables of platform writes are one line per row.

--- a/packages/platform-client/test/writes.test.ts
+++ b/packages/platform-client/test/writes.test.ts
@@ -10,45 +10,24 @@
 const name = "north";
 const spec = { state: "out" as const };
 
-interface WriteCase {
-    readonly name: string;
-    readonly faults: PlatformFaults;
-    readonly result: WriteResult["type"];
-    /** Whether the write is in the store in the end. */
-    readonly applied: boolean;
-}
-
-const cases: readonly WriteCase[] = [
-    { name: "no fault", faults: {}, result: "accepted", applied: true },
-    { name: "slow store", faults: { delayMs: 20 }, result: "accepted", applied: true },
-    { name: "answer lost", faults: { loseAnswers: 1 }, result: "accepted", applied: true },
-    { name: "answer and read back lost", faults: { loseAnswers: 1, loseReads: 1 }, result: "accepted", applied: true },
-    {
-        name: "answer and every read back lost",
-        faults: { loseAnswers: 1, loseReads: 99 },
-        result: "unknown",
-        applied: true,
-    },
-    { name: "request lost", faults: { loseRequests: 1 }, result: "accepted", applied: true },
-    {
-        name: "two requests lost, then the answer",
-        faults: { loseRequests: 2, loseAnswers: 1 },
-        result: "accepted",
-        applied: true,
-    },
-    {
-        name: "late copy behind the second one",
-        faults: { lateWrites: 1, lateMs: 40 },
-        result: "accepted",
-        applied: true,
-    },
-    { name: "every copy late", faults: { lateWrites: 99, lateMs: 400 }, result: "unknown", applied: true },
-    { name: "every request lost", faults: { loseRequests: 99 }, result: "unknown", applied: false },
-    { name: "store down", faults: { down: true }, result: "unknown", applied: false },
-];
+/** Name, faults, result, and whether the write is in the store in the end. */
+const cases:
+    readonly (readonly [name: string, faults: PlatformFaults, result: WriteResult["type"], applied: boolean])[] = [
+        ["no fault", {}, "accepted", true],
+        ["slow store", { delayMs: 20 }, "accepted", true],
+        ["answer lost", { loseAnswers: 1 }, "accepted", true],
+        ["answer and read back lost", { loseAnswers: 1, loseReads: 1 }, "accepted", true],
+        ["answer and every read back lost", { loseAnswers: 1, loseReads: 99 }, "unknown", true],
+        ["request lost", { loseRequests: 1 }, "accepted", true],
+        ["two requests lost, then the answer", { loseRequests: 2, loseAnswers: 1 }, "accepted", true],
+        ["late copy behind the second one", { lateWrites: 1, lateMs: 40 }, "accepted", true],
+        ["every copy late", { lateWrites: 99, lateMs: 400 }, "unknown", true],
+        ["every request lost", { loseRequests: 99 }, "unknown", false],
+        ["store down", { down: true }, "unknown", false],
+    ];
 
 for (const change of ["creation", "update", "deletion", "recreation"] as const) {
-    for (const { name: fault, faults, result, applied } of cases) {
+    for (const [fault, faults, result, applied] of cases) {
         test(`${change}, ${fault}: ${result}`, () =>
             withPlatform({}, async ({ client, platform }) => {
                 const before = { creation: 0, update: 1, deletion: 1, recreation: 2 }[change];
@@ -85,38 +64,27 @@
         assert.equal(result, { type: "unavailable" });
     }));
 
-interface RaceCase {
-    readonly name: string;
-    /** Versions written by another writer while the answer is lost; our own is the one named `mine`. */
-    readonly writers: readonly string[];
-    readonly historyLength: number;
-    readonly result: unknown;
-}
+test("a write to a store that is slower than the timeout is unknown, and applied at most once", () =>
+    withPlatform({ client: { timeoutMs: 20 } }, async ({ client, platform }) => {
+        platform.setFaults({ delayMs: 300 });
+        const result = await client.writeResource({ kind, name, expectedVersion: 0, spec, writeId: "mine" });
+        assert.equal(result, { type: "unknown" });
+        while (platform.store.read(kind, name) === undefined) await sleep(10);
+        platform.setFaults({ delayMs: 0 });
+        await sleep(300);
+        assert.is(platform.store.getRevision(), 1);
+    }));
 
-/** The write expects version 1; the stand-in applies the writers in turn before the client reads back. */
-const races: readonly RaceCase[] = [
-    {
-        name: "another write won",
-        writers: ["theirs"],
-        historyLength: 100,
-        result: { type: "conflict", currentVersion: 2 },
-    },
-    {
-        name: "two other writes won",
-        writers: ["theirs", "later"],
-        historyLength: 100,
-        result: { type: "conflict", currentVersion: 3 },
-    },
-    { name: "ours won and was overwritten", writers: ["mine", "later"], historyLength: 100, result: "accepted" },
-    {
-        name: "the history is too short to tell",
-        writers: ["theirs", "later", "last"],
-        historyLength: 1,
-        result: { type: "unknown" },
-    },
-];
+/** Name, writes that the store applies before the client reads back (ours is `mine`), history length, result. */
+const races: readonly (readonly [name: string, writers: readonly string[], historyLength: number, result: unknown])[] =
+    [
+        ["another write won", ["theirs"], 100, { type: "conflict", currentVersion: 2 }],
+        ["two other writes won", ["theirs", "later"], 100, { type: "conflict", currentVersion: 3 }],
+        ["ours won and was overwritten", ["mine", "later"], 100, "accepted"],
+        ["the history is too short to tell", ["theirs", "later", "last"], 1, { type: "unknown" }],
+    ];
 
-for (const { name: race, writers, historyLength, result } of races) {
+for (const [race, writers, historyLength, result] of races) {
     test(`lost answer, ${race}`, () =>
         withPlatform({ historyLength }, async ({ client, platform }) => {
             platform.store.write({ kind, name, expectedVersion: 0, writeId: "first", value: spec });
--- a/packages/stand-ins/src/createModelStandIn.ts
+++ b/packages/stand-ins/src/createModelStandIn.ts
@@ -45,6 +45,7 @@
 interface StreamRecord {
     readonly request: ChatRequest;
     finishedTokens: number;
+    /** Set when the connection ends. */
     expiresAt: number;
     /** Ends the sequence that still works on the stream. */
     cancel?: () => void;
@@ -172,13 +173,18 @@
                 handlers.onDone();
             },
         });
-        record.cancel = () => {
+        const cancelSequence = (): void => {
             if (ended) return;
             cancel();
             end(false);
             totals.cancelled += 1;
         };
-        context.res.once("close", record.cancel);
+        record.cancel = cancelSequence;
+        context.res.once("close", () => {
+            // A resumed stream belongs to its new connection.
+            if (record.cancel === cancelSequence) record.expiresAt = clock() + resumeWindowMs;
+            cancelSequence();
+        });
         return cachedTokens;
     };
 
@@ -209,7 +215,7 @@
         totals.resumed += 1;
         // The break of the first connection may not have been noticed yet.
         record.cancel?.();
-        record.expiresAt = clock() + resumeWindowMs;
+        record.expiresAt = Number.POSITIVE_INFINITY;
         streamAnswer(context, server, id, from);
         return true;
     };
@@ -232,7 +238,7 @@
             return;
         }
         const id = context.get("x-request-id") || `request-${streams.size}-${clock()}`;
-        const record: StreamRecord = { request, finishedTokens: 0, expiresAt: clock() + resumeWindowMs };
+        const record: StreamRecord = { request, finishedTokens: 0, expiresAt: Number.POSITIVE_INFINITY };
         streams.set(id, record);
         if (request.streaming) streamAnswer(context, server, id, 0);
         else answerJson(context, server, id, record);
--- a/packages/stand-ins/test/modelStandIn.test.ts
+++ b/packages/stand-ins/test/modelStandIn.test.ts
@@ -113,6 +113,23 @@
         assert.is((await post(address, wanted, { "x-resume": "unknown;0" })).status, 409);
     }));
 
+test("the finished part of a broken stream is kept for 30 s", () => {
+    let passedMs = 0;
+    return withModel({ startsCold: false, clock: () => performance.now() + passedMs }, async (model, address) => {
+        for (const [waitMs, status] of [[29_000, 200], [30_001, 409]] as const) {
+            model.setFaults({ closeEarly: 1 });
+            await post(address, { stream: true }, { "x-request-id": "r1" }).then(answer => answer.text()).catch(() =>
+                undefined
+            );
+            while (model.readStats()["concurrency"] !== 0) await sleep(1);
+            passedMs += waitMs;
+            const resumed = await post(address, { stream: true }, { "x-resume": "r1;1" });
+            assert.is(resumed.status, status);
+            await resumed.text();
+        }
+    });
+});
+
 const faultCases = [
     { fault: "status500", expected: "500" },
     { fault: "notRun", expected: "503" },
