Tell the lives of a lease holder apart

Cause: a lease named its holder by router only. A router that restarted without state would have renewed the lease of its former life at once, under the same fencing number, while that process may only be paused.

Change: each client stores an instance id with the lease and renews or releases only leases of its own instance; others are waited out, and the fencing number grows.

--- a/packages/platform-client/src/createLeaseClient.ts
+++ b/packages/platform-client/src/createLeaseClient.ts
@@ -17,6 +17,8 @@
 export interface LeaseValue {
     /** Empty after a release. */
     readonly holder: string;
+    /** Tells apart the lives of a holder: after a restart, the lease of the former life is one of somebody else. */
+    readonly instance: string;
     readonly durationMs: number;
     readonly renewals: number;
     /** Grows with each change of holder. */
@@ -31,12 +33,14 @@
 }
 
 const leaseKind = "leases";
-const neverHeld: LeaseValue = { holder: "", durationMs: 0, renewals: 0, fencingNumber: 0 };
+const neverHeld: LeaseValue = { holder: "", instance: "", durationMs: 0, renewals: 0, fencingNumber: 0 };
 
 function parseLease(value: unknown): LeaseValue {
-    const { holder, durationMs, renewals, fencingNumber } = (value ?? {}) as Partial<Record<keyof LeaseValue, unknown>>;
+    const lease = (value ?? {}) as Partial<Record<keyof LeaseValue, unknown>>;
+    const { holder, instance, durationMs, renewals, fencingNumber } = lease;
     return {
         holder: typeof holder === "string" ? holder : "",
+        instance: typeof instance === "string" ? instance : "",
         durationMs: Number(durationMs ?? 0) || 0,
         renewals: Number(renewals ?? 0) || 0,
         fencingNumber: Number(fencingNumber ?? 0) || 0,
@@ -45,6 +49,9 @@
 
 export function createLeaseClient(objects: ObjectClient, opts: LeaseClientOptions): LeaseClient {
     const observations = new Map<string, Observation>();
+    const instance = opts.createWriteId();
+    const isOwn = (value: LeaseValue, holder: string): boolean =>
+        value.holder === holder && value.instance === instance;
 
     const observe = (lease: string, object: PlatformObject | undefined): Observation => {
         const version = object?.version ?? 0;
@@ -84,12 +91,13 @@
         durationMs: number,
         seen: Observation,
     ): Promise<LeaseResult | "changed"> => {
-        const isRenewal = seen.value.holder === holder;
+        const isRenewal = isOwn(seen.value, holder);
         const remainingMs = getRemainingMs(seen);
         if (!isRenewal && remainingMs > 0)
             return { result: "taken", validForMs: remainingMs, fencingNumber: seen.value.fencingNumber };
         const value = {
             holder,
+            instance,
             durationMs,
             renewals: isRenewal ? seen.value.renewals + 1 : 0,
             fencingNumber: seen.value.fencingNumber + (isRenewal ? 0 : 1),
@@ -105,7 +113,7 @@
     /** A lease that this process holds is renewed without being read first. */
     const getOwnLease = (lease: string, holder: string): Observation | undefined => {
         const known = observations.get(lease);
-        return known?.value.holder === holder ? known : undefined;
+        return known !== undefined && isOwn(known.value, holder) ? known : undefined;
     };
 
     const acquire = async (lease: string, holder: string, durationMs: number): Promise<LeaseResult> => {
@@ -121,7 +129,7 @@
 
     const release = async (lease: string, holder: string): Promise<void> => {
         const seen = getOwnLease(lease, holder) ?? await readLease(lease);
-        if (seen?.value.holder !== holder) return;
+        if (seen === undefined || !isOwn(seen.value, holder)) return;
         const written = await writeLease(lease, seen, { ...seen.value, holder: "" });
         if (written.type === "accepted") observe(lease, written.object);
         else observations.delete(lease);
--- a/packages/platform-client/test/leases.test.ts
+++ b/packages/platform-client/test/leases.test.ts
@@ -9,6 +9,8 @@
     use: (routers: {
         readonly acquire: (router: "a" | "b") => Promise<unknown>;
         readonly release: (router: "a" | "b") => Promise<void>;
+        /** Replaces the client of the router, as a restart does. */
+        readonly restart: (router: "a" | "b") => Promise<void>;
         readonly pass: (durationMs: number) => void;
         readonly setFaults: (faults: object) => void;
         readonly countCalls: () => number;
@@ -30,6 +32,10 @@
             await use({
                 acquire: router => clients[router].acquireLease("target-1", router, 100),
                 release: router => clients[router].releaseLease("target-1", router),
+                restart: async router => {
+                    await clients[router].close();
+                    clients[router] = create(router);
+                },
                 pass: durationMs => {
                     times.a += durationMs;
                     times.b += durationMs;
@@ -74,6 +80,16 @@
         assert.equal(await acquire("b"), held(3));
     }));
 
+test("a restarted router does not renew or release the lease of its former life, which may still be running", () =>
+    withRouters(async ({ acquire, release, restart, pass }) => {
+        assert.equal(await acquire("a"), held(1));
+        await restart("a");
+        await release("a");
+        assert.equal(await acquire("a"), taken(100, 1));
+        pass(100);
+        assert.equal(await acquire("a"), held(2));
+    }));
+
 test("a renewal is one call", () =>
     withRouters(async ({ acquire, countCalls }) => {
         await acquire("a");
