--- a/packages/stand-ins/test/modelStandIn.test.ts
+++ b/packages/stand-ins/test/modelStandIn.test.ts
@@ -37,12 +37,8 @@
         assert.is(answer.headers.get("x-start-id"), model.readStats()["startId"]);
         const body = await answer.json() as { choices: { message: { content: string; }; }[]; usage: object; };
         assert.is(body.choices[0]?.message.content, "ada/7#0 ada/7#1 ada/7#2 ");
-        assert.equal(body.usage, {
-            prompt_tokens: 2,
-            completion_tokens: 3,
-            total_tokens: 5,
-            prompt_tokens_details: { cached_tokens: 0 },
-        });
+        const details = { cached_tokens: 0 };
+        assert.equal(Object.values(body.usage), [2, 3, 5, details], "input, output, total and cached tokens");
         const stream = await (await post(address, { ...wanted, stream: true, stream_options: { include_usage: true } }))
             .text();
         assert.is(stream.split("data: {").length - 1, 4);
@@ -113,6 +109,23 @@
         assert.is((await post(address, wanted, { "x-resume": "unknown;0" })).status, 409);
     }));
 
+test("the finished part of a broken stream is kept for 30 s", () => {
+    let passedMs = 0;
+    return withModel({ startsCold: false, clock: () => performance.now() + passedMs }, async (model, address) => {
+        for (const [waitMs, status] of [[29_000, 200], [30_001, 409]] as const) {
+            model.setFaults({ closeEarly: 1 });
+            await post(address, { stream: true }, { "x-request-id": "r1" }).then(answer => answer.text()).catch(() =>
+                undefined
+            );
+            while (model.readStats()["concurrency"] !== 0) await sleep(1);
+            passedMs += waitMs;
+            const resumed = await post(address, { stream: true }, { "x-resume": "r1;1" });
+            assert.is(resumed.status, status);
+            await resumed.text();
+        }
+    });
+});
+
 const faultCases = [
     { fault: "status500", expected: "500" },
     { fault: "notRun", expected: "503" },
