Shorten the tests of at-most-once

Change: shared rows in the answer store's table; plainer names in the fleet model. Conclusion: no check was removed.

--- a/packages/at-most-once/test/atMostOnce.property.test.ts
+++ b/packages/at-most-once/test/atMostOnce.property.test.ts
@@ -4,7 +4,7 @@
 import type { Step } from "./fleetModel.js";
 import { createFleetModel } from "./fleetModel.js";
 
-const kinds = ["submit", "submit", "bind", "forward", "finish", "cancel", "dequeue", "restart", "rumour"] as const;
+const kinds = ["submit", "submit", "bind", "forward", "finish", "cancel", "dequeue", "restart", "membership"] as const;
 const step = fc.record<Step>({ kind: fc.constantFrom(...kinds), a: fc.nat(40), b: fc.nat(40) });
 
 test("no key runs twice, no call is forwarded twice, every caller that stays is answered once", () => {
--- a/packages/at-most-once/test/createAnswerStore.test.ts
+++ b/packages/at-most-once/test/createAnswerStore.test.ts
@@ -28,18 +28,12 @@
 const broken = { code: "TARGET_BROKEN", outcome: "unknown" } as const;
 const evicted = ["fail unknown KEY_RECORD_EVICTED"];
 
+const whole = ["begin 201 {\"etag\":\"1\"}", "write abcd", "finish"];
+
 // Each row: what happens to the recorded call, the size that is reported, and what a replay sends.
 const cases: readonly [string, boolean, (responder: CallResponder) => unknown, string, number, string[]][] = [
-    ["a complete answer", false, responder => answerCall(responder, ["ab", "cd"]), "complete", 521, [
-        "begin 201 {\"etag\":\"1\"}",
-        "write abcd",
-        "finish",
-    ]],
-    ["an answer whose caller left", true, responder => answerCall(responder, ["ab", "cd"]), "complete", 521, [
-        "begin 201 {\"etag\":\"1\"}",
-        "write abcd",
-        "finish",
-    ]],
+    ["a complete answer", false, responder => answerCall(responder, ["ab", "cd"]), "complete", 521, whole],
+    ["an answer whose caller left", true, responder => answerCall(responder, ["ab", "cd"]), "complete", 521, whole],
     ["an answer over the limit", false, responder => answerCall(responder, ["abc", "def"]), "complete", 512, evicted],
     ["a failure", false, responder => responder.fail(broken), "unknown", 512, ["fail unknown TARGET_BROKEN"]],
 ];
--- a/packages/at-most-once/test/fleetModel.ts
+++ b/packages/at-most-once/test/fleetModel.ts
@@ -21,7 +21,7 @@
 }
 
 export interface Step {
-    readonly kind: "submit" | "bind" | "forward" | "finish" | "cancel" | "dequeue" | "restart" | "rumour";
+    readonly kind: "submit" | "bind" | "forward" | "finish" | "cancel" | "dequeue" | "restart" | "membership";
     readonly a: number;
     readonly b: number;
 }
@@ -57,7 +57,7 @@
         const process = requests.get(id)?.process;
         return process !== undefined && processes.get(process.router) === process;
     };
-    const namesOf = (id: string, key = ""): string[] => {
+    const listNames = (id: string, key = ""): string[] => {
         const { request, callerKey } = requests.get(id)!.event;
         return [...new Set([callerKey, key])].map(text => `${request.workspace} ${text}`);
     };
@@ -72,7 +72,7 @@
     };
 
     const recordRun = ({ id, key }: RequestSummary): void => {
-        for (const name of namesOf(id, key)) {
+        for (const name of listNames(id, key)) {
             check(!ran.has(name), `${name} runs a second time`);
             ran.set(name, id);
         }
@@ -211,7 +211,7 @@
             cancel: () => cancel(pick([...requests.keys()].filter(id => requests.get(id)!.origin === undefined), a)),
             dequeue: () => dequeue(takeRunning(a)),
             restart: () => b % 4 === 0 ? restart(router) : undefined,
-            rumour: () => void states.set(router, b % 3 === 0 ? "dead" : "alive"),
+            membership: () => void states.set(router, b % 3 === 0 ? "dead" : "alive"),
         };
         actions[kind]();
     };
