Hold back refusals of unknown credentials and survive accept errors

Cause: a flood without a valid credential cost as much as one over the open-call limit; an error of the listening socket had no handler and would have ended the process; a caller that left in the turn in which its body ended was not noticed. Conclusion: operator routes do not hold back refusals yet.

--- a/packages/http-server/src/createCallerRoutes.ts
+++ b/packages/http-server/src/createCallerRoutes.ts
@@ -43,9 +43,10 @@
         return workspace;
     };
 
-    const openCall = async (workspace: string, res: ServerResponse): Promise<void> => {
+    /** Holds back the refusals of a workspace, or of callers without a known credential if `workspace` is empty. */
+    const holdRefusal = async <T>(workspace: string, res: ServerResponse, action: () => T): Promise<T> => {
         try {
-            res.once("close", opts.openCallLimit.openCall(workspace));
+            return action();
         }
         catch (error) {
             await refusalDelay.holdRefusal(workspace, res);
@@ -55,15 +56,17 @@
 
     const acceptCall = async (ctx: Context, findTarget: () => Target): Promise<void> => {
         const { req, res } = ctx;
-        const workspace = authenticate(req);
+        const workspace = await holdRefusal("", res, () => authenticate(req));
         const callerKey = readCallerKey(req);
         const target = findTarget();
         // A message without framing cannot show a broken answer to a caller that speaks HTTP/1.0.
         if (req.httpVersion !== "1.1") throw new RequestError("HEADER_INVALID", { detail: "HTTP/1.1 is required." });
-        await openCall(workspace, res);
+        await holdRefusal(workspace, res, () => res.once("close", opts.openCallLimit.openCall(workspace)));
         const body = await readBody(req, res, limits.maxBodyBytes);
         const description = target.describe(body);
         ctx.respond = false;
+        // The connection may have closed in the same turn of the loop as the body ended.
+        if (res.closed || res.destroyed) return;
         submit(ctx, { workspace, callerKey, path: target.path, body, description });
     };
 
@@ -106,8 +109,8 @@
             describe: body => describeModelCall(body, directory.findServiceByModel),
         })));
     router.all("/services/:service{/*path}", ctx => acceptCall(ctx, () => findPlainTarget(ctx, configuration)));
-    router.post("/v1/keys", ctx => {
-        authenticate(ctx.req);
+    router.post("/v1/keys", async ctx => {
+        await holdRefusal("", ctx.res, () => authenticate(ctx.req));
         ctx.status = 201;
         ctx.set("rhubarbwheel-outcome", "complete");
         ctx.body = { key: opts.mintKey() };
--- a/packages/http-server/src/createHttpServer.ts
+++ b/packages/http-server/src/createHttpServer.ts
@@ -66,6 +66,8 @@
     server.maxConnections = opts.limits.maxConnections;
     // Node.js would drop headers over a count silently; their size is limited instead.
     server.maxHeadersCount = 0;
+    // A connection that cannot be accepted, for example for lack of file descriptors, must not end the process.
+    server.on("error", error => opts.reportError?.("", error));
     server.on("connection", () => {
         server.getConnections((_error, count) => {
             if (count > opts.limits.maxConnections * crowdedShare) server.closeIdleConnections();
