--- a/packages/http-server/src/createCallerRoutes.ts
+++ b/packages/http-server/src/createCallerRoutes.ts
@@ -2,10 +2,11 @@
 import Router from "@koa/router";
 import type { Call } from "@rhubarbwheel/types/ports";
 import type { Context } from "koa";
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { createCallResponder } from "./createCallResponder.js";
 import type { Directory } from "./createDirectory.js";
 import type { OpenCallLimit } from "./createOpenCallLimit.js";
+import { createRefusalDelay } from "./createRefusalDelay.js";
 import type { CallDescription } from "./describeCall.js";
 import { describeModelCall, describePlainCall } from "./describeCall.js";
 import { filterRequestHeaders } from "./filterHeaders.js";
@@ -33,6 +34,7 @@
 
 export function createCallerRoutes(opts: CallerRoutesOptions): Router {
     const { configuration, directory, limits } = opts;
+    const refusalDelay = createRefusalDelay(limits.maxOpenCallsPerWorkspace);
 
     const authenticate = (req: IncomingMessage): string => {
         if (configuration.getFreshness() === "empty") throw new RequestError("CONFIGURATION_EMPTY");
@@ -41,17 +43,30 @@
         return workspace;
     };
 
+    /** Holds back the refusals of a workspace, or of callers without a known credential if `workspace` is empty. */
+    const holdRefusal = async <T>(workspace: string, res: ServerResponse, action: () => T): Promise<T> => {
+        try {
+            return action();
+        }
+        catch (error) {
+            await refusalDelay.holdRefusal(workspace, res);
+            throw error;
+        }
+    };
+
     const acceptCall = async (ctx: Context, findTarget: () => Target): Promise<void> => {
         const { req, res } = ctx;
-        const workspace = authenticate(req);
+        const workspace = await holdRefusal("", res, () => authenticate(req));
         const callerKey = readCallerKey(req);
         const target = findTarget();
         // A message without framing cannot show a broken answer to a caller that speaks HTTP/1.0.
         if (req.httpVersion !== "1.1") throw new RequestError("HEADER_INVALID", { detail: "HTTP/1.1 is required." });
-        res.once("close", opts.openCallLimit.openCall(workspace));
+        await holdRefusal(workspace, res, () => res.once("close", opts.openCallLimit.openCall(workspace)));
         const body = await readBody(req, res, limits.maxBodyBytes);
         const description = target.describe(body);
         ctx.respond = false;
+        // The connection may have closed in the same turn of the loop as the body ended.
+        if (res.closed || res.destroyed) return;
         submit(ctx, { workspace, callerKey, path: target.path, body, description });
     };
 
@@ -94,8 +109,8 @@
             describe: body => describeModelCall(body, directory.findServiceByModel),
         })));
     router.all("/services/:service{/*path}", ctx => acceptCall(ctx, () => findPlainTarget(ctx, configuration)));
-    router.post("/v1/keys", ctx => {
-        authenticate(ctx.req);
+    router.post("/v1/keys", async ctx => {
+        await holdRefusal("", ctx.res, () => authenticate(ctx.req));
         ctx.status = 201;
         ctx.set("rhubarbwheel-outcome", "complete");
         ctx.body = { key: opts.mintKey() };
