Forget calls whose caller has gone

Cause: a call that was cancelled while queued, while its key was bound, or while it waited for a running duplicate stayed in the registry for ever, because only an end with an answer removed it. Change: the gate and the end of an attempt remove calls that the entry queue no longer holds. Forwarded calls use the responder of at-most-once instead of a second one in the daemon.

--- a/packages/daemon/src/createCallEffects.ts
+++ b/packages/daemon/src/createCallEffects.ts
@@ -1,4 +1,5 @@
 /** Effects on the calls of this router: attempts at targets, ends without a complete answer, forwarding and replay. */
+import { sendForwardedAnswer } from "@rhubarbwheel/at-most-once/createForwardResponder";
 import type {
     CancelAtTargetEffect,
     DropAnswerEffect,
@@ -8,14 +9,7 @@
     SendToTargetEffect,
 } from "@rhubarbwheel/types/effects";
 import type { NamedService } from "@rhubarbwheel/types/events";
-import type {
-    AttemptEnd,
-    Call,
-    CallResponder,
-    ForwardedAnswer,
-    PeerTransport,
-    TargetClient,
-} from "@rhubarbwheel/types/ports";
+import type { AttemptEnd, Call, CallResponder, PeerTransport, TargetClient } from "@rhubarbwheel/types/ports";
 import type { CallRegistry } from "./createCallRegistry.js";
 import type { Dispatch } from "./createLoop.js";
 
@@ -34,6 +28,8 @@
     readonly transport: PeerTransport;
     readonly answers: AnswerKeeper;
     readonly getService: (name: string) => NamedService | undefined;
+    /** Whether the reducer still waits for an end of the request. */
+    readonly hasRequest: (requestId: string) => boolean;
 }
 
 const defaultCostPerCall = 1;
@@ -49,6 +45,8 @@
         }
         const { attempt, target } = effect;
         dispatch({ type: "targetEnded", requestId: call.id, attempt, target, ...end });
+        // A cancelled request ends without an answer.
+        if (!opts.hasRequest(call.id)) registry.remove(call.id);
     };
 
     const sendToTarget = (effect: SendToTargetEffect) => {
@@ -98,7 +96,7 @@
         });
         if (result.type === "answered") {
             registry.remove(call.id);
-            relayAnswer(call.responder, result.answer);
+            void sendForwardedAnswer(result.answer, call.responder);
         }
         dispatch({ type: "forwardAnswered", requestId: call.id, result: result.type });
     };
@@ -117,14 +115,3 @@
         dropAnswer: (effect: DropAnswerEffect) => opts.answers.drop(effect.requestId),
     };
 }
-
-function relayAnswer(responder: CallResponder, answer: ForwardedAnswer) {
-    if (answer.outcome !== "complete") {
-        const { outcome, retryAfterMs } = answer;
-        responder.fail({ code: answer.code ?? "INTERNAL", outcome, retryAfterMs });
-        return;
-    }
-    responder.begin(answer.status, answer.headers);
-    responder.write(answer.body);
-    responder.finish();
-}
--- a/packages/daemon/src/createCallGate.ts
+++ b/packages/daemon/src/createCallGate.ts
@@ -10,6 +10,7 @@
     readonly dispatch: Dispatch;
     readonly registry: CallRegistry;
     readonly answerStore: AnswerStore;
+    readonly hasRequest: (requestId: string) => boolean;
 }
 
 export function createCallGate(opts: CallGateOptions) {
@@ -30,7 +31,11 @@
                 forwardedBy: call.forwardedBy,
             });
         },
-        cancelCall: (requestId: string) => opts.dispatch({ type: "requestCancelled", requestId }),
+        cancelCall: (requestId: string) => {
+            opts.dispatch({ type: "requestCancelled", requestId });
+            // A call that is not queued or running will see no end that would remove it.
+            if (!opts.hasRequest(requestId)) opts.registry.remove(requestId);
+        },
     };
 }
 
--- a/packages/daemon/src/createEffectRunner.ts
+++ b/packages/daemon/src/createEffectRunner.ts
@@ -17,6 +17,7 @@
     readonly transport: PeerTransport;
     readonly answers: AnswerKeeper;
     readonly getService: (name: string) => NamedService | undefined;
+    readonly hasRequest: (requestId: string) => boolean;
     readonly getNow: () => number;
     readonly logEvent: (event: number, fields: LogEffect["fields"]) => void;
     readonly onStop: () => void;
--- a/packages/daemon/src/createForwardedCallHandler.ts
+++ b/packages/daemon/src/createForwardedCallHandler.ts
@@ -1,4 +1,5 @@
 /** Runs keyed calls that other routers forwarded, and collects each answer to send it back whole. */
+import { createForwardResponder } from "@rhubarbwheel/at-most-once/createForwardResponder";
 import type { NamedService } from "@rhubarbwheel/types/events";
 import type { Call, CallResponder, ForwardedAnswer, ForwardedCall } from "@rhubarbwheel/types/ports";
 
@@ -11,47 +12,33 @@
 export function createForwardedCallHandler(opts: ForwardedCallHandlerOptions) {
     return (forwarded: ForwardedCall): Promise<ForwardedAnswer> => {
         const service = opts.getService(forwarded.service);
-        if (service === undefined) return Promise.resolve(createFailedAnswer("SERVICE_UNKNOWN", "notRun"));
-        return new Promise(resolve => {
-            opts.submitCall({
-                id: opts.createId(),
-                workspace: forwarded.workspace,
-                service: forwarded.service,
-                serviceKind: service.spec.kind,
-                idempotent: false,
-                method: forwarded.method,
-                path: forwarded.path,
-                headers: forwarded.headers,
-                body: Buffer.from(forwarded.body),
-                streaming: false,
-                callerKey: forwarded.mintedKey,
-                forwardedBy: forwarded.forwardedBy,
-                inputCost: service.spec.costPerCall ?? 1,
-                responder: createCollectingResponder(resolve),
-            });
-        });
+        const { responder, answer } = createForwardResponder();
+        if (service === undefined) responder.fail({ code: "SERVICE_UNKNOWN", outcome: "notRun" });
+        else opts.submitCall(buildCall(forwarded, service, { id: opts.createId(), responder }));
+        return answer;
     };
 }
 
-function createFailedAnswer(code: string, outcome: "notRun" | "unknown", retryAfterMs?: number): ForwardedAnswer {
-    return { outcome, status: 0, headers: {}, body: new Uint8Array(), code, retryAfterMs };
-}
-
-function createCollectingResponder(resolve: (answer: ForwardedAnswer) => void): CallResponder {
-    let status = 0;
-    let headers: Readonly<Record<string, string>> = {};
-    const chunks: Uint8Array[] = [];
+function buildCall(
+    forwarded: ForwardedCall,
+    { spec }: NamedService,
+    opts: { readonly id: string; readonly responder: CallResponder; },
+): Call {
+    const { workspace, service, method, path, headers, body, mintedKey, forwardedBy } = forwarded;
     return {
-        begin: (beginStatus, beginHeaders) => {
-            status = beginStatus;
-            headers = beginHeaders;
-        },
-        write: chunk => {
-            chunks.push(chunk);
-            return true;
-        },
-        waitForDrain: () => Promise.resolve(),
-        finish: () => resolve({ outcome: "complete", status, headers, body: Buffer.concat(chunks) }),
-        fail: failure => resolve(createFailedAnswer(failure.code, failure.outcome, failure.retryAfterMs)),
+        id: opts.id,
+        workspace,
+        service,
+        serviceKind: spec.kind,
+        idempotent: false,
+        method,
+        path,
+        headers,
+        body: Buffer.from(body),
+        streaming: false,
+        callerKey: mintedKey,
+        forwardedBy,
+        inputCost: spec.costPerCall ?? 1,
+        responder: opts.responder,
     };
 }
--- a/packages/daemon/src/createRouter.ts
+++ b/packages/daemon/src/createRouter.ts
@@ -103,8 +103,8 @@
         transport: asFunction(buildTransport).singleton(),
         reducer: asFunction(buildReducer).singleton(),
         loop: asFunction(buildLoop).singleton(),
-        gate: asFunction(({ dispatch, registry, answerStore }: Cradle) =>
-            createCallGate({ dispatch, registry, answerStore })
+        gate: asFunction(({ dispatch, registry, answerStore, reducer }: Cradle) =>
+            createCallGate({ dispatch, registry, answerStore, hasRequest: reducer.entryQueue.hasRequest })
         ).singleton(),
         operatorStore: asFunction(({ dispatch, platformClient, reducer, getNow }: Cradle) =>
             createOperatorStore({ dispatch, platformClient, configuration: reducer.configuration, getNow })
@@ -160,6 +160,7 @@
         transport: cradle.transport,
         answers: { replay: answerStore.replayAnswer, drop: answerStore.dropAnswer },
         getService: reducer.configuration.getService,
+        hasRequest: reducer.entryQueue.hasRequest,
         getNow: cradle.getNow,
         logEvent: logger.logEvent,
         onStop: cradle.onStop,
--- a/packages/fair-share/src/createEntryQueue.ts
+++ b/packages/fair-share/src/createEntryQueue.ts
@@ -56,6 +56,8 @@
     readonly listSlots: () => readonly HeldSlots[];
     readonly countQueued: () => number;
     readonly countInProgress: () => number;
+    /** Whether the request waits or is in progress here. */
+    readonly hasRequest: (requestId: string) => boolean;
 }
 
 function findRefusal(context: EntryContext, pool: EntryPool | undefined) {
@@ -283,6 +285,7 @@
             return context.effects as readonly Effect[];
         },
         countInProgress,
+        hasRequest: requestId => context.requests.has(requestId),
         countQueued: () => context.requests.size - countInProgress(),
         listQueues: () =>
             listPools().flatMap(pool =>
