--- a/packages/configuration/test/createConfiguration.test.ts
+++ b/packages/configuration/test/createConfiguration.test.ts
@@ -124,7 +124,8 @@
     const closedMs = fleet.measure(() =>
         fleet.list().every(({ slices }) => !slices.configuration.isTargetOpen("orders", "desk-1"))
     );
-    assert.ok(closedMs < 3_000, `took ${closedMs} ms`);
+    // A router that has to read the list itself does so only after 2 s without news, which takes longer.
+    assert.ok(closedMs < 1_500, `took ${closedMs} ms`);
     const before = fleet.store.calls.listHosts;
     fleet.advance(10_000);
     assert.ok(fleet.store.calls.listHosts - before <= 8 * 12, "eight watchers, about once a second");
@@ -224,6 +225,20 @@
     assert.is(receiver.slice.listResources("workspaces").length, 450);
 });
 
+test("an accepted write of this router is pushed in the same step, and applied before the operator is answered", () => {
+    // Guards against an accepted change that only its router knows when the store fails in the next moment.
+    const { slice, feed } = createSlice();
+    feed({ type: "tick", now: 0 });
+    feed({ type: "configurationRead", now: 10, revision: 3, resources: createWorkspaces(3), askedAt: 0 });
+    const resources = createWorkspaces(5).slice(4);
+    const range = { fromRevision: 4, revision: 5, askedAt: 50, ownWrite: true };
+    const effects = feed({ type: "configurationChanged", now: 60, resources, ...range });
+    const sent = effects.flatMap(effect => effect.type === "sendToPeer" ? [effect.message.type] : []);
+    assert.equal(sent, ["configurationUpdate"]);
+    assert.is(slice.getWorkspace("w4")?.share, 1);
+    assert.is(slice.getRevision(), 3, "a change beyond a gap does not claim the gap");
+});
+
 test("a delayed answer confirms only the time of its question", () => {
     // Guards against a message held up by a partition that makes an outdated configuration look current (G4).
     const { slice, feed } = createSlice();
--- a/packages/membership/test/createMembership.test.ts
+++ b/packages/membership/test/createMembership.test.ts
@@ -129,11 +129,13 @@
     // Guards against a paused process that takes over the pools of all others when it resumes.
     const fleet = createFleet(10, 9);
     fleet.measure(fleet.isComplete);
-    const paused = fleet.get("router-5");
-    fleet.advance(130);
-    paused.pausedUntil = fleet.getTime() + 20_000;
-    fleet.advance(25_000);
-    assert.equal(paused.raised.filter(event => event.type === "membershipChanged" && event.state !== "alive"), []);
+    fleet.faults.loss = 1;
+    fleet.advance(400);
+    for (const { slices, clockOffset } of fleet.list()) {
+        const resumedAt = fleet.getTime() + clockOffset + 20_000;
+        const ticks = [0, 100, 200].flatMap(delay => slices.reduce({ type: "tick", now: resumedAt + delay }));
+        assert.not(ticks.some(effect => effect.type === "raise" && effect.event.type === "membershipChanged"));
+    }
 });
 
 test("an older incarnation of a router cannot replace a newer one", () => {
