Add the benchmark scale

Cause: the cost of each role had only been estimated from throwaway programs. Change: the benchmark scale fits lines to processor time, memory and bytes of entry router, coordinator, member, configuration, codec, relay and stream. Conclusion: docs/CAPACITY.md can be worked out from measured slopes.

--- a/packages/bench/src/runBench.ts
+++ b/packages/bench/src/runBench.ts
@@ -4,6 +4,7 @@
 import { runDomain } from "./runDomain.js";
 import { runFairness } from "./runFairness.js";
 import { runOnce } from "./runOnce.js";
+import { runScale } from "./runScale.js";
 
 const benchmarks: Readonly<Record<string, () => Promise<object>>> = {
     cold: runCold,
@@ -11,6 +12,7 @@
     domain: runDomain,
     fairness: runFairness,
     once: runOnce,
+    scale: runScale,
 };
 
 const name = process.argv[2] ?? "";
--- /dev/null
+++ b/packages/bench/src/scale/measureCodec.ts
@@ -0,0 +1,88 @@
+/** Time and bytes of the codec per kind of message, by what the message contains. */
+import { decodePeerBatch, encodePeerBatch } from "@rhubarbwheel/peer-protocol/peerCodec";
+import type { PeerMessage } from "@rhubarbwheel/types/peer-messages";
+import { computeLine } from "./computeLine.js";
+import { createCoordinatorHarness } from "./createCoordinatorHarness.js";
+import { buildMember, buildWorkspace } from "./createRouterHarness.js";
+import { measureCpuUs } from "./measureCpu.js";
+
+const from = buildMember(0);
+const digest = {
+    revision: 12_000,
+    confirmedAgeMs: 312.5,
+    storeUnreachable: false,
+    storeCheckedAgeMs: 280.25,
+    hosts: { ageMs: 512, routerCount: 2_400, leavingHash: 3_000_000_000 },
+};
+const today = { backlogged: 2, targets: 12, routers: 15 };
+
+function encodeBatch(messages: readonly PeerMessage[]): Buffer {
+    return encodePeerBatch({ from: from.router, incarnation: from.incarnation, messages });
+}
+
+function buildProbe(updates: number): PeerMessage {
+    const listed = Array.from({ length: updates }, (_, index) => buildMember(index));
+    return { type: "probe", sequence: 1_000_000, updates: listed, digest };
+}
+
+function buildConfigurationUpdate(workspaces: number): PeerMessage {
+    const resources = Array.from({ length: workspaces }, (_, index) => buildWorkspace(index, 12_000 + index));
+    return { type: "configurationUpdate", resources, fromRevision: 12_000, revision: 12_000 + workspaces, digest };
+}
+
+function buildAnnouncement(sizes: { readonly backlogged: number; readonly targets: number; }): PeerMessage {
+    const harness = createCoordinatorHarness({ ...today, ...sizes });
+    harness.tick();
+    return harness.listAnnouncements()[0]!;
+}
+
+function buildReport(sizes: { readonly backlogged: number; readonly targets: number; }): PeerMessage {
+    return createCoordinatorHarness({ ...today, ...sizes }).buildReport(0);
+}
+
+const contents: Readonly<Record<string, { readonly sizes: readonly number[]; build: (size: number) => PeerMessage; }>> =
+    {
+        probePerUpdate: { sizes: [0, 4, 8], build: buildProbe },
+        configurationUpdatePerWorkspace: { sizes: [1, 10, 100], build: buildConfigurationUpdate },
+        reportPerWorkspace: { sizes: [2, 64, 580], build: backlogged => buildReport({ backlogged, targets: 12 }) },
+        reportPerTarget: { sizes: [12, 50, 100], build: targets => buildReport({ backlogged: 2, targets }) },
+        announcementPerWorkspace: {
+            sizes: [2, 64, 580],
+            build: backlogged => buildAnnouncement({ backlogged, targets: 12 }),
+        },
+        announcementPerTarget: {
+            sizes: [12, 50, 100],
+            build: targets => buildAnnouncement({ backlogged: 2, targets }),
+        },
+    };
+
+function measureContent(name: string): Readonly<Record<string, number>> {
+    const { sizes, build } = contents[name]!;
+    const measured = sizes.map((size, index) => {
+        const isFirst = index === 0;
+        const message = build(size);
+        const encoded = encodeBatch([message]);
+        return {
+            size,
+            bytes: encoded.length,
+            encode: measureCpuUs(() => encodeBatch([message]), isFirst),
+            decode: measureCpuUs(() => decodePeerBatch(encoded), isFirst),
+        };
+    });
+    const line = (key: "bytes" | "encode" | "decode") =>
+        computeLine(measured.map(entry => ({ size: entry.size, value: entry[key] })));
+    const kind = name.replace(/Per.*/, "");
+    return {
+        [`${kind}Bytes`]: line("bytes").intercept,
+        [`${name.replace("Per", "BytesPer")}`]: line("bytes").slope,
+        [`${kind}EncodeCpuUs`]: line("encode").intercept,
+        [`${name.replace("Per", "EncodeCpuUsPer")}`]: line("encode").slope,
+        [`${kind}DecodeCpuUs`]: line("decode").intercept,
+        [`${name.replace("Per", "DecodeCpuUsPer")}`]: line("decode").slope,
+    };
+}
+
+export function measureCodec(): Readonly<Record<string, number>> {
+    // The base of a kind comes from its last line; those of reports and announcements then contain few workspaces.
+    return Object.assign({}, ...Object.keys(contents).map(measureContent)) as Record<string, number>;
+}
