Measure host lists, load polls and open requests in scale

Cause: watchers read the whole host list each second, and coordinators poll each target; neither cost was measured. Change: scale reports time and bytes per host of the list, the cost of a poll with the target's answer, and memory per request in progress.

--- a/packages/bench/src/scale/createEntryHarness.ts
+++ b/packages/bench/src/scale/createEntryHarness.ts
@@ -17,6 +17,8 @@
     readonly router: RouterHarness;
     /** A request arrives, is accepted, makes progress and ends; with a backlog, its slot serves a waiting request. */
     readonly runRequest: () => void;
+    /** A request arrives and stays in progress. */
+    readonly startRequest: () => void;
     readonly tick: () => void;
     readonly announce: () => void;
     /** Last report to the coordinator. */
@@ -141,13 +143,17 @@
     if (sizes.backlogged > 0) startContention();
 
     let next = 0;
+    const startRequest = () => {
+        next = (next + 1) % (contended ? sizes.backlogged : sizes.workspaces);
+        addRequest(next);
+    };
     return {
         router,
         runRequest: () => {
-            next = (next + 1) % (contended ? sizes.backlogged : sizes.workspaces);
-            addRequest(next);
+            startRequest();
             endRequest();
         },
+        startRequest,
         tick,
         announce,
         getReport: () => report,
--- a/packages/bench/src/scale/measureEntry.ts
+++ b/packages/bench/src/scale/measureEntry.ts
@@ -8,6 +8,7 @@
 const backloggedSizes = [2, 64, 580];
 const workspaceSizes = [16, 1_000, 5_800];
 const targetSizes = [12, 100, 1_000];
+const inProgressSizes = [100, 400, 1_600];
 const few: EntrySizes = { workspaces: 16, backlogged: 2, targets: 12 };
 
 function measureRequests() {
@@ -65,7 +66,13 @@
         targetSizes,
         targets => createEntryHarness({ ...few, backlogged: 0, targets }),
     );
+    const byRequest = await measureMemoryLine(inProgressSizes, requests => {
+        const harness = createEntryHarness({ ...few, backlogged: 0 });
+        for (let count = 0; count < requests; count++) harness.startRequest();
+        return harness;
+    });
     return {
+        entryBytesPerRequestInProgress: byRequest.slope,
         entryBytesPerKnownWorkspaceWithResource: byWorkspace.slope,
         entryBytesPerTargetWithResource: byTarget.slope,
     };
--- a/packages/bench/src/scale/measureMembership.ts
+++ b/packages/bench/src/scale/measureMembership.ts
@@ -1,4 +1,6 @@
 /** Cost of a member: per probe round, per probe received, per change of membership, and memory per member. */
+import type { HostEntry } from "@rhubarbwheel/types/resources";
+import { computeLine } from "./computeLine.js";
 import { createRouterHarness } from "./createRouterHarness.js";
 import type { RouterHarness } from "./createRouterHarness.js";
 import { measureCpuLine } from "./measureCpu.js";
@@ -33,6 +35,23 @@
     };
 }
 
+/** The host list as the platform answers it, which a watcher parses and reduces each second. */
+function buildHostList(router: RouterHarness): string {
+    const hosts = router.others.map(({ router: name, address, failureDomain }) => ({
+        name,
+        role: "router",
+        address,
+        failureDomain,
+        state: "live",
+    }));
+    return JSON.stringify(hosts);
+}
+
+function createHostListRead(router: RouterHarness): () => void {
+    const text = buildHostList(router);
+    return () => router.reduce({ type: "hostsListed", hosts: JSON.parse(text) as readonly HostEntry[] });
+}
+
 export async function measureMembership(): Promise<Readonly<Record<string, number>>> {
     const create = (members: number, pools = 1) => createRouterHarness({ ...few, members, pools });
     const rounds = measureCpuLine(memberSizes, members => createRound(create(members)));
@@ -40,7 +59,11 @@
     const changes = measureCpuLine(memberSizes, members => createChange(create(members)));
     const changesOfMany = measureCpuLine(memberSizes, members => createChange(create(members, manyPools)));
     const memory = await measureMemoryLine(memberSizes, members => create(members));
+    const hostLists = measureCpuLine(memberSizes, members => createHostListRead(create(members)));
+    const hostBytes = memberSizes.map(size => ({ size, value: buildHostList(create(size)).length }));
     return {
+        hostListCpuUsPerHost: hostLists.slope,
+        hostListBytesPerHost: computeLine(hostBytes).slope,
         probeRoundCpuUs: rounds.intercept,
         probeRoundCpuUsPerMember: rounds.slope,
         probeReceivedCpuUs: probes.intercept,
--- a/packages/bench/src/scale/measureRelay.ts
+++ b/packages/bench/src/scale/measureRelay.ts
@@ -12,6 +12,7 @@
 const repeats = 3;
 const tokensPerChunk = [1, 4, 16];
 const requestCount = 60;
+const pollCount = 400;
 /** Requests that run at the same time while their processor time is measured. */
 const concurrency = 10;
 const waitStepMs = 1;
@@ -76,6 +77,17 @@
     return { relayRequestCpuUs: computeMedian(cpuUs), relayRequestAddedMs: computeMedian(latencyMs) };
 }
 
+/** The cost of the stand-in target's answer is included, so that this is an upper bound. */
+async function measurePollCpuUs(relay: Relay): Promise<number> {
+    const costs: number[] = [];
+    for (let repeat = 0; repeat <= repeats; repeat++) {
+        const startedAt = readCpuUs();
+        for (let count = 0; count < pollCount; count++) await relay.pollLoad();
+        costs.push((readCpuUs() - startedAt) / pollCount);
+    }
+    return computeMedian(costs.slice(1));
+}
+
 export async function measureRelay(): Promise<Readonly<Record<string, number>>> {
     const relay = await startRelay();
     try {
@@ -85,6 +97,7 @@
         const line = computeLine(points);
         return {
             ...request,
+            pollWithTargetCpuUs: await measurePollCpuUs(relay),
             relayCpuUsPerChunkOfOneToken: points[0]!.value,
             relayCpuUsPerChunk: line.intercept,
             relayCpuUsPerTokenInChunk: line.slope,
--- a/packages/bench/src/scale/startRelay.ts
+++ b/packages/bench/src/scale/startRelay.ts
@@ -16,6 +16,8 @@
     readonly openStream: (port: number, onData: (bytes: number) => void) => Promise<void>;
     /** Runs one short request to its end. */
     readonly runRequest: (port: number) => Promise<void>;
+    /** Polls the target's load as a coordinator does. */
+    readonly pollLoad: () => Promise<unknown>;
     readonly streams: ServerResponse[];
     readonly close: () => Promise<void>;
 }
@@ -25,6 +27,8 @@
 const path = "/v1/chat/completions";
 const shortAnswer = JSON.stringify({ choices: [], usage: { prompt_tokens: 10, completion_tokens: 20 } });
 
+const load = JSON.stringify({ startId: "start-1", running: 8, queued: 0, sampledAgeMs: 12 });
+
 const service: ResourceOf<"services"> = {
     kind: "services",
     name: model,
@@ -52,6 +56,10 @@
 
 function startTarget(streams: ServerResponse[]) {
     return createServer((req, res) => {
+        if (req.url === "/load") {
+            res.end(load);
+            return;
+        }
         const requestId = req.headers["x-request-id"];
         let body = "";
         req.on("data", (chunk: Buffer) => (body += chunk.toString()));
@@ -150,6 +158,7 @@
     return {
         ports: { direct, relayed },
         streams,
+        pollLoad: () => targetClient.pollLoad("target", `http://127.0.0.1:${direct}`),
         openStream: async (port, onData) => {
             const res = await send(port, true);
             await new Promise<void>(resolve => {
