Catalogue every log event and limit lines about refused peers

Daemon events get their numbers once: 1003 is the internal error, 1004 the drain timeout, 1010 the peer problem. Fields have the same names in all slices.

--- a/packages/at-most-once/src/createIdempotency.ts
+++ b/packages/at-most-once/src/createIdempotency.ts
@@ -47,7 +47,7 @@
         owner?: string,
     ): Effect[] => [
         createEndRequest(request, outcome, code),
-        createLog("keyedCallEnded", request, { outcome, code, owner }),
+        createLog("keyedCallEnded", request, { outcome, code, router: owner }),
     ];
 
     const admitRequest = (event: KeyedRequestEvent): Effect[] => {
@@ -98,7 +98,7 @@
                 address: owner.address,
                 mintedKey: text,
             },
-            createLog("callForwarded", request, { owner: owner.router }),
+            createLog("callForwarded", request, { router: owner.router }),
         ];
     };
 
@@ -114,7 +114,7 @@
         if (!record.finished) {
             record.waiting.set(request.id, request);
             waitingFor.set(request.id, record);
-            return [createLog("duplicateWaits", request, { source: record.sourceRequestId })];
+            return [createLog("duplicateWaits", request, { sourceRequestId: record.sourceRequestId })];
         }
         return replayRecord(record, request);
     };
@@ -145,7 +145,7 @@
 
     const replayRecord = (record: KeyRecord, request: RequestSummary): Effect[] => [
         { type: "replayAnswer", requestId: request.id, sourceRequestId: record.sourceRequestId },
-        createLog("answerReplayed", request, { source: record.sourceRequestId }),
+        createLog("answerReplayed", request, { sourceRequestId: record.sourceRequestId }),
     ];
 
     const settleRecord = (event: AnswerRecordedEvent): Effect[] => {
--- a/packages/at-most-once/src/idempotencyEffects.ts
+++ b/packages/at-most-once/src/idempotencyEffects.ts
@@ -3,7 +3,7 @@
 import type { RequestSummary } from "@rhubarbwheel/types/events";
 
 /** Numbers 1500 to 1599 of `docs/events.md`. */
-export const logEvents = {
+export const idempotencyLogEvents = {
     keyedCallStarted: 1500,
     duplicateWaits: 1501,
     answerReplayed: 1502,
@@ -14,14 +14,14 @@
 } as const;
 
 export function createLog(
-    event: keyof typeof logEvents,
+    event: keyof typeof idempotencyLogEvents,
     request: Pick<RequestSummary, "id" | "workspace">,
     fields: LogEffect["fields"],
 ): LogEffect {
     return {
         type: "log",
-        event: logEvents[event],
-        fields: { request: request.id, workspace: request.workspace, ...fields },
+        event: idempotencyLogEvents[event],
+        fields: { requestId: request.id, workspace: request.workspace, ...fields },
     };
 }
 
--- a/packages/configuration/src/createConfiguration.ts
+++ b/packages/configuration/src/createConfiguration.ts
@@ -67,13 +67,16 @@
     readonly heardAt: number;
 }
 
-const appliedEvent = 1400;
-const appliedBatchEvent = 1401;
-const freshnessEvent = 1402;
-const storeUnreachableEvent = 1403;
-const storeReachableEvent = 1404;
-const revisionGoneEvent = 1405;
-const roleEvent = 1406;
+/** Numbers of the log events of the configuration. */
+export const configurationLogEvents = {
+    applied: 1400,
+    appliedBatch: 1401,
+    freshness: 1402,
+    storeUnreachable: 1403,
+    storeReachable: 1404,
+    revisionGone: 1405,
+    role: 1406,
+} as const;
 
 export function createConfiguration(opts: ConfigurationOptions): Slice & ConfigurationQueries & ResourceQueries {
     const { identity, membership, random } = opts;
@@ -123,18 +126,23 @@
     const updateState = (now: number) => {
         const next = freshness.getState(now);
         if (next === state) return;
-        log(freshnessEvent, { from: state, to: next, revision, ageMs: Math.round(freshness.getAge(now)) });
+        log(configurationLogEvents.freshness, {
+            from: state,
+            to: next,
+            revision,
+            ageMs: Math.round(freshness.getAge(now)),
+        });
         state = next;
         emit({ type: "raise", event: { type: "freshnessChanged", now, freshness: next } });
     };
 
     const logChanges = (changed: readonly Resource[]) => {
         if (changed.length > maxChangesLogged) {
-            log(appliedBatchEvent, { count: changed.length, revision });
+            log(configurationLogEvents.appliedBatch, { count: changed.length, revision });
             return;
         }
         for (const { kind, name, version, deleted } of changed)
-            log(appliedEvent, { kind, name, version, revision, deleted: deleted === true });
+            log(configurationLogEvents.applied, { kind, name, version, revision, deleted: deleted === true });
     };
 
     /** Applies changes that complete the range up to `update.revision`, and passes on what was new. */
@@ -156,7 +164,7 @@
         freshness.recordCheck(failed, now);
         if (failed === storeFailed) return;
         storeFailed = failed;
-        log(failed ? storeUnreachableEvent : storeReachableEvent, { revision });
+        log(failed ? configurationLogEvents.storeUnreachable : configurationLogEvents.storeReachable, { revision });
     };
 
     const onStoreAnswer = (event: ConfigurationReadEvent | ConfigurationChangedEvent) => {
@@ -180,7 +188,7 @@
         const isGone = event.revisionGone === true;
         caller.recordFailure(event.call, isGone, event.now);
         recordCheck(!isGone, event.now);
-        if (isGone) log(revisionGoneEvent, { revision });
+        if (isGone) log(configurationLogEvents.revisionGone, { revision });
     };
 
     const onPeerRevision = (router: string, peerRevision: number) => {
@@ -233,7 +241,7 @@
 
     const advanceCalls = (now: number) => {
         const next = roles.choose(now, freshness.getPeerAge(now));
-        if (next !== role) log(roleEvent, { from: role, to: next });
+        if (next !== role) log(configurationLogEvents.role, { from: role, to: next });
         role = next;
         caller.advance(now, revision, role, state === "empty");
         caller.advanceHosts(now, role, hostView.getAge(now));
--- a/packages/daemon/src/createRouter.ts
+++ b/packages/daemon/src/createRouter.ts
@@ -20,6 +20,7 @@
 import type { Dispatch } from "./createLoop.js";
 import { createMetricsReporter } from "./createMetricsReporter.js";
 import { createOperatorStore } from "./createOperatorStore.js";
+import { createPeerProblemLog } from "./createPeerProblemLog.js";
 import { createStatus } from "./createStatus.js";
 import type { Settings } from "./parseSettings.js";
 
@@ -53,13 +54,15 @@
     readonly writeLog: (line: string) => void;
 }
 
+/** Numbers of the log events of the daemon itself. */
 export const daemonEvents = {
     started: 1000,
     drainStarted: 1001,
-    stopped: 1002,
+    drainFinished: 1002,
     internalError: 1003,
-    peerProblem: 1004,
-};
+    drainTimedOut: 1004,
+    peerProblem: 1010,
+} as const;
 
 const platformTimeoutMs = 2_000;
 const largestRandomSeed = 2 ** 31 - 1;
@@ -135,7 +138,10 @@
         onMessage: (from, message) => dispatch({ type: "peerMessage", from, message }),
         onUnreachable: router => dispatch({ type: "peerUnreachable", router }),
         onForwardedCall: handleForwardedCall,
-        onProblem: (router, problem) => cradle.logger.logEvent(daemonEvents.peerProblem, { router, problem }),
+        onProblem: createPeerProblemLog({
+            getNow: cradle.getNow,
+            logProblem: fields => cradle.logger.logEvent(daemonEvents.peerProblem, fields),
+        }),
     });
 }
 
@@ -172,7 +178,7 @@
         reportError: (error, source) =>
             logger.logEvent(daemonEvents.internalError, {
                 source: source.type,
-                problem: error instanceof Error ? error.stack ?? error.message : String(error),
+                reason: error instanceof Error ? error.stack ?? error.message : String(error),
             }),
     });
 }
--- a/packages/daemon/src/startRouter.ts
+++ b/packages/daemon/src/startRouter.ts
@@ -26,7 +26,9 @@
     dispatch({ type: "tick" });
     const ticking = setInterval(() => dispatch({ type: "tick" }), tickMs);
     const reporting = setInterval(metricsReporter.report, metricsIntervalMs);
-    logger.logEvent(daemonEvents.started, { router: settings.routerName, port: server.port, peerPort: peer.port });
+    const { router, incarnation, failureDomain } = cradle.identity;
+    const { port } = server;
+    logger.logEvent(daemonEvents.started, { router, incarnation, failureDomain, port, peerPort: peer.port });
 
     const close = async () => {
         await new Promise(resolve => setTimeout(resolve, lastWritesMs));
@@ -39,13 +41,17 @@
 
     const drain = async () => {
         lifecycle.draining = true;
-        logger.logEvent(daemonEvents.drainStarted, { openCalls: cradle.registry.count() });
+        const startedAt = cradle.getNow();
+        logger.logEvent(daemonEvents.drainStarted, { router, requests: cradle.registry.count() });
         dispatch({ type: "drainRequested" });
         const finished = Promise.all([stopped, httpServer.close()]).then(() => true);
         const limit = new Promise<boolean>(resolve => setTimeout(resolve, settings.drainTimeoutMs, false).unref());
         const isComplete = await Promise.race([finished, limit]);
+        const durationMs = Math.round(cradle.getNow() - startedAt);
+        const requests = cradle.registry.count();
         await close();
-        logger.logEvent(daemonEvents.stopped, { complete: isComplete });
+        if (isComplete) logger.logEvent(daemonEvents.drainFinished, { router, durationMs });
+        else logger.logEvent(daemonEvents.drainTimedOut, { router, requests, timeoutMs: settings.drainTimeoutMs });
         return isComplete;
     };
 
--- a/packages/fair-share/src/applyReport.ts
+++ b/packages/fair-share/src/applyReport.ts
@@ -18,7 +18,7 @@
     removeCounts(pool, record, context.now);
     for (const workspace of pool.workspaces.values()) workspace.queuedAt.delete(record.router);
     pool.routers.delete(record.router);
-    logCoordinatorEvent(context, "routerLost", { pool: pool.name, router: record.router });
+    logCoordinatorEvent(context, "routerLost", { service: pool.name, router: record.router });
 }
 
 function findRecord(
--- a/packages/fair-share/src/createEntryQueue.ts
+++ b/packages/fair-share/src/createEntryQueue.ts
@@ -121,6 +121,7 @@
     }
     logEntryEvent(context, "cancelled", {
         requestId,
+        workspace: tracked.queue.workspace,
         service: tracked.pool.name,
         inProgress: running !== undefined,
         continues: running !== undefined && !waiting.request.idempotent,
@@ -188,7 +189,7 @@
     pool.coordinator = coordinator;
     pool.sendCopy = true;
     pool.urgent = true;
-    logEntryEvent(context, "coordinatorChanged", { pool: pool.name, coordinator: member.router });
+    logEntryEvent(context, "coordinatorChanged", { service: pool.name, router: member.router });
 }
 
 function handleAnnouncement(context: EntryContext, from: string, message: PoolAnnouncementMessage): void {
--- a/packages/fair-share/src/dispatchRequests.ts
+++ b/packages/fair-share/src/dispatchRequests.ts
@@ -142,7 +142,7 @@
     }
     if (returned === 0) return;
     pool.changed = true;
-    logEntryEvent(context, "slotsReturned", { pool: pool.name, slots: returned });
+    logEntryEvent(context, "slotsReturned", { service: pool.name, slots: returned });
 }
 
 /** Dispatches as many waiting requests of the pool as slots and ceiling allow, then returns slots that are in demand. */
--- a/packages/fair-share/src/endAttempt.ts
+++ b/packages/fair-share/src/endAttempt.ts
@@ -34,7 +34,7 @@
     held.free = 0;
     pool.changed = true;
     pool.urgent = true;
-    logEntryEvent(context, "targetSuspended", { pool: pool.name, target: held.target, kind });
+    logEntryEvent(context, "targetSuspended", { service: pool.name, target: held.target, reason: kind });
 }
 
 function checkStartId(
--- a/packages/fair-share/src/grantSlots.ts
+++ b/packages/fair-share/src/grantSlots.ts
@@ -177,13 +177,13 @@
     if (contended !== pool.contended && (contended || onTick)) {
         pool.contended = contended;
         for (const record of pool.routers.values()) record.announce = true;
-        logCoordinatorEvent(context, "contentionChanged", { pool: pool.name, contended });
+        logCoordinatorEvent(context, "contentionChanged", { service: pool.name, contended });
     }
     if (granted.size === 0 && reserve === 0) return;
     let slots = 0;
     for (const count of granted.values()) slots += count;
     logCoordinatorEvent(context, "slotsGranted", {
-        pool: pool.name,
+        service: pool.name,
         slots,
         workspaces: [...granted].map(([workspace, count]) => `${workspace}:${count}`).join(","),
         reserve,
--- a/packages/fair-share/src/resumeStreams.ts
+++ b/packages/fair-share/src/resumeStreams.ts
@@ -59,6 +59,7 @@
     sendAttempt(context, tracked, spec);
     logEntryEvent(context, "resumed", {
         requestId: tracked.waiting.request.id,
+        workspace: tracked.queue.workspace,
         service: tracked.pool.name,
         target: running.target,
         attempt,
--- a/packages/fair-share/src/takeover.ts
+++ b/packages/fair-share/src/takeover.ts
@@ -32,7 +32,7 @@
         target.polledAt = -Infinity;
         target.pollPending = false;
     }
-    logCoordinatorEvent(context, "takeoverStarted", { pool: pool.name, reason });
+    logCoordinatorEvent(context, "takeoverStarted", { service: pool.name, reason });
 }
 
 function hasEveryReport(context: CoordinatorContext, pool: CoordinatorPool): boolean {
@@ -50,7 +50,7 @@
         const limit = Math.max(computeLimit(pool, target), pool.service.spec.targetLimit);
         markUnaccounted(target, Math.max(0, limit - target.taken), context.now);
     }
-    logCoordinatorEvent(context, "takeoverEnded", { pool: pool.name, complete, routers: pool.routers.size });
+    logCoordinatorEvent(context, "takeoverEnded", { service: pool.name, complete, routers: pool.routers.size });
 }
 
 export function stopCoordination(context: CoordinatorContext, pool: CoordinatorPool): void {
@@ -66,7 +66,7 @@
         target.lease.result = undefined;
         target.lease.askedAt = -Infinity;
     }
-    logCoordinatorEvent(context, "coordinationStopped", { pool: pool.name });
+    logCoordinatorEvent(context, "coordinationStopped", { service: pool.name });
 }
 
 /** Follows the part of the listed routers that this side of a partition sees. */
--- a/packages/fair-share/src/targetStates.ts
+++ b/packages/fair-share/src/targetStates.ts
@@ -37,7 +37,7 @@
     reason: string,
 ): void {
     logCoordinatorEvent(context, "targetChanged", {
-        pool: pool.name,
+        service: pool.name,
         target: target.spec.name,
         condition: target.condition,
         generation: target.generation,
@@ -243,7 +243,7 @@
         lease.takenAt = context.now;
     }
     logCoordinatorEvent(context, "leaseAnswered", {
-        pool: pool.name,
+        service: pool.name,
         target: target.spec.name,
         result: answer.result,
     });
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -43,10 +43,16 @@
     readonly isListed: (router: string) => boolean;
 }
 
-const stateEvents: Readonly<Record<MemberState, number>> = { alive: 1300, suspect: 1301, dead: 1302, left: 1303 };
-const refutedEvent = 1304;
-const forgottenEvent = 1305;
-const pausedEvent = 1306;
+/** Numbers of the log events of the membership. */
+export const membershipLogEvents = {
+    alive: 1300,
+    suspect: 1301,
+    dead: 1302,
+    left: 1303,
+    refuted: 1304,
+    forgotten: 1305,
+    paused: 1306,
+} as const satisfies Readonly<Record<MemberState, number>> & Readonly<Record<string, number>>;
 
 interface Relay {
     readonly requester: string;
@@ -97,7 +103,7 @@
             type: "raise",
             event: { type: "membershipChanged", now: currentTime, router, state, incarnation },
         });
-        log(stateEvents[state], { router, incarnation, failureDomain: member.failureDomain });
+        log(membershipLogEvents[state], { router, incarnation, failureDomain: member.failureDomain });
     };
 
     const applyUpdate = (update: MemberUpdate) => {
@@ -123,7 +129,11 @@
         own = { ...own, incarnation: update.incarnation + 1 };
         table.apply(own, currentTime);
         queue.push(own);
-        log(refutedEvent, { router: identity.router, incarnation: own.incarnation, claimed: update.state });
+        log(membershipLogEvents.refuted, {
+            router: identity.router,
+            incarnation: own.incarnation,
+            claimed: update.state,
+        });
     };
 
     const suspect = (router: string) => {
@@ -234,7 +244,7 @@
         if (gap < pauseThresholdMs) return;
         prober.reset();
         for (const router of suspicionDeadlines.keys()) suspicionDeadlines.set(router, now + suspicionTimeoutMs);
-        log(pausedEvent, { gapMs: gap });
+        log(membershipLogEvents.paused, { gapMs: gap });
     };
 
     const onTick = (now: number) => {
@@ -243,7 +253,7 @@
         for (const [sequence, relay] of relays) if (now >= relay.expiresAt) relays.delete(sequence);
         if (now < nextForgetAt) return;
         nextForgetAt = now + suspicionTimeoutMs;
-        for (const router of table.forget(now)) log(forgottenEvent, { router });
+        for (const router of table.forget(now)) log(membershipLogEvents.forgotten, { router });
     };
 
     const reduce = (event: RouterEvent): readonly Effect[] => {
--- /dev/null
+++ b/packages/telemetry/src/events/membershipEvents.ts
@@ -0,0 +1,47 @@
+/** Log events of the routers that this router knows. */
+import type { EventKind } from "../eventCatalogue.js";
+
+export const membershipEvents: Readonly<Record<number, EventKind>> = {
+    1300: {
+        name: "memberAlive",
+        level: "info",
+        message: "A router is alive.",
+        fields: ["router", "incarnation", "failureDomain"],
+    },
+    1301: {
+        name: "memberSuspect",
+        level: "warn",
+        message: "A router did not answer probes.",
+        fields: ["router", "incarnation", "failureDomain"],
+    },
+    1302: {
+        name: "memberDead",
+        level: "warn",
+        message: "A suspected router did not refute the suspicion in time.",
+        fields: ["router", "incarnation", "failureDomain"],
+    },
+    1303: {
+        name: "memberLeft",
+        level: "info",
+        message: "A router has left the fleet.",
+        fields: ["router", "incarnation", "failureDomain"],
+    },
+    1304: {
+        name: "suspicionRefuted",
+        level: "info",
+        message: "Another router believed this one to be gone; it announces a new incarnation.",
+        fields: ["router", "incarnation", "claimed"],
+    },
+    1305: {
+        name: "memberForgotten",
+        level: "debug",
+        message: "A router that has been gone for long is not remembered any more.",
+        fields: ["router"],
+    },
+    1306: {
+        name: "pauseDetected",
+        level: "warn",
+        message: "This router was paused; it starts probing and suspicions anew.",
+        fields: ["gapMs"],
+    },
+};
--- /dev/null
+++ b/packages/telemetry/src/events/placementEvents.ts
@@ -0,0 +1,53 @@
+/** Log events of slots and targets at the coordinator of a pool. */
+import type { EventKind } from "../eventCatalogue.js";
+
+export const placementEvents: Readonly<Record<number, EventKind>> = {
+    1200: {
+        name: "slotsGranted",
+        level: "info",
+        message: "The coordinator granted slots to workspaces, and as a reserve.",
+        fields: ["service", "slots", "workspaces", "reserve"],
+    },
+    1201: {
+        name: "targetChanged",
+        level: "info",
+        message: "The condition, generation or limit of a target changed.",
+        fields: ["service", "target", "condition", "generation", "limit", "reason"],
+    },
+    1202: {
+        name: "takeoverStarted",
+        level: "info",
+        message: "This router has become the coordinator of a pool, and collects reports before it grants.",
+        fields: ["service", "reason"],
+    },
+    1203: {
+        name: "takeoverEnded",
+        level: "info",
+        message: "The coordinator has the reports that it waited for, or waits no longer.",
+        fields: ["service", "complete", "routers"],
+    },
+    1204: {
+        name: "coordinationStopped",
+        level: "info",
+        message: "This router is no longer the coordinator of a pool.",
+        fields: ["service"],
+    },
+    1205: {
+        name: "leaseAnswered",
+        level: "debug",
+        message: "The platform's store answered a request for the lease of a cold target.",
+        fields: ["service", "target", "result"],
+    },
+    1206: {
+        name: "routerLost",
+        level: "warn",
+        message: "A router is gone; its slots stay taken until load reports show the targets to be less loaded.",
+        fields: ["service", "router"],
+    },
+    1207: {
+        name: "contentionChanged",
+        level: "debug",
+        message: "Requests began or ceased to wait for slots of a pool.",
+        fields: ["service", "contended"],
+    },
+};
