--- a/packages/daemon/src/createCallEffects.ts
+++ b/packages/daemon/src/createCallEffects.ts
@@ -30,6 +30,7 @@
     readonly getService: (name: string) => NamedService | undefined;
     /** Whether the reducer still waits for an end of the request. */
     readonly hasRequest: (requestId: string) => boolean;
+    readonly recordAttempt: (call: Call, attempt: number) => void;
 }
 
 const defaultCostPerCall = 1;
@@ -55,6 +56,7 @@
         const { call } = open;
         const { requestId, attempt, target } = effect;
         open.attempt = attempt;
+        opts.recordAttempt(call, attempt);
         const handle = opts.targetClient.startAttempt(call, {
             attempt,
             address: effect.address,
--- a/packages/daemon/src/createCallGate.ts
+++ b/packages/daemon/src/createCallGate.ts
@@ -11,6 +11,8 @@
     readonly registry: CallRegistry;
     readonly answerStore: AnswerStore;
     readonly hasRequest: (requestId: string) => boolean;
+    /** Returns the call as it is kept; the daemon measures its answer. */
+    readonly measureCall: (call: Call) => Call;
 }
 
 export function createCallGate(opts: CallGateOptions) {
@@ -18,11 +20,12 @@
         submitCall: (call: Call) => {
             const { callerKey } = call;
             if (callerKey === undefined) {
-                opts.registry.add(call);
+                opts.registry.add(opts.measureCall(call));
                 opts.dispatch({ type: "requestArrived", request: summarizeCall(call) });
                 return;
             }
-            opts.registry.add({ ...call, responder: opts.answerStore.wrapResponder(call.id, call.responder) });
+            const responder = opts.answerStore.wrapResponder(call.id, call.responder);
+            opts.registry.add(opts.measureCall({ ...call, responder }));
             opts.dispatch({
                 type: "keyedRequest",
                 request: summarizeCall(call),
--- a/packages/daemon/src/createEffectRunner.ts
+++ b/packages/daemon/src/createEffectRunner.ts
@@ -4,6 +4,7 @@
 import type { PeerTransport, PlatformClient, TargetClient } from "@rhubarbwheel/types/ports";
 import { createCallEffects } from "./createCallEffects.js";
 import type { AnswerKeeper } from "./createCallEffects.js";
+import type { CallMetrics } from "./createCallMetrics.js";
 import type { CallRegistry } from "./createCallRegistry.js";
 import type { Dispatch } from "./createLoop.js";
 import { createPlatformEffects } from "./createPlatformEffects.js";
@@ -18,6 +19,7 @@
     readonly answers: AnswerKeeper;
     readonly getService: (name: string) => NamedService | undefined;
     readonly hasRequest: (requestId: string) => boolean;
+    readonly recordAttempt: CallMetrics["recordAttempt"];
     readonly getNow: () => number;
     readonly logEvent: (event: number, fields: LogEffect["fields"]) => void;
     readonly onStop: () => void;
--- a/packages/daemon/src/createMetricsReporter.ts
+++ b/packages/daemon/src/createMetricsReporter.ts
@@ -42,6 +42,10 @@
             metrics.record("pool.held", held, { pool, target });
         }
         for (const pool of new Set(targets.map(target => target.service))) {
+            const ofPool = targets.filter(target => target.service === pool);
+            const limit = ofPool.reduce((sum, target) => sum + target.limit, 0);
+            const held = ofPool.reduce((sum, target) => sum + target.held, 0);
+            if (limit > 0) metrics.record("pool.utilisation", held / limit, { pool });
             const waiting = reducer.poolCoordinator.listWorkspaces()
                 .filter(workspace => workspace.service === pool && workspace.queued > 0)
                 .map(workspace => workspace.virtualTime);
--- a/packages/daemon/src/createRouter.ts
+++ b/packages/daemon/src/createRouter.ts
@@ -13,6 +13,7 @@
 import { randomBytes, randomInt, randomUUID } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import { createCallGate } from "./createCallGate.js";
+import { createCallMetrics } from "./createCallMetrics.js";
 import { createCallRegistry } from "./createCallRegistry.js";
 import { createEffectRunner } from "./createEffectRunner.js";
 import { createForwardedCallHandler } from "./createForwardedCallHandler.js";
@@ -34,6 +35,7 @@
     readonly lifecycle: { draining: boolean; };
     readonly logger: ReturnType<typeof createLogger>;
     readonly metrics: ReturnType<typeof createMetrics>;
+    readonly callMetrics: ReturnType<typeof createCallMetrics>;
     readonly registry: ReturnType<typeof createCallRegistry>;
     readonly answerStore: ReturnType<typeof createAnswerStore>;
     readonly platformClient: ReturnType<typeof createPlatformClient>;
@@ -89,8 +91,12 @@
             createLogger({ level: settings.logLevel, format: settings.logFormat, write: callbacks.writeLog })
         ).singleton(),
         metrics: asFunction(() =>
-            createMetrics({ ...settings.statsd, tags: { router: identity.router, domain: identity.failureDomain } })
+            createMetrics({
+                ...settings.statsd,
+                tags: { router: identity.router, failure_domain: identity.failureDomain },
+            })
         ).singleton(),
+        callMetrics: asFunction(({ metrics, getNow }: Cradle) => createCallMetrics({ metrics, getNow })).singleton(),
         registry: asFunction(createCallRegistry).singleton(),
         answerStore: asFunction(({ dispatch }: Cradle) =>
             createAnswerStore({ onRecorded: answer => dispatch({ type: "answerRecorded", ...answer }) })
@@ -106,8 +112,14 @@
         transport: asFunction(buildTransport).singleton(),
         reducer: asFunction(buildReducer).singleton(),
         loop: asFunction(buildLoop).singleton(),
-        gate: asFunction(({ dispatch, registry, answerStore, reducer }: Cradle) =>
-            createCallGate({ dispatch, registry, answerStore, hasRequest: reducer.entryQueue.hasRequest })
+        gate: asFunction(({ dispatch, registry, answerStore, reducer, callMetrics }: Cradle) =>
+            createCallGate({
+                dispatch,
+                registry,
+                answerStore,
+                hasRequest: reducer.entryQueue.hasRequest,
+                measureCall: callMetrics.measureCall,
+            })
         ).singleton(),
         operatorStore: asFunction(({ dispatch, platformClient, reducer, getNow }: Cradle) =>
             createOperatorStore({ dispatch, platformClient, configuration: reducer.configuration, getNow })
@@ -167,6 +179,7 @@
         answers: { replay: answerStore.replayAnswer, drop: answerStore.dropAnswer },
         getService: reducer.configuration.getService,
         hasRequest: reducer.entryQueue.hasRequest,
+        recordAttempt: cradle.callMetrics.recordAttempt,
         getNow: cradle.getNow,
         logEvent: logger.logEvent,
         onStop: cradle.onStop,
--- a/packages/telemetry/src/metricCatalogue.ts
+++ b/packages/telemetry/src/metricCatalogue.ts
@@ -32,7 +32,7 @@
         type: "gauge",
         unit: "ratio",
         tags: ["pool"],
-        description: "Slots in use divided by the limits of the open targets, at the coordinator.",
+        description: "Granted slots divided by the limits of the targets, at the coordinator.",
     },
     "pool.limit": {
         type: "gauge",
@@ -50,7 +50,7 @@
         type: "histogram",
         unit: "ms",
         tags: ["pool"],
-        description: "Time that a request waited for a slot.",
+        description: "Time from the arrival of a request to its first attempt.",
     },
     "request.outcomes": {
         type: "counter",
@@ -62,7 +62,7 @@
         type: "counter",
         unit: "attempts",
         tags: ["pool"],
-        description: "Attempts after the first of idempotent requests.",
+        description: "Attempts after the first of a request, resumed streams included.",
     },
     "request.duration": {
         type: "histogram",
