--- a/packages/daemon/src/createRouter.ts
+++ b/packages/daemon/src/createRouter.ts
@@ -13,6 +13,7 @@
 import { randomBytes, randomInt, randomUUID } from "node:crypto";
 import { performance } from "node:perf_hooks";
 import { createCallGate } from "./createCallGate.js";
+import { createCallMetrics } from "./createCallMetrics.js";
 import { createCallRegistry } from "./createCallRegistry.js";
 import { createEffectRunner } from "./createEffectRunner.js";
 import { createForwardedCallHandler } from "./createForwardedCallHandler.js";
@@ -20,6 +21,7 @@
 import type { Dispatch } from "./createLoop.js";
 import { createMetricsReporter } from "./createMetricsReporter.js";
 import { createOperatorStore } from "./createOperatorStore.js";
+import { createPeerProblemLog } from "./createPeerProblemLog.js";
 import { createStatus } from "./createStatus.js";
 import type { Settings } from "./parseSettings.js";
 
@@ -33,6 +35,7 @@
     readonly lifecycle: { draining: boolean; };
     readonly logger: ReturnType<typeof createLogger>;
     readonly metrics: ReturnType<typeof createMetrics>;
+    readonly callMetrics: ReturnType<typeof createCallMetrics>;
     readonly registry: ReturnType<typeof createCallRegistry>;
     readonly answerStore: ReturnType<typeof createAnswerStore>;
     readonly platformClient: ReturnType<typeof createPlatformClient>;
@@ -53,13 +56,15 @@
     readonly writeLog: (line: string) => void;
 }
 
+/** Numbers of the log events of the daemon itself. */
 export const daemonEvents = {
     started: 1000,
     drainStarted: 1001,
-    stopped: 1002,
+    drainFinished: 1002,
     internalError: 1003,
-    peerProblem: 1004,
-};
+    drainTimedOut: 1004,
+    peerProblem: 1010,
+} as const;
 
 const platformTimeoutMs = 2_000;
 const largestRandomSeed = 2 ** 31 - 1;
@@ -86,8 +91,12 @@
             createLogger({ level: settings.logLevel, format: settings.logFormat, write: callbacks.writeLog })
         ).singleton(),
         metrics: asFunction(() =>
-            createMetrics({ ...settings.statsd, tags: { router: identity.router, domain: identity.failureDomain } })
+            createMetrics({
+                ...settings.statsd,
+                tags: { router: identity.router, failure_domain: identity.failureDomain },
+            })
         ).singleton(),
+        callMetrics: asFunction(({ metrics, getNow }: Cradle) => createCallMetrics({ metrics, getNow })).singleton(),
         registry: asFunction(createCallRegistry).singleton(),
         answerStore: asFunction(({ dispatch }: Cradle) =>
             createAnswerStore({ onRecorded: answer => dispatch({ type: "answerRecorded", ...answer }) })
@@ -103,8 +112,14 @@
         transport: asFunction(buildTransport).singleton(),
         reducer: asFunction(buildReducer).singleton(),
         loop: asFunction(buildLoop).singleton(),
-        gate: asFunction(({ dispatch, registry, answerStore, reducer }: Cradle) =>
-            createCallGate({ dispatch, registry, answerStore, hasRequest: reducer.entryQueue.hasRequest })
+        gate: asFunction(({ dispatch, registry, answerStore, reducer, callMetrics }: Cradle) =>
+            createCallGate({
+                dispatch,
+                registry,
+                answerStore,
+                hasRequest: reducer.entryQueue.hasRequest,
+                measureCall: callMetrics.measureCall,
+            })
         ).singleton(),
         operatorStore: asFunction(({ dispatch, platformClient, reducer, getNow }: Cradle) =>
             createOperatorStore({ dispatch, platformClient, configuration: reducer.configuration, getNow })
@@ -135,7 +150,10 @@
         onMessage: (from, message) => dispatch({ type: "peerMessage", from, message }),
         onUnreachable: router => dispatch({ type: "peerUnreachable", router }),
         onForwardedCall: handleForwardedCall,
-        onProblem: (router, problem) => cradle.logger.logEvent(daemonEvents.peerProblem, { router, problem }),
+        onProblem: createPeerProblemLog({
+            getNow: cradle.getNow,
+            logProblem: fields => cradle.logger.logEvent(daemonEvents.peerProblem, fields),
+        }),
     });
 }
 
@@ -161,6 +179,7 @@
         answers: { replay: answerStore.replayAnswer, drop: answerStore.dropAnswer },
         getService: reducer.configuration.getService,
         hasRequest: reducer.entryQueue.hasRequest,
+        recordAttempt: cradle.callMetrics.recordAttempt,
         getNow: cradle.getNow,
         logEvent: logger.logEvent,
         onStop: cradle.onStop,
@@ -172,7 +191,7 @@
         reportError: (error, source) =>
             logger.logEvent(daemonEvents.internalError, {
                 source: source.type,
-                problem: error instanceof Error ? error.stack ?? error.message : String(error),
+                reason: error instanceof Error ? error.stack ?? error.message : String(error),
             }),
     });
 }
