--- a/packages/bench/src/startFleet.ts
+++ b/packages/bench/src/startFleet.ts
@@ -13,6 +13,8 @@
     readonly name: string;
     readonly failureDomain: string;
     readonly url: string;
+    /** `ip:port` of the peer interface. */
+    readonly peerAddress: string;
     process: RunningProcess;
     /** Starts the router again, empty, on the same ports. */
     readonly restart: () => Promise<void>;
@@ -124,6 +126,7 @@
             name: entry.name,
             failureDomain: entry.failureDomain,
             url: `http://127.0.0.1:${entry.callerPort}`,
+            peerAddress: `127.0.0.1:${entry.peerPort}`,
             process: await start(),
             restart: async () => {
                 router.process = await start();
