--- a/packages/configuration/src/configurationSettings.ts
+++ b/packages/configuration/src/configurationSettings.ts
@@ -30,7 +30,7 @@
 /** Age of the confirmation by peers at which a router calls the store itself. Above the age that is usual for peers. */
 export const suspectAfterMs = 1_400;
 
-/** Slows calls of routers that are not watchers, so that the whole fleet makes at most 100 such calls a second. */
+/** Slows calls of routers that are not watchers: with waits shortened by up to half, the fleet makes about 130 a second. */
 export const callPaceMsPerRouter = 10;
 
 /** Time between two reads of the host list by a watcher. */
--- a/packages/configuration/test/measureFleet.ts
+++ b/packages/configuration/test/measureFleet.ts
@@ -114,4 +114,5 @@
 for (const [count, domains] of sizes) measureTimes(count, domains);
 for (const [count, domains] of sizes)
     for (const mode of ["up", "down", "hung", "slow", "answerLost"] as const) measureRates(count, domains, mode);
-for (const [count, domains] of [[64, 4], [120, 6], [220, 2]] as const) measureRates(count, domains, "up");
+for (const [count, domains] of [[64, 4], [120, 6], [220, 2]] as const)
+    for (const mode of ["up", "down"] as const) measureRates(count, domains, mode);
