--- /dev/null
+++ b/packages/bench/src/fairnessPlan.ts
@@ -0,0 +1,66 @@
+/** Fleet and load of the benchmarks `fairness` and `takeover`: uneven arrivals, one flooding workspace. */
+import type { FleetPlan } from "./fleetPlan.js";
+import type { ClosedLoop } from "./runClosedLoop.js";
+
+export const routerCount = 15;
+export const targetCount = 12;
+export const targetLimit = 8;
+const coldLimit = 4;
+const smallWorkspaces = 13;
+const tokenMs = 20;
+const domains = ["khomas-a", "khomas-b", "khomas-c", "khomas-d"] as const;
+const outputTokens: readonly [number, number] = [10, 60];
+const promptCharacters = 200;
+export const largestRequestCost = promptCharacters / 4 + 2 * outputTokens[1];
+export const smallestShare = 1;
+
+const pickDomain = (index: number) => domains[index % domains.length]!;
+
+export const workspaces = [
+    { name: "flood", share: 1 },
+    { name: "large-0", share: 4 },
+    { name: "large-1", share: 4 },
+    ...Array.from({ length: smallWorkspaces }, (_, index) => ({ name: `small-${index}`, share: 1 })),
+];
+
+export const plan: FleetPlan = {
+    failureDomains: domains,
+    routerDomains: Array.from({ length: routerCount }, (_, index) => pickDomain(index)),
+    services: [{
+        name: "assistant",
+        kind: "model",
+        failureDomains: Array.from({ length: targetCount }, (_, index) => pickDomain(index)),
+        targetLimit,
+        coldLimit,
+        flags: [`--tokenBaseMs=${tokenMs}`, "--tokenSlopeMs=0.2"],
+        queueTimeoutMs: 60_000,
+    }],
+    workspaces,
+};
+
+/** The flood arrives everywhere; the others at one to three routers each, mostly at the first few. */
+export function buildLoops(routerUrls: readonly string[]): readonly ClosedLoop[] {
+    const loops: ClosedLoop[] = [];
+    const addLoop = (workspace: string, router: number, concurrency: number) => {
+        const seed = loops.length + 1;
+        loops.push({ workspace, router: routerUrls[router]!, concurrency, seed, outputTokens, promptCharacters });
+    };
+    for (let router = 0; router < routerCount; router++) addLoop("flood", router, 10);
+    for (let index = 0; index < 2; index++) {
+        addLoop(`large-${index}`, index, 30);
+        addLoop(`large-${index}`, 7 + index, 10);
+    }
+    for (let index = 0; index < smallWorkspaces; index++) addLoop(`small-${index}`, (index * index) % 6, 14);
+    return loops;
+}
+
+/**
+ * Bound of docs/fairness.md for this load, in cost per share. A workspace is served at most at the rate of the whole
+ * pool during the staleness, which is a tick of the entry router and one of the coordinator.
+ */
+export function computeBound(): number {
+    const stalenessSeconds = 0.1 + 0.1;
+    const costPerSecond = 2 * targetCount * targetLimit * (1000 / tokenMs);
+    const allowance = largestRequestCost / smallestShare;
+    return costPerSecond * stalenessSeconds / smallestShare + largestRequestCost / smallestShare + allowance;
+}
--- a/packages/bench/src/runBench.ts
+++ b/packages/bench/src/runBench.ts
@@ -5,6 +5,7 @@
 import { runFairness } from "./runFairness.js";
 import { runOnce } from "./runOnce.js";
 import { runScale } from "./runScale.js";
+import { runTakeover } from "./runTakeover.js";
 
 const benchmarks: Readonly<Record<string, () => Promise<object>>> = {
     cold: runCold,
@@ -12,6 +13,7 @@
     domain: runDomain,
     fairness: runFairness,
     once: runOnce,
+    takeover: runTakeover,
     scale: runScale,
 };
 
--- a/packages/bench/src/runCold.ts
+++ b/packages/bench/src/runCold.ts
@@ -2,10 +2,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createCaller } from "./createCaller.js";
 import type { CallerResult } from "./createCaller.js";
+import { findCoordinator } from "./findCoordinator.js";
 import type { FleetPlan } from "./fleetPlan.js";
 import { runClosedLoop } from "./runClosedLoop.js";
 import { readTargetStats, sampleUtilisation } from "./sampleTargets.js";
-import { putControl, readJson, startFleet } from "./startFleet.js";
+import { putControl, startFleet } from "./startFleet.js";
 import type { Fleet, RunningTarget } from "./startFleet.js";
 
 const domains = ["khomas-a", "khomas-b", "khomas-c", "khomas-d"] as const;
@@ -36,14 +37,6 @@
 
 const restart = (target: RunningTarget) => putControl(`${target.url}/control/restart`, {}, "POST");
 
-async function findCoordinator(fleet: Fleet) {
-    const status = await readJson<{ pools: readonly { pool: string; coordinator: string; }[]; }>(
-        `${fleet.routers[0]!.url}/api/v1/status`,
-    );
-    const name = status.pools.find(pool => pool.pool === "assistant")?.coordinator;
-    return fleet.routers.find(router => router.name === name)!;
-}
-
 async function waitForUtilisation(fleet: Fleet): Promise<number> {
     const startedAt = Date.now();
     while (Date.now() - startedAt < recoveryLimitMs) {
@@ -58,7 +51,7 @@
     await sleep(warmUpMs);
     await restart(fleet.targets[0]!);
     await sleep(betweenFaultsMs);
-    const first = await findCoordinator(fleet);
+    const first = await findCoordinator(fleet.routers, "assistant");
     first.process.signal("SIGKILL");
     await restart(fleet.targets[1]!);
     await sleep(betweenFaultsMs);
@@ -66,7 +59,7 @@
     await putControl(`${fleet.platformUrl}/control/faults`, { down: true });
     await restart(fleet.targets[2]!);
     await sleep(betweenFaultsMs);
-    const second = await findCoordinator(fleet);
+    const second = await findCoordinator(fleet.routers, "assistant");
     second.process.signal("SIGKILL");
     await Promise.all([restart(fleet.targets[3]!), restart(fleet.targets[4]!)]);
     const lastFaultAt = Date.now();
--- /dev/null
+++ b/packages/bench/src/runFairLoad.ts
@@ -0,0 +1,63 @@
+/** Runs the load of `fairnessPlan.ts` against a set of routers and samples gap and utilisation. */
+import { createCaller } from "./createCaller.js";
+import type { CallerResult } from "./createCaller.js";
+import { createServiceMeter } from "./createServiceMeter.js";
+import type { ServiceSample } from "./createServiceMeter.js";
+import { buildLoops, targetLimit, workspaces } from "./fairnessPlan.js";
+import { runClosedLoop } from "./runClosedLoop.js";
+import { sampleUtilisation } from "./sampleTargets.js";
+import type { Fleet } from "./startFleet.js";
+
+export interface FairLoadOptions {
+    readonly warmUpMs: number;
+    readonly measureMs: number;
+    /** Called when the measurement begins; the load goes on meanwhile. */
+    readonly onBegin?: () => Promise<void>;
+    readonly onEnd?: () => Promise<void>;
+}
+
+export interface FairLoadResult {
+    readonly samples: readonly ServiceSample[];
+    readonly utilisation: readonly number[];
+    readonly results: readonly CallerResult[];
+}
+
+const sampleMs = 200;
+
+const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+export async function runFairLoad(
+    urls: readonly string[],
+    fleet: Fleet,
+    opts: FairLoadOptions,
+): Promise<FairLoadResult> {
+    const caller = createCaller();
+    const meter = createServiceMeter(workspaces);
+    const results: CallerResult[] = [];
+    const utilisation: number[] = [];
+    let running = true;
+    const loops = buildLoops(urls).map(loop =>
+        runClosedLoop(caller, loop, {
+            isRunning: () => running,
+            // Requests that are open at the end are abandoned, and do not count.
+            onResult: (_workspace, result) => running && results.push(result),
+            onService: meter.add,
+        })
+    );
+    await wait(opts.warmUpMs);
+    const beginning = opts.onBegin?.();
+    const startedAt = Date.now();
+    while (Date.now() - startedAt < opts.measureMs) {
+        meter.sample(Date.now() - startedAt);
+        utilisation.push(await sampleUtilisation(fleet.targets, targetLimit));
+        await wait(sampleMs);
+    }
+    await beginning;
+    await opts.onEnd?.();
+    running = false;
+    await caller.close();
+    await Promise.all(loops);
+    const received = [...meter.getReceived()].map(([name, cost]) => `${name} ${cost}`);
+    console.log(`service received: ${received.join(", ")}`);
+    return { samples: meter.listSamples(), utilisation, results };
+}
--- a/packages/bench/src/runFairness.ts
+++ b/packages/bench/src/runFairness.ts
@@ -1,111 +1,19 @@
 /** Benchmark `fairness`: uneven arrivals and one flooding workspace, against routers with fixed limits. */
 import { fileURLToPath } from "node:url";
-import { createCaller } from "./createCaller.js";
-import type { CallerResult } from "./createCaller.js";
-import { computeGap, createServiceMeter } from "./createServiceMeter.js";
-import type { FleetPlan } from "./fleetPlan.js";
+import { computeGap } from "./createServiceMeter.js";
+import { computeBound, plan, routerCount, targetCount, targetLimit, workspaces } from "./fairnessPlan.js";
 import { buildServiceSpec, buildWorkspaceSpec } from "./fleetPlan.js";
 import { readProcessCpuMs } from "./readProcessCpu.js";
-import { runClosedLoop } from "./runClosedLoop.js";
-import type { ClosedLoop } from "./runClosedLoop.js";
-import { computeMean, sampleUtilisation } from "./sampleTargets.js";
+import { runFairLoad } from "./runFairLoad.js";
+import type { FairLoadResult } from "./runFairLoad.js";
+import { computeMean } from "./sampleTargets.js";
 import { readJson, startFleet } from "./startFleet.js";
 import type { Fleet } from "./startFleet.js";
 import { startProcess } from "./startProcess.js";
 import type { RunningProcess } from "./startProcess.js";
 
-const routerCount = 15;
-const targetCount = 12;
-const targetLimit = 8;
-const coldLimit = 4;
-const smallWorkspaces = 13;
-const domains = ["khomas-a", "khomas-b", "khomas-c", "khomas-d"] as const;
-const outputTokens = [10, 60] as const;
-const promptCharacters = 200;
-const largestRequestCost = promptCharacters / 4 + 2 * outputTokens[1];
-const smallestShare = 1;
-
 const warmUpMs = 5_000;
 const measureMs = 12_000;
-const sampleMs = 200;
-
-const pickDomain = (index: number) => domains[index % domains.length]!;
-
-const workspaces = [
-    { name: "flood", share: 1 },
-    { name: "large-0", share: 4 },
-    { name: "large-1", share: 4 },
-    ...Array.from({ length: smallWorkspaces }, (_, index) => ({ name: `small-${index}`, share: 1 })),
-];
-
-const plan: FleetPlan = {
-    failureDomains: domains,
-    routerDomains: Array.from({ length: routerCount }, (_, index) => pickDomain(index)),
-    services: [{
-        name: "assistant",
-        kind: "model",
-        failureDomains: Array.from({ length: targetCount }, (_, index) => pickDomain(index)),
-        targetLimit,
-        coldLimit,
-        flags: ["--tokenBaseMs=20", "--tokenSlopeMs=0.2"],
-        queueTimeoutMs: 60_000,
-    }],
-    workspaces,
-};
-
-/** The flood arrives everywhere; the others at one to three routers each, mostly at the first few. */
-function buildLoops(routerUrls: readonly string[]): readonly ClosedLoop[] {
-    const loops: ClosedLoop[] = [];
-    const addLoop = (workspace: string, router: number, concurrency: number) => {
-        const seed = loops.length + 1;
-        loops.push({ workspace, router: routerUrls[router]!, concurrency, seed, outputTokens, promptCharacters });
-    };
-    for (let router = 0; router < routerCount; router++) addLoop("flood", router, 10);
-    for (let index = 0; index < 2; index++) {
-        addLoop(`large-${index}`, index, 30);
-        addLoop(`large-${index}`, 7 + index, 10);
-    }
-    for (let index = 0; index < smallWorkspaces; index++) addLoop(`small-${index}`, (index * index) % 6, 14);
-    return loops;
-}
-
-interface LoadResult {
-    readonly gap: number;
-    readonly utilisation: number;
-    readonly results: readonly CallerResult[];
-}
-
-async function runLoad(urls: readonly string[], fleet: Fleet, onMeasure: () => Promise<void>): Promise<LoadResult> {
-    const caller = createCaller();
-    const meter = createServiceMeter(workspaces);
-    const results: CallerResult[] = [];
-    const utilisation: number[] = [];
-    let running = true;
-    const loops = buildLoops(urls).map(loop =>
-        runClosedLoop(caller, loop, {
-            isRunning: () => running,
-            // Requests that are open at the end are abandoned, and do not count.
-            onResult: (_workspace, result) => running && results.push(result),
-            onService: meter.add,
-        })
-    );
-    const startedAt = Date.now();
-    const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
-    await wait(warmUpMs);
-    await onMeasure();
-    while (Date.now() - startedAt < warmUpMs + measureMs) {
-        meter.sample(Date.now() - startedAt);
-        utilisation.push(await sampleUtilisation(fleet.targets, targetLimit));
-        await wait(sampleMs);
-    }
-    await onMeasure();
-    running = false;
-    await caller.close();
-    await Promise.all(loops);
-    const received = [...meter.getReceived()].map(([name, cost]) => `${name} ${cost}`);
-    console.log(`service received: ${received.join(", ")}`);
-    return { gap: computeGap(meter.listSamples()), utilisation: computeMean(utilisation), results };
-}
 
 interface RouterUsage {
     readonly bytes: number;
@@ -143,11 +51,11 @@
     return slots.filter(slot => slot % routerCount === router).map(slot => `assistant-${slot % targetCount}`);
 }
 
-async function runBaseline(fleet: Fleet): Promise<LoadResult> {
+async function runBaseline(fleet: Fleet): Promise<FairLoadResult> {
     const routers = await startNaiveRouters(fleet);
     try {
         const urls = routers.map(router => `http://127.0.0.1:${router.port}`);
-        return await runLoad(urls, fleet, () => Promise.resolve());
+        return await runFairLoad(urls, fleet, { warmUpMs, measureMs });
     }
     finally {
         await Promise.all(routers.map(router => router.stop()));
@@ -169,18 +77,17 @@
     try {
         const usage: (readonly RouterUsage[])[] = [];
         const urls = fleet.routers.map(router => router.url);
-        const measured = await runLoad(urls, fleet, async () => {
-            usage.push(await readUsage(fleet));
-        });
+        const record = async () => void usage.push(await readUsage(fleet));
+        const measured = await runFairLoad(urls, fleet, { warmUpMs, measureMs, onBegin: record, onEnd: record });
         const rates = computeRates(usage[0]!, usage[1]!);
         const baseline = await runBaseline(fleet);
         const incomplete = measured.results.filter(result => result.outcome !== "complete").length;
         return {
-            gap: Math.round(measured.gap),
+            gap: Math.round(computeGap(measured.samples)),
             bound: Math.round(computeBound()),
-            baselineGap: Math.round(baseline.gap),
-            utilisation: Number(measured.utilisation.toFixed(3)),
-            baselineUtilisation: Number(baseline.utilisation.toFixed(3)),
+            baselineGap: Math.round(computeGap(baseline.samples)),
+            utilisation: Number(computeMean(measured.utilisation).toFixed(3)),
+            baselineUtilisation: Number(computeMean(baseline.utilisation).toFixed(3)),
             controlBytesPerSecond: Math.round(computeMean(rates.bytesPerSecond)),
             maxControlBytesPerSecond: Math.round(Math.max(...rates.bytesPerSecond)),
             controlMessagesPerSecond: Math.round(computeMean(rates.messagesPerSecond)),
@@ -195,14 +102,3 @@
         await fleet.stop();
     }
 }
-
-/**
- * Bound of docs/fairness.md for this load, in cost per share. The workspaces are served at most at the rate of the
- * whole pool, which is the greatest rate any of them can have during the staleness.
- */
-function computeBound(): number {
-    const stalenessSeconds = 0.1 + 0.1;
-    const tokensPerSecond = targetCount * targetLimit * (1000 / 20);
-    const allowance = largestRequestCost / smallestShare;
-    return 2 * tokensPerSecond * stalenessSeconds / smallestShare + largestRequestCost / smallestShare + allowance;
-}
--- /dev/null
+++ b/packages/bench/src/runTakeover.ts
@@ -0,0 +1,73 @@
+/** Benchmark `takeover`: the coordinator of a pool is killed, then the next one is paused and resumed, under full load. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { computeGap } from "./createServiceMeter.js";
+import { buildLoops, computeBound, plan, targetLimit, workspaces } from "./fairnessPlan.js";
+import { findCoordinator } from "./findCoordinator.js";
+import { runFairLoad } from "./runFairLoad.js";
+import { computeMean, computeQuantile, readTargetStats } from "./sampleTargets.js";
+import { startFleet } from "./startFleet.js";
+import type { Fleet, RunningRouter } from "./startFleet.js";
+
+const warmUpMs = 6_000;
+const measureMs = 24_000;
+const beforeFaultMs = 2_000;
+const betweenFaultsMs = 7_000;
+const pauseMs = 5_000;
+
+async function runFaults(fleet: Fleet): Promise<readonly RunningRouter[]> {
+    await sleep(beforeFaultMs);
+    const first = await findCoordinator(fleet.routers, "assistant");
+    first.process.signal("SIGKILL");
+    await sleep(betweenFaultsMs);
+    const remaining = fleet.routers.filter(router => router !== first);
+    const second = await findCoordinator(remaining, "assistant");
+    second.process.signal("SIGSTOP");
+    await sleep(pauseMs);
+    second.process.signal("SIGCONT");
+    return [first, second];
+}
+
+/** Workspaces whose callers are at a faulty router do not wait all the time, and are left out of the gap. */
+function listUnaffected(routers: readonly string[], faulty: readonly RunningRouter[]): readonly number[] {
+    const faultyUrls = new Set(faulty.map(router => router.url));
+    const affected = new Set(
+        buildLoops(routers).filter(loop => faultyUrls.has(loop.router)).map(loop => loop.workspace),
+    );
+    return workspaces.map((_, index) => index)
+        .filter(index => workspaces[index]!.name === "flood" || !affected.has(workspaces[index]!.name));
+}
+
+export async function runTakeover(): Promise<object> {
+    const fleet = await startFleet(plan);
+    try {
+        let faulty: readonly RunningRouter[] = [];
+        const urls = fleet.routers.map(router => router.url);
+        const measured = await runFairLoad(urls, fleet, {
+            warmUpMs,
+            measureMs,
+            onBegin: async () => {
+                faulty = await runFaults(fleet);
+            },
+        });
+        const unaffected = listUnaffected(urls, faulty);
+        const samples = measured.samples.map(sample => ({
+            ...sample,
+            normalized: unaffected.map(index => sample.normalized[index]!),
+        }));
+        const stats = await readTargetStats(fleet.targets);
+        return {
+            overLimit: Math.max(...stats.map(entry => entry.maxConcurrency - targetLimit)),
+            fellOver: stats.reduce((sum, entry) => sum + entry.fellOver, 0),
+            utilisation: Number(computeMean(measured.utilisation).toFixed(3)),
+            utilisationP5: Number(computeQuantile(measured.utilisation, 0.05).toFixed(3)),
+            gap: Math.round(computeGap(samples)),
+            bound: Math.round(computeBound()),
+            comparedWorkspaces: unaffected.length,
+            requests: measured.results.length,
+            crossed: measured.results.filter(result => result.crossed).length,
+        };
+    }
+    finally {
+        await fleet.stop();
+    }
+}
