Keep slots busy while a pool has no coordinator

Cause: after the loss of a coordinator, entry routers measured against its last ceiling, which no longer moved, and returned their slots to it. The slots were idle until membership declared it dead and the next coordinator had waited for a report of every routable member, the dead one included: 2.2 s after SIGKILL, 4 s after SIGSTOP. Change: a ceiling older than 300 ms does not count and slots stay; silence of 500 ms is reported to membership; a suspect is passed over as coordinator after 500 ms but keeps its slots until it is dead; a takeover waits for alive members only. Conclusion: what is left idle is returned within the first 300 ms of silence.

--- a/packages/bench/src/fairnessPlan.ts
+++ b/packages/bench/src/fairnessPlan.ts
@@ -54,13 +54,15 @@
     return loops;
 }
 
+/** A tick of the entry router and one of the coordinator. */
+export const tickStalenessMs = 200;
+
 /**
  * Bound of docs/fairness.md for this load, in cost per share. A workspace is served at most at the rate of the whole
- * pool during the staleness, which is a tick of the entry router and one of the coordinator.
+ * pool during the staleness.
  */
-export function computeBound(): number {
-    const stalenessSeconds = 0.1 + 0.1;
+export function computeBound(stalenessMs: number): number {
     const costPerSecond = 2 * targetCount * targetLimit * (1000 / tokenMs);
     const allowance = largestRequestCost / smallestShare;
-    return costPerSecond * stalenessSeconds / smallestShare + largestRequestCost / smallestShare + allowance;
+    return costPerSecond * (stalenessMs / 1000) / smallestShare + largestRequestCost / smallestShare + allowance;
 }
--- a/packages/bench/src/runFairness.ts
+++ b/packages/bench/src/runFairness.ts
@@ -1,7 +1,15 @@
 /** Benchmark `fairness`: uneven arrivals and one flooding workspace, against routers with fixed limits. */
 import { fileURLToPath } from "node:url";
 import { computeGap } from "./createServiceMeter.js";
-import { computeBound, plan, routerCount, targetCount, targetLimit, workspaces } from "./fairnessPlan.js";
+import {
+    computeBound,
+    plan,
+    routerCount,
+    targetCount,
+    targetLimit,
+    tickStalenessMs,
+    workspaces,
+} from "./fairnessPlan.js";
 import { buildServiceSpec, buildWorkspaceSpec } from "./fleetPlan.js";
 import { readProcessCpuMs } from "./readProcessCpu.js";
 import { runFairLoad } from "./runFairLoad.js";
@@ -84,7 +92,7 @@
         const incomplete = measured.results.filter(result => result.outcome !== "complete").length;
         return {
             gap: Math.round(computeGap(measured.samples)),
-            bound: Math.round(computeBound()),
+            bound: Math.round(computeBound(tickStalenessMs)),
             baselineGap: Math.round(computeGap(baseline.samples)),
             utilisation: Number(computeMean(measured.utilisation).toFixed(3)),
             baselineUtilisation: Number(computeMean(baseline.utilisation).toFixed(3)),
--- a/packages/fair-share/src/applyAnnouncement.ts
+++ b/packages/fair-share/src/applyAnnouncement.ts
@@ -52,6 +52,7 @@
     while ((pool.sentReports[0]?.sequence ?? Infinity) <= message.reportSequence)
         pool.confirmedAt = pool.sentReports.shift()?.at ?? pool.confirmedAt;
     pool.lastAnnouncementAt = now;
+    pool.silenceReported = false;
     pool.sendCopy = false;
     for (const state of message.targets)
         if (applyTargetState(getHeldTarget(pool, state.target), state) > 0) pool.urgent = true;
--- a/packages/fair-share/src/constants.ts
+++ b/packages/fair-share/src/constants.ts
@@ -24,6 +24,13 @@
 
 /** Entry routers reuse slots this long after the last announcement; shorter than what is left of a lease at its renewal. */
 export const announcementLifeMs = 2000;
+/**
+ * Silence of the coordinator after which the last ceiling no longer counts and slots stay where they are: it announces
+ * each 100 ms while requests wait, and slots returned to a lost coordinator are idle until the next one has taken over.
+ */
+export const ceilingLifeMs = 300;
+/** Silence after which a coordinator that owes an answer is reported to membership as unreachable. */
+export const coordinatorSilenceMs = 500;
 /** Silence after which reports carry the copy of the last announcement again; idle announcements come each second. */
 export const copyAfterSilenceMs = 1300;
 /** Unchanged reports are repeated at this interval, so that a coordinator that lost its state learns of the router. */
--- a/packages/fair-share/src/createEntryQueue.ts
+++ b/packages/fair-share/src/createEntryQueue.ts
@@ -4,7 +4,7 @@
 import type { PoolAnnouncementMessage } from "@rhubarbwheel/types/peer-messages";
 import type { ConfigurationQueries, MembershipQueries, RouterIdentity, Slice } from "@rhubarbwheel/types/slices";
 import { applyAnnouncement } from "./applyAnnouncement.js";
-import { defaultMaxQueued, defaultQueueTimeoutMs } from "./constants.js";
+import { coordinatorSilenceMs, defaultMaxQueued, defaultQueueTimeoutMs } from "./constants.js";
 import { dispatchRequests } from "./dispatchRequests.js";
 import { handleTargetAccepted, handleTargetEnded, handleTargetProgress, updateResumptions } from "./endAttempt.js";
 import {
@@ -202,9 +202,21 @@
     dispatchRequests(context, pool);
 }
 
+/** A paused process keeps its connections, so silence is the first sign that the coordinator is gone. */
+function checkSilence(context: EntryContext, pool: EntryPool): void {
+    const silentMs = context.now - pool.lastAnnouncementAt;
+    if (pool.silenceReported || !pool.contended || pool.ackedSequence >= pool.reportSequence) return;
+    if (silentMs < coordinatorSilenceMs || silentMs === Infinity) return;
+    const { router } = context.membership.findCoordinator(pool.name);
+    if (router === context.identity.router) return;
+    pool.silenceReported = true;
+    context.effects.push({ type: "raise", event: { type: "peerUnreachable", now: context.now, router } });
+}
+
 function handleTick(context: EntryContext): void {
     for (const pool of context.pools.values()) {
         updateCoordinator(context, pool);
+        checkSilence(context, pool);
         endExpired(context, pool);
         updateResumptions(context, pool);
         dispatchRequests(context, pool);
--- a/packages/fair-share/src/dispatchRequests.ts
+++ b/packages/fair-share/src/dispatchRequests.ts
@@ -8,6 +8,7 @@
     type EntryPool,
     estimateCost,
     isConfirmed,
+    isCoordinatorHeard,
     removeWaiting,
     type RunningRequest,
     type WorkspaceQueue,
@@ -153,14 +154,16 @@
         return;
     }
     if (!isConfirmed(pool, context.now)) return;
+    const heard = isCoordinatorHeard(pool, context.now);
     while (pool.backlogged.size > 0) {
         const queue = findLeastServed(pool);
         const first = queue?.waiting[0];
-        if (queue === undefined || first === undefined || computeVirtualTime(queue) > pool.ceiling) break;
+        if (queue === undefined || first === undefined) break;
+        if (heard && computeVirtualTime(queue) > pool.ceiling) break;
         const tracked = context.requests.get(first.request.id);
         const candidate = tracked && chooseTarget(context, pool, tracked, listCandidates(context, pool));
         if (tracked === undefined || candidate === undefined) break;
         startAttempt(context, tracked, candidate);
     }
-    returnSlots(context, pool, pool.contended);
+    returnSlots(context, pool, pool.contended && heard);
 }
--- a/packages/fair-share/src/entryPool.ts
+++ b/packages/fair-share/src/entryPool.ts
@@ -1,7 +1,7 @@
 /** State of one pool at an entry router. */
 import type { NamedService, RequestSummary } from "@rhubarbwheel/types/events";
 import type { VirtualTimeCopy } from "@rhubarbwheel/types/peer-messages";
-import { announcementLifeMs, averageWeight, defaultCostPerCall, initialRestCost } from "./constants.js";
+import { announcementLifeMs, averageWeight, ceilingLifeMs, defaultCostPerCall, initialRestCost } from "./constants.js";
 import { createRetryBudget, type RetryBudget } from "./retryBudget.js";
 import { createHeldTarget, type HeldTarget } from "./slotTable.js";
 
@@ -72,6 +72,8 @@
     ackedSequence: number;
     lastReportAt: number;
     lastAnnouncementAt: number;
+    /** The present silence of the coordinator has been reported. */
+    silenceReported: boolean;
     /** Times at which the latest reports were sent, oldest first. */
     readonly sentReports: { readonly sequence: number; readonly at: number; }[];
     /** Time of the latest report that an announcement has covered. */
@@ -103,6 +105,7 @@
         ackedSequence: 0,
         lastReportAt: -Infinity,
         lastAnnouncementAt: -Infinity,
+        silenceReported: false,
         sentReports: [],
         confirmedAt: -Infinity,
         sendCopy: true,
@@ -203,3 +206,8 @@
 export function isConfirmed(pool: EntryPool, now: number): boolean {
     return now - pool.confirmedAt <= announcementLifeMs;
 }
+
+/** Whether the coordinator is heard often enough for its ceiling and its calls for slots to count. */
+export function isCoordinatorHeard(pool: EntryPool, now: number): boolean {
+    return now - pool.lastAnnouncementAt <= ceilingLifeMs;
+}
--- a/packages/fair-share/src/takeover.ts
+++ b/packages/fair-share/src/takeover.ts
@@ -36,7 +36,9 @@
 }
 
 function hasEveryReport(context: CoordinatorContext, pool: CoordinatorPool): boolean {
-    return context.membership.listRoutable().every(member => pool.routers.get(member.router)?.inTenure === true);
+    // A suspect may never report; what it holds counts as taken until load reports show otherwise.
+    const alive = context.membership.listRoutable().filter(member => member.state === "alive");
+    return alive.every(member => pool.routers.get(member.router)?.inTenure === true);
 }
 
 /** Ends the takeover when it is due. Slots that no report accounts for stay taken until a load report. */
--- a/packages/membership/src/createMemberTable.ts
+++ b/packages/membership/src/createMemberTable.ts
@@ -19,6 +19,8 @@
     /** Alive and suspect members, this router included, sorted by name. The array is replaced on each change. */
     readonly listRoutable: () => readonly Member[];
     readonly findCoordinator: (pool: string) => Member;
+    /** Takes a suspected member out of the choice of coordinators until its state changes. */
+    readonly passOver: (router: string) => void;
     readonly setListed: (listed: readonly Candidate[]) => void;
     readonly isListed: (router: string) => boolean;
     readonly countListed: () => number;
@@ -49,6 +51,7 @@
     let unreached: readonly Candidate[] | undefined;
     let listedAlive: number | undefined;
     const coordinators = new Map<string, Member>();
+    const passedOver = new Set<string>();
 
     const dropCaches = () => {
         routable = undefined;
@@ -72,6 +75,7 @@
         const { router, incarnation, state, address, failureDomain } = update;
         members.set(router, { router, incarnation, state, address, failureDomain });
         changedAt.set(router, now);
+        passedOver.delete(router);
         dropCaches();
         return true;
     };
@@ -85,12 +89,19 @@
     const findCoordinator = (pool: string): Member => {
         const cached = coordinators.get(pool);
         if (cached !== undefined) return cached;
-        const names = listRoutable().filter(isRoutable).map(member => member.router);
+        const names = listRoutable().filter(isRoutable).map(member => member.router)
+            .filter(router => !passedOver.has(router));
         const chosen = members.get(chooseByRendezvous(pool, names) ?? identity.router) ?? self;
         coordinators.set(pool, chosen);
         return chosen;
     };
 
+    const passOver = (router: string) => {
+        if (passedOver.has(router)) return;
+        passedOver.add(router);
+        coordinators.clear();
+    };
+
     const listUnreached = () => {
         if (unreached !== undefined) return unreached;
         const dead = [...members.values()].filter(member => member.state === "dead" && !listed.has(member.router));
@@ -113,6 +124,7 @@
         for (const router of forgotten) {
             members.delete(router);
             changedAt.delete(router);
+            passedOver.delete(router);
         }
         if (forgotten.length > 0) dropCaches();
         return forgotten;
@@ -123,6 +135,7 @@
         get: router => members.get(router),
         listRoutable,
         findCoordinator,
+        passOver,
         setListed,
         isListed: router => listed.has(router),
         countListed: () => listed.size,
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -20,6 +20,7 @@
 import { createProber } from "./createProber.js";
 import { createUpdateQueue } from "./createUpdateQueue.js";
 import {
+    coordinatorGraceMs,
     leavingPeerCount,
     maxUpdatesForJoiner,
     pauseThresholdMs,
@@ -247,9 +248,15 @@
         log(membershipLogEvents.paused, { gapMs: gap });
     };
 
+    const passOverSuspects = (now: number) => {
+        for (const [router, deadline] of suspicionDeadlines)
+            if (now >= deadline - suspicionTimeoutMs + coordinatorGraceMs) table.passOver(router);
+    };
+
     const onTick = (now: number) => {
         prober.advance(now);
         expireSuspicions(now);
+        passOverSuspects(now);
         for (const [sequence, relay] of relays) if (now >= relay.expiresAt) relays.delete(sequence);
         if (now < nextForgetAt) return;
         nextForgetAt = now + suspicionTimeoutMs;
--- a/packages/membership/src/membershipSettings.ts
+++ b/packages/membership/src/membershipSettings.ts
@@ -12,6 +12,12 @@
 /** Time that a suspected member has to refute the suspicion. */
 export const suspicionTimeoutMs = 2_000;
 
+/**
+ * Time for which a suspected member still coordinates its pools. Shorter than the suspicion itself: moving a pool early
+ * costs a takeover, while declaring a live member dead gives its slots away.
+ */
+export const coordinatorGraceMs = 500;
+
 /** Members asked to probe on behalf of this router. */
 export const indirectProbeCount = 2;
 
--- /dev/null
+++ b/packages/membership/test/createMemberTable.test.ts
@@ -0,0 +1,38 @@
+/** Guards against pools that stay with a lost coordinator, and against pools that never return to a live one. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createMemberTable } from "../src/createMemberTable.js";
+
+const describe = (router: string) => ({ router, address: `${router}:1`, failureDomain: "fd1" });
+const pools = Array.from({ length: 20 }, (_, index) => `pool-${index}`);
+
+function createTable() {
+    const table = createMemberTable({ ...describe("r0"), incarnation: 1 }, []);
+    for (const router of ["r1", "r2"]) table.apply({ ...describe(router), incarnation: 1, state: "alive" }, 0);
+    return table;
+}
+
+const countPools = (table: ReturnType<typeof createTable>, router: string) =>
+    pools.filter(pool => table.findCoordinator(pool).router === router).length;
+
+test("a suspect keeps its pools until it is passed over", () => {
+    const table = createTable();
+    const before = countPools(table, "r1");
+    assert.ok(before > 0);
+    table.apply({ ...describe("r1"), incarnation: 1, state: "suspect" }, 1_000);
+    assert.is(countPools(table, "r1"), before);
+    table.passOver("r1");
+    assert.is(countPools(table, "r1"), 0);
+    assert.is(table.listRoutable().length, 3);
+});
+
+test("a member that refutes the suspicion gets its pools back", () => {
+    const table = createTable();
+    const before = countPools(table, "r1");
+    table.apply({ ...describe("r1"), incarnation: 1, state: "suspect" }, 1_000);
+    table.passOver("r1");
+    table.apply({ ...describe("r1"), incarnation: 2, state: "alive" }, 2_000);
+    assert.is(countPools(table, "r1"), before);
+});
+
+test.run();
