Grant an idle target its cold limit until requests run there

Change: without a request reported in use, a target is granted its cold limit at most. The first dispatch after a grant is reported in the same step, so that the rest follows after a round trip; the start id that was announced is compared with the one that a target answers with.

--- a/packages/fair-share/src/coordinatorPool.ts
+++ b/packages/fair-share/src/coordinatorPool.ts
@@ -282,7 +282,11 @@
 /** Number of slots of the target that may be granted now. */
 export function computeAvailable(pool: CoordinatorPool, target: CoordinatedTarget): number {
     if (target.condition === "cold" && !target.mayGrantCold) return 0;
-    const limit = computeLimit(pool, target);
+    // A restart of an idle target breaks no connection: until one of its requests is reported, it may be cold again.
+    const isIdle = target.inUse === 0 && countOutside(target) === 0;
+    const limit = isIdle
+        ? Math.min(computeLimit(pool, target), pool.service.spec.coldLimit)
+        : computeLimit(pool, target);
     const free = Math.min(limit - countOutside(target), target.partitionCap) - target.taken;
     return Math.max(0, pool.takeoverUntil === undefined ? free : Math.min(free, target.returned));
 }
--- a/packages/fair-share/src/dispatchRequests.ts
+++ b/packages/fair-share/src/dispatchRequests.ts
@@ -83,6 +83,8 @@
 function startAttempt(context: EntryContext, tracked: TrackedRequest, { held, spec }: Candidate): void {
     const { pool, queue, waiting } = tracked;
     removeWaiting(pool, queue, waiting);
+    // The coordinator grants an idle target only its cold limit until it learns that requests run there.
+    if (held.newlyGranted && held.inUse.size === 0) pool.urgent = true;
     waiting.attempts += 1;
     const running: RunningRequest = {
         target: held.target,
--- a/packages/fair-share/src/slotTable.ts
+++ b/packages/fair-share/src/slotTable.ts
@@ -8,6 +8,8 @@
     condition: TargetState["condition"];
     /** Cumulative slots received in grants of `generation`. */
     received: number;
+    /** Whether no request has been dispatched since the last grant. */
+    newlyGranted: boolean;
     /** Requests completed on slots of `generation`. */
     completed: number;
     /** Slots of `generation` that are free. */
@@ -16,12 +18,21 @@
     readonly inUse: Map<number, number>;
     /** Set after a failure: slots of `generation` are not reused until the coordinator raises it. */
     suspended?: TargetObservation;
-    /** Start id seen under `generation`. */
+    /** Start id announced with `generation`, or seen first under it. */
     startId?: string;
 }
 
 export function createHeldTarget(target: string): HeldTarget {
-    return { target, generation: 0, condition: "cold", received: 0, completed: 0, free: 0, inUse: new Map() };
+    return {
+        target,
+        generation: 0,
+        condition: "cold",
+        received: 0,
+        newlyGranted: false,
+        completed: 0,
+        free: 0,
+        inUse: new Map(),
+    };
 }
 
 export function countInUse(held: HeldTarget): number {
@@ -34,14 +45,17 @@
 export function applyTargetState(held: HeldTarget, state: TargetState): number {
     if (state.generation < held.generation) return 0;
     held.condition = state.condition;
-    if (state.generation === held.generation) return 0;
+    if (state.generation === held.generation) {
+        held.startId ??= state.startId;
+        return 0;
+    }
     const dropped = held.free;
     held.generation = state.generation;
     held.received = 0;
     held.completed = 0;
     held.free = 0;
     held.suspended = undefined;
-    held.startId = undefined;
+    held.startId = state.startId;
     return dropped;
 }
 
@@ -51,11 +65,13 @@
     const added = grant.total - held.received;
     held.received = grant.total;
     held.free += added;
+    held.newlyGranted = true;
     return added;
 }
 
 export function takeSlot(held: HeldTarget): number {
     held.free -= 1;
+    held.newlyGranted = false;
     held.inUse.set(held.generation, (held.inUse.get(held.generation) ?? 0) + 1);
     return held.generation;
 }
--- a/packages/fair-share/test/entryQueue.test.ts
+++ b/packages/fair-share/test/entryQueue.test.ts
@@ -260,6 +260,15 @@
     assert.is(repeated, 9);
 });
 
+test("a failure is reported in the same step, and the target's slots are not used again", () => {
+    const { add, end, reports, steps } = createQueue({ slots: 2 });
+    ["q1", "q2"].forEach(id => add(id, nonIdempotent));
+    end("q1", 1, "t1", broken);
+    assert.equal(reports.at(-1)?.observations, [{ target: "t1", generation: 1, kind: "broken" }]);
+    ["q3", "q4", "q5"].forEach(id => add(id));
+    assert.equal(steps.filter(step => step.startsWith("send")).map(step => step.split(" ")[2]), ["t1", "t2", "t2"]);
+});
+
 test("in a contended pool, unused slots are returned in the same step", () => {
     const { announce, reports } = createQueue();
     announce({ contended: true });
--- a/packages/fair-share/test/poolCoordinator.test.ts
+++ b/packages/fair-share/test/poolCoordinator.test.ts
@@ -174,6 +174,21 @@
     assert.is(countGranted("r1"), 1);
 });
 
+test("an idle target, which may have restarted unnoticed, is granted its cold limit until requests run there", () => {
+    const { report, load, tick, countGranted } = createCoordinator();
+    tick(100);
+    report("r1", 0, { copy: warmCopy });
+    report("r2", 0, { copy: warmCopy });
+    load(0);
+    load(0);
+    const before = countGranted("r1");
+    report("r1", 4);
+    assert.is(countGranted("r1") - before, 2);
+    const used = { target: "t1", generation: 3 };
+    report("r1", 2, { slots: [{ ...used, held: 2, inUse: 2 }], granted: [{ ...used, total: 2 }] });
+    assert.is(countGranted("r1") - before, 4);
+});
+
 test("a coordinator that lost its state asks for copies instead of taking warm targets as cold", () => {
     const { report, load, tick, announced, coordinator } = createCoordinator();
     tick(100);
