Keep every workspace backlogged in the requests of scale

Cause: requests arrived evenly while shares differ, so that the queues of the workspaces with a large share drained and the cost per backlogged workspace came out too low.

--- a/packages/bench/src/scale/createEntryHarness.ts
+++ b/packages/bench/src/scale/createEntryHarness.ts
@@ -51,11 +51,18 @@
     let report: PoolReportMessage | undefined;
     let version = 0;
     let requests = 0;
+    /** Workspaces of waiting requests, and the one that was dispatched last. */
+    const workspaceOf = new Map<string, number>();
+    let dispatched = 0;
 
     const readEffects = (effects: readonly Effect[]) => {
         for (const effect of effects) {
-            if (effect.type === "sendToTarget") running.push(effect);
-            else if (effect.type === "sendToPeer" && effect.message.type === "poolReport") report = effect.message;
+            if (effect.type === "sendToTarget") {
+                running.push(effect);
+                dispatched = workspaceOf.get(effect.requestId) ?? 0;
+                workspaceOf.delete(effect.requestId);
+            }
+            else if (effect.type === "sendToPeer" && effect.message.type === "poolReport") { report = effect.message; }
         }
     };
 
@@ -89,6 +96,7 @@
 
     const addRequest = (workspace: number) => {
         const id = `request-${++requests}`;
+        workspaceOf.set(id, workspace);
         const request = {
             id,
             workspace: nameWorkspace(workspace),
@@ -144,14 +152,16 @@
 
     let next = 0;
     const startRequest = () => {
-        next = (next + 1) % (contended ? sizes.backlogged : sizes.workspaces);
+        next = (next + 1) % sizes.workspaces;
         addRequest(next);
     };
     return {
         router,
         runRequest: () => {
-            startRequest();
+            if (!contended) startRequest();
             endRequest();
+            // The workspace that was served stays backlogged.
+            if (contended) addRequest(dispatched);
         },
         startRequest,
         tick,
