Measure the bytes of service resources in scale

Cause: the page on capacity could not say what the spread of a service costs. Change: the codec part encodes and decodes an update with one service.

--- a/packages/bench/src/scale/measureCodec.ts
+++ b/packages/bench/src/scale/measureCodec.ts
@@ -3,7 +3,7 @@
 import type { PeerMessage } from "@rhubarbwheel/types/peer-messages";
 import { computeLine } from "./computeLine.js";
 import { createCoordinatorHarness } from "./createCoordinatorHarness.js";
-import { buildMember, buildWorkspace } from "./createRouterHarness.js";
+import { buildMember, buildService, buildWorkspace } from "./createRouterHarness.js";
 import { measureCpuUs } from "./measureCpu.js";
 
 const from = buildMember(0);
@@ -40,10 +40,16 @@
     return createCoordinatorHarness({ ...today, ...sizes }).buildReport(0);
 }
 
+function buildServiceUpdate(targets: number): PeerMessage {
+    const resources = [buildService("assistant-0", targets, 12_001)];
+    return { type: "configurationUpdate", resources, fromRevision: 12_000, revision: 12_001, digest };
+}
+
 const contents: Readonly<Record<string, { readonly sizes: readonly number[]; build: (size: number) => PeerMessage; }>> =
     {
         probePerUpdate: { sizes: [0, 4, 8], build: buildProbe },
         configurationUpdatePerWorkspace: { sizes: [1, 10, 100], build: buildConfigurationUpdate },
+        serviceUpdatePerTarget: { sizes: [12, 100, 1_000], build: buildServiceUpdate },
         reportPerWorkspace: { sizes: [2, 64, 580], build: backlogged => buildReport({ backlogged, targets: 12 }) },
         reportPerTarget: { sizes: [12, 50, 100], build: targets => buildReport({ backlogged: 2, targets }) },
         announcementPerWorkspace: {
