Estimate the other side's load in a partition by the greater of two reports

A trace showed only warm targets over their limit: each side granted what the latest load report left, and the other side's load differed from report to report. Change: while routers are missing, the foreign load is the greater of the last two reports.

--- a/packages/fair-share/src/dispatchRequests.ts
+++ b/packages/fair-share/src/dispatchRequests.ts
@@ -167,5 +167,5 @@
         if (tracked === undefined || candidate === undefined) break;
         startAttempt(context, tracked, candidate);
     }
-    returnSlots(context, pool, pool.contended && heard);
+    returnSlots(context, pool, pool.contended);
 }
--- a/packages/fair-share/src/targetStates.ts
+++ b/packages/fair-share/src/targetStates.ts
@@ -119,7 +119,8 @@
     const seen = Math.max(0, running - accounted);
     const settled = target.unaccounted.count === 0 && pool.aliveRatio >= 1;
     // A target may count a request for a moment after its answer has ended, so a single report is not enough normally.
-    target.foreign = settled ? Math.min(seen, target.lastForeign) : seen;
+    // In a partition the other side's load varies between reports, and the greater of two is the safer estimate.
+    target.foreign = settled ? Math.min(seen, target.lastForeign) : Math.max(seen, target.lastForeign);
     target.lastForeign = seen;
     if (sampledAt >= target.unaccounted.since) updateUnaccounted(target, running);
     target.running = running;
