--- a/packages/bench/src/createCaller.ts
+++ b/packages/bench/src/createCaller.ts
@@ -27,6 +27,8 @@
     readonly user: string;
     readonly prompt: string;
     readonly maxTokens: number;
+    /** The caller hangs up after this time. */
+    readonly patienceMs?: number;
     /** Called for each output token as it arrives. */
     readonly onToken?: (index: number) => void;
 }
@@ -63,7 +65,14 @@
             messages: [{ role: "user", content: opts.prompt }],
         });
         try {
-            const response = await post(agent, `${opts.router}/v1/chat/completions`, opts.token, body, {});
+            const response = await post(
+                agent,
+                `${opts.router}/v1/chat/completions`,
+                opts.token,
+                body,
+                {},
+                opts.patienceMs,
+            );
             if (response.statusCode !== 200) return await readFailure(response, startedAt);
             return await readStream(response, opts, startedAt);
         }
--- a/packages/cli/src/commands/showStatus.ts
+++ b/packages/cli/src/commands/showStatus.ts
@@ -2,7 +2,7 @@
 import type { CommandContext } from "../cliContext.js";
 import { checkPositionalCount } from "../cliContext.js";
 import { renderTable } from "../renderTable.js";
-import type { RouterStatus } from "../routerStatus.js";
+import type { PoolStatus, RouterStatus } from "../routerStatus.js";
 
 /** Keeps the output on one screen; the least-served workspaces come first. */
 const maxWorkspacesPerPool = 10;
@@ -19,14 +19,19 @@
     return (statuses[0]?.members ?? []).map(member => `${member.router}\n`).join("");
 }
 
-/** Pools and members as the first router sees them; freshness of each router that was asked. */
+/** Members as the first router sees them; pools as their coordinators see them, if they were asked. */
 export function renderStatus(statuses: readonly RouterStatus[]): string {
     const [first] = statuses;
     if (first === undefined) return "";
+    const asked = new Map(statuses.map(status => [status.router, status]));
+    // Slots and backlog of a pool are known to its coordinator only.
+    const pools = first.pools.map(pool =>
+        asked.get(pool.coordinator)?.pools.find(known => known.pool === pool.pool) ?? pool
+    );
     const sections = [
-        renderRouters(first, new Map(statuses.map(status => [status.router, status]))),
-        renderTargets(first),
-        ...renderBacklog(first),
+        renderRouters(first, asked),
+        renderTargets(pools),
+        ...renderBacklog(pools, asked),
         `Seen by ${first.router}: ${first.traffic.messages} control messages, ${first.traffic.bytes} bytes, `
         + `${first.platformCalls} platform calls\n`,
     ];
@@ -53,8 +58,8 @@
     return renderTable(["ROUTER", "FAILURE-DOMAIN", "STATE", "FRESHNESS", "CONFIRMED", "REVISION"], rows);
 }
 
-function renderTargets(status: RouterStatus): string {
-    const rows = status.pools.flatMap(pool =>
+function renderTargets(pools: readonly PoolStatus[]): string {
+    const rows = pools.flatMap(pool =>
         pool.targets.map(target => [
             pool.pool,
             pool.coordinator,
@@ -68,8 +73,10 @@
     return renderTable(["POOL", "COORDINATOR", "TARGET", "CONDITION", "LIMIT", "HELD", "RUNNING"], rows);
 }
 
-function renderBacklog(status: RouterStatus): string[] {
-    return status.pools.map(pool => {
+function renderBacklog(pools: readonly PoolStatus[], asked: ReadonlyMap<string, RouterStatus>): string[] {
+    return pools.map(pool => {
+        if (!asked.has(pool.coordinator))
+            return `Pool ${pool.pool}: name ${pool.coordinator} in --router to see its slots and backlog\n`;
         const backlogged = pool.workspaces.filter(workspace => workspace.queued > 0)
             .sort((one, other) => one.virtualTime - other.virtualTime);
         const rows = backlogged.slice(0, maxWorkspacesPerPool)
--- a/packages/cli/src/routerStatus.ts
+++ b/packages/cli/src/routerStatus.ts
@@ -12,6 +12,8 @@
     readonly members: readonly MemberStatus[];
     readonly pools: readonly PoolStatus[];
     readonly queues: readonly QueueStatus[];
+    /** Calls that this router has not answered yet, those that run on after their caller has gone included. */
+    readonly openCalls: number;
     readonly traffic: { readonly messages: number; readonly bytes: number; };
     readonly platformCalls: number;
 }
@@ -37,8 +39,9 @@
     readonly target: string;
     readonly condition: "warm" | "cold" | "closed";
     readonly limit: number;
-    readonly held: number;
-    readonly running: number;
+    /** Missing, like `running`, when the router that was asked is not the coordinator of the pool. */
+    readonly held?: number;
+    readonly running?: number;
 }
 
 export interface WorkspaceStatus {
--- a/packages/cli/test/renderOutput.test.ts
+++ b/packages/cli/test/renderOutput.test.ts
@@ -33,6 +33,7 @@
         gap: 50.25,
     }],
     queues: [],
+    openCalls: 0,
     traffic: { messages: 1_200, bytes: 345_678 },
     platformCalls: 99,
 };
@@ -58,10 +59,17 @@
     );
 });
 
+test("the coordinator's own view of a pool is preferred, and its absence is said", () => {
+    const known = { target: "worker-1", condition: "warm", limit: 8 } as const;
+    const entry = { ...first, pools: first.pools.map(pool => ({ ...pool, targets: [known], workspaces: [], gap: 0 })) };
+    assert.match(renderStatus([entry]), /worker-1 +warm +8 +- +-\n[^]*name khomas-b-1 in --router/);
+    assert.match(renderStatus([entry, { ...first, router: "khomas-b-1" }]), /worker-1 +warm +8 +8 +7\n[^]*gap 50.3/);
+});
+
 test("a long backlog is cut and says so", () => {
     const workspaces = Array.from({ length: 12 }, (_, n) => ({ workspace: `w${n}`, virtualTime: n, queued: 1 }));
     const pools = first.pools.map(pool => ({ ...pool, workspaces }));
-    assert.match(renderStatus([{ ...first, pools }]), /w9 .*\nand 2 more\n/);
+    assert.match(renderStatus([{ ...first, router: "khomas-b-1", pools }]), /w9 .*\nand 2 more\n/);
 });
 
 test("control characters of a name do not reach the terminal", () => {
--- a/packages/daemon/src/createRouter.ts
+++ b/packages/daemon/src/createRouter.ts
@@ -191,11 +191,15 @@
         reportError: (error, source) =>
             logger.logEvent(daemonEvents.internalError, {
                 source: source.type,
-                reason: error instanceof Error ? error.stack ?? error.message : String(error),
+                reason: renderReason(error),
             }),
     });
 }
 
+function renderReason(error: unknown): string {
+    return error instanceof Error ? error.stack ?? error.message : String(error);
+}
+
 function buildStatus(cradle: Cradle) {
     const { reducer, transport, platformClient } = cradle;
     return createStatus({
@@ -203,10 +207,17 @@
         membership: reducer.membership,
         configuration: reducer.configuration,
         listPeerRevisions: reducer.configuration.listPeerRevisions,
-        listPoolTargets: pool => reducer.poolCoordinator.listTargets().filter(target => target.service === pool),
+        listPoolTargets: pool => {
+            const own = reducer.poolCoordinator.listTargets().filter(target => target.service === pool);
+            if (own.length > 0) return own;
+            // Only the coordinator knows the slots; condition and limit reach every router with its announcements.
+            return reducer.entryQueue.listAnnouncedTargets(pool)
+                .map(({ target, condition, limit, generation }) => ({ target, condition, limit, generation }));
+        },
         listPoolWorkspaces: pool =>
             reducer.poolCoordinator.listWorkspaces().filter(workspace => workspace.service === pool),
         listQueues: reducer.entryQueue.listQueues,
+        countOpenCalls: cradle.registry.count,
         countTraffic: transport.countTraffic,
         countPlatformCalls: platformClient.countCalls,
         isDraining: () => cradle.lifecycle.draining,
@@ -229,6 +240,12 @@
         getStatus: status.getStatus,
         getReadiness: status.getReadiness,
         operatorToken: settings.operatorToken,
+        reportError: (requestId, error) =>
+            cradle.logger.logEvent(daemonEvents.internalError, {
+                source: "http",
+                requestId,
+                reason: renderReason(error),
+            }),
         validateResource,
         limits: {
             maxBodyBytes: settings.maxBodyBytes,
--- a/packages/daemon/src/createStatus.ts
+++ b/packages/daemon/src/createStatus.ts
@@ -20,6 +20,7 @@
     readonly listPoolTargets: (pool: string) => readonly object[];
     readonly listPoolWorkspaces: (pool: string) => PoolStatus["workspaces"];
     readonly listQueues: () => readonly object[];
+    readonly countOpenCalls: () => number;
     readonly countTraffic: () => { readonly messages: number; readonly bytes: number; };
     readonly countPlatformCalls: () => number;
     readonly isDraining: () => boolean;
@@ -63,6 +64,7 @@
                 members: buildMembers(),
                 pools: opts.configuration.listServices().map(service => buildPool(service.name)),
                 queues: opts.listQueues(),
+                openCalls: opts.countOpenCalls(),
                 traffic: opts.countTraffic(),
                 platformCalls: opts.countPlatformCalls(),
             };
--- a/packages/daemon/src/startRouter.ts
+++ b/packages/daemon/src/startRouter.ts
@@ -43,8 +43,10 @@
         lifecycle.draining = true;
         const startedAt = cradle.getNow();
         logger.logEvent(daemonEvents.drainStarted, { router, requests: cradle.registry.count() });
+        httpServer.startDrain();
         dispatch({ type: "drainRequested" });
-        const finished = Promise.all([stopped, httpServer.close()]).then(() => true);
+        // The port stays open until the calls have ended, so that the balancer reads /readyz and new calls get `notRun`.
+        const finished = stopped.then(httpServer.close).then(() => true);
         const limit = new Promise<boolean>(resolve => setTimeout(resolve, settings.drainTimeoutMs, false).unref());
         const isComplete = await Promise.race([finished, limit]);
         const durationMs = Math.round(cradle.getNow() - startedAt);
--- a/packages/fair-share/src/createEntryQueue.ts
+++ b/packages/fair-share/src/createEntryQueue.ts
@@ -1,7 +1,7 @@
 /** Slice of the entry router: queues requests per workspace and dispatches them on the slots that coordinators grant. */
 import type { Effect } from "@rhubarbwheel/types/effects";
 import type { RequestArrivedEvent, RouterEvent } from "@rhubarbwheel/types/events";
-import type { PoolAnnouncementMessage } from "@rhubarbwheel/types/peer-messages";
+import type { PoolAnnouncementMessage, TargetState } from "@rhubarbwheel/types/peer-messages";
 import type { ConfigurationQueries, MembershipQueries, RouterIdentity, Slice } from "@rhubarbwheel/types/slices";
 import { applyAnnouncement } from "./applyAnnouncement.js";
 import { defaultMaxQueued, defaultQueueTimeoutMs } from "./constants.js";
@@ -54,6 +54,8 @@
 export interface EntryQueue extends Slice {
     readonly listQueues: () => readonly QueueStatus[];
     readonly listSlots: () => readonly HeldSlots[];
+    /** Targets of a pool as its coordinator announced them last. */
+    readonly listAnnouncedTargets: (service: string) => readonly TargetState[];
     readonly countQueued: () => number;
     readonly countInProgress: () => number;
     /** Whether the request waits or is in progress here. */
@@ -298,6 +300,7 @@
                     virtualTime: computeVirtualTime(queue),
                 }))
             ),
+        listAnnouncedTargets: service => context.pools.get(service)?.copy?.targets ?? [],
         listSlots: () =>
             listPools().flatMap(pool =>
                 [...pool.targets.values()].map(held => ({
--- a/packages/http-server/src/createHttpServer.ts
+++ b/packages/http-server/src/createHttpServer.ts
@@ -55,6 +55,9 @@
 
     return {
         listen: (host, port) => listen(server, host, port),
+        startDrain: () => {
+            closing = true;
+        },
         close: () => {
             closing = true;
             return closeServer(server, watchStreams);
--- a/packages/http-server/src/httpServerOptions.ts
+++ b/packages/http-server/src/httpServerOptions.ts
@@ -58,6 +58,8 @@
 
 export interface HttpServer {
     readonly listen: (host: string, port: number) => Promise<{ readonly port: number; }>;
+    /** From now on each answer closes its connection; new connections are still accepted, so that callers get an answer. */
+    readonly startDrain: () => void;
     /** Stops accepting connections and resolves when the open calls have ended. */
     readonly close: () => Promise<void>;
 }
--- a/packages/telemetry/src/events/daemonEvents.ts
+++ b/packages/telemetry/src/events/daemonEvents.ts
@@ -23,8 +23,8 @@
     1003: {
         name: "internalError",
         level: "error",
-        message: "A step of the router failed; the event that caused it is lost.",
-        fields: ["source", "reason"],
+        message: "A step of the router failed; what caused it, an event, an effect or a call, is lost.",
+        fields: ["source", "requestId", "reason"],
     },
     1004: {
         name: "drainTimedOut",
