--- /dev/null
+++ b/packages/daemon/bin/rhubarbwheeld.mjs
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../lib/src/runDaemon.js";
