--- a/packages/daemon/src/createOperatorStore.ts
+++ b/packages/daemon/src/createOperatorStore.ts
@@ -1,17 +1,14 @@
 /** Operator writes and watches: an accepted write takes effect at this router at once. */
-import type { ResourceQueries } from "@rhubarbwheel/configuration/createConfiguration";
-import type { PlatformClient, ResourceWrite, WriteResult } from "@rhubarbwheel/types/ports";
-import type { Resource, ResourceKind } from "@rhubarbwheel/types/resources";
+import type { PlatformClient, ResourceList, ResourceWrite, WriteResult } from "@rhubarbwheel/types/ports";
+import type { Resource } from "@rhubarbwheel/types/resources";
 import type { Dispatch } from "./createLoop.js";
 
 export interface OperatorStoreOptions {
     readonly dispatch: Dispatch;
-    readonly platformClient: PlatformClient;
-    readonly configuration: Pick<ResourceQueries, "listResources">;
+    readonly platformClient: Pick<PlatformClient, "readConfiguration" | "watchConfiguration" | "writeResource">;
     readonly getNow: () => number;
 }
 
-const kinds: readonly ResourceKind[] = ["workspaces", "services", "failuredomains"];
 const watchTimeoutMs = 5_000;
 const retryDelayMs = 1_000;
 
@@ -31,6 +28,13 @@
         return result;
     };
 
+    /** Reads everything when the store no longer holds the changes since the revision that was watched from. */
+    const readAgain = async (reason: "unavailable" | "revisionGone"): Promise<ResourceList | undefined> => {
+        if (reason === "unavailable") return undefined;
+        const read = await platformClient.readConfiguration();
+        return read.type === "read" ? read.value : undefined;
+    };
+
     /** Watches the store itself, so that an operator sees every change in order. */
     const watchResources = (afterRevision: number, onChange: (resource: Resource) => void) => {
         let stopped = false;
@@ -39,15 +43,13 @@
             while (!stopped) {
                 const result = await platformClient.watchConfiguration(revision, watchTimeoutMs);
                 if (stopped) return;
-                if (result.type === "unavailable") await new Promise(resolve => setTimeout(resolve, retryDelayMs));
-                if (result.type === "revisionGone") {
-                    for (const kind of kinds)
-                        opts.configuration.listResources(kind).forEach(held => onChange(held as Resource));
-                    revision = 0;
+                const list = result.type === "changed" ? result.list : await readAgain(result.type);
+                if (list === undefined) {
+                    await new Promise(resolve => setTimeout(resolve, retryDelayMs));
+                    continue;
                 }
-                if (result.type !== "changed") continue;
-                result.list.resources.forEach(onChange);
-                revision = Math.max(revision, result.list.revision);
+                list.resources.forEach(onChange);
+                revision = Math.max(revision, list.revision);
             }
         };
         void watch();
--- a/packages/daemon/src/createRouter.ts
+++ b/packages/daemon/src/createRouter.ts
@@ -121,8 +121,8 @@
                 measureCall: callMetrics.measureCall,
             })
         ).singleton(),
-        operatorStore: asFunction(({ dispatch, platformClient, reducer, getNow }: Cradle) =>
-            createOperatorStore({ dispatch, platformClient, configuration: reducer.configuration, getNow })
+        operatorStore: asFunction(({ dispatch, platformClient, getNow }: Cradle) =>
+            createOperatorStore({ dispatch, platformClient, getNow })
         ).singleton(),
         status: asFunction(buildStatus).singleton(),
         metricsReporter: asFunction(({ metrics, reducer, transport, platformClient, getNow }: Cradle) =>
