Keep the slot of a cancelled request at a cold target for 500 ms

Cause: when a caller hung up, its slot was reused as soon as the router had closed its connection, before the target had noticed. Change: at a cold target the slot of a cancelled request stays in use for 500 ms.

--- a/packages/fair-share/src/constants.ts
+++ b/packages/fair-share/src/constants.ts
@@ -16,6 +16,12 @@
 /** Longest time that a broken stream waits for news of its target: two polls of a suspect target and the report's lag. */
 export const resumeWaitMs = 3000;
 
+/**
+ * Time for which the slot of a cancelled request stays in use at a cold target, which may still be working on it: a
+ * target notices a closed connection only when it writes the next token or reads the end of the stream.
+ */
+export const cancelSettleMs = 500;
+
 /** Part of the requests that may be retried, and retries available before any request has arrived. */
 export const retryRatio = 0.1;
 export const retryReserve = 3;
--- a/packages/fair-share/src/createEntryQueue.ts
+++ b/packages/fair-share/src/createEntryQueue.ts
@@ -4,13 +4,12 @@
 import type { PoolAnnouncementMessage, TargetState } from "@rhubarbwheel/types/peer-messages";
 import type { ConfigurationQueries, MembershipQueries, RouterIdentity, Slice } from "@rhubarbwheel/types/slices";
 import { applyAnnouncement } from "./applyAnnouncement.js";
-import { coordinatorSilenceMs, defaultMaxQueued, defaultQueueTimeoutMs } from "./constants.js";
+import { defaultMaxQueued } from "./constants.js";
 import { dispatchRequests } from "./dispatchRequests.js";
 import { handleTargetAccepted, handleTargetEnded, handleTargetProgress, updateResumptions } from "./endAttempt.js";
 import {
     closeRequest,
     endRequest,
-    endWaiting,
     type EntryContext,
     isActive,
     logEntryEvent,
@@ -24,9 +23,9 @@
     getWorkspaceQueue,
     isConfirmed,
     removeWaiting,
-    setVirtualTime,
 } from "./entryPool.js";
-import { isReportDue, sendReport } from "./reportPool.js";
+import { handleTick, startDrain, updateCoordinator, updatePools } from "./maintainPools.js";
+import { sendReport } from "./reportPool.js";
 
 export interface EntryQueueOptions {
     readonly identity: RouterIdentity;
@@ -131,69 +130,6 @@
 }
 
 /** Queues are in order of arrival, and a request that is put back at the head is older than those behind it. */
-function endExpired(context: EntryContext, pool: EntryPool): void {
-    const timeoutMs = pool.service.spec.queueTimeoutMs ?? defaultQueueTimeoutMs;
-    for (const queue of [...pool.backlogged]) {
-        for (let item = queue.waiting[0]; item !== undefined; item = queue.waiting[0]) {
-            const tracked = context.requests.get(item.request.id);
-            if (tracked === undefined || context.now - item.arrivedAt < timeoutMs) break;
-            endWaiting(context, tracked, "QUEUE_TIMEOUT");
-        }
-    }
-}
-
-function endAllWaiting(context: EntryContext, pool: EntryPool, code: "DRAINING" | "SERVICE_UNKNOWN"): void {
-    for (const queue of [...pool.backlogged]) {
-        for (const item of [...queue.waiting]) {
-            const tracked = context.requests.get(item.request.id);
-            if (tracked !== undefined) endWaiting(context, tracked, code);
-        }
-    }
-}
-
-function updatePools(context: EntryContext): void {
-    const services = context.configuration.listServices();
-    for (const service of services) {
-        const pool = context.pools.get(service.name);
-        if (pool === undefined) context.pools.set(service.name, createEntryPool(service));
-        else pool.service = service;
-    }
-    for (const pool of context.pools.values()) {
-        if (context.configuration.getService(pool.name) === undefined) removePool(context, pool);
-        removeTargets(pool);
-        for (const queue of pool.workspaces.values()) {
-            const share = context.configuration.getWorkspace(queue.workspace)?.share ?? queue.share;
-            if (share === queue.share) continue;
-            setVirtualTime(queue, computeVirtualTime(queue));
-            queue.share = share;
-        }
-    }
-}
-
-/** Forgets targets that the service no longer has once their last request has ended. */
-function removeTargets(pool: EntryPool): void {
-    const listed = new Set(pool.service.spec.targets.map(target => target.name));
-    for (const held of pool.targets.values())
-        if (!listed.has(held.target) && held.free === 0 && held.inUse.size === 0) pool.targets.delete(held.target);
-}
-
-function removePool(context: EntryContext, pool: EntryPool): void {
-    endAllWaiting(context, pool, "SERVICE_UNKNOWN");
-    // Requests in progress keep their reference to the pool until they end.
-    context.pools.delete(pool.name);
-}
-
-/** Reports go to the router that membership names; a new one is told everything at once. */
-function updateCoordinator(context: EntryContext, pool: EntryPool): void {
-    const member = context.membership.findCoordinator(pool.name);
-    const coordinator = `${member.router}/${member.incarnation}`;
-    if (pool.coordinator === coordinator) return;
-    pool.coordinator = coordinator;
-    pool.sendCopy = true;
-    pool.urgent = true;
-    logEntryEvent(context, "coordinatorChanged", { service: pool.name, router: member.router });
-}
-
 function handleAnnouncement(context: EntryContext, from: string, message: PoolAnnouncementMessage): void {
     const pool = context.pools.get(message.pool);
     if (pool === undefined || message.incarnation !== context.identity.incarnation) return;
@@ -204,36 +140,6 @@
     dispatchRequests(context, pool);
 }
 
-/** A paused process keeps its connections, so silence is the first sign that the coordinator is gone. */
-function checkSilence(context: EntryContext, pool: EntryPool): void {
-    const silentMs = context.now - pool.lastAnnouncementAt;
-    if (pool.silenceReported || !pool.contended || pool.ackedSequence >= pool.reportSequence) return;
-    if (silentMs < coordinatorSilenceMs || silentMs === Infinity) return;
-    const { router } = context.membership.findCoordinator(pool.name);
-    if (router === context.identity.router) return;
-    pool.silenceReported = true;
-    context.effects.push({ type: "raise", event: { type: "peerUnreachable", now: context.now, router } });
-}
-
-function handleTick(context: EntryContext): void {
-    for (const pool of context.pools.values()) {
-        updateCoordinator(context, pool);
-        checkSilence(context, pool);
-        endExpired(context, pool);
-        updateResumptions(context, pool);
-        dispatchRequests(context, pool);
-        if (isReportDue(pool, context.now)) pool.urgent = true;
-    }
-}
-
-function startDrain(context: EntryContext): void {
-    context.draining = true;
-    for (const pool of context.pools.values()) {
-        endAllWaiting(context, pool, "DRAINING");
-        dispatchRequests(context, pool);
-    }
-}
-
 function handleEvent(context: EntryContext, event: RouterEvent): void {
     if (event.type === "requestArrived") handleArrival(context, event);
     else if (event.type === "requestCancelled") handleCancellation(context, event.requestId);
--- a/packages/fair-share/src/endAttempt.ts
+++ b/packages/fair-share/src/endAttempt.ts
@@ -1,7 +1,7 @@
 /** What happens when an attempt makes progress or ends: accounting, retries and resumption. */
 import type { TargetAcceptedEvent, TargetEndedEvent, TargetProgressEvent } from "@rhubarbwheel/types/events";
 import type { TargetObservation } from "@rhubarbwheel/types/peer-messages";
-import { averageWeight, slowCount, slowFactor, slowMinimumMs } from "./constants.js";
+import { averageWeight, cancelSettleMs, slowCount, slowFactor, slowMinimumMs } from "./constants.js";
 import { dispatchRequests } from "./dispatchRequests.js";
 import {
     closeRequest,
@@ -15,7 +15,7 @@
 } from "./entryContext.js";
 import { addWaiting, type EntryPool, getHeldTarget, recordCost, type RunningRequest } from "./entryPool.js";
 import { continueStreams, holdForResume, mayResume } from "./resumeStreams.js";
-import { recordCompletion, releaseSlot } from "./slotTable.js";
+import { type HeldTarget, recordCompletion, releaseSlot } from "./slotTable.js";
 
 /**
  * Stops the reuse of a target's slots until the coordinator, which is told at once, has raised the generation. A failure
@@ -120,9 +120,24 @@
 function releaseAttempt(context: EntryContext, tracked: TrackedRequest, running: RunningRequest): void {
     const { pool, queue } = tracked;
     const held = getHeldTarget(pool, running.target);
+    const { generation } = running;
     queue.inProgress -= 1;
+    if (running.cancelled && held.condition === "cold")
+        pool.settling.push({ held, generation, until: context.now + cancelSettleMs });
+    else freeSlot(context, pool, held, generation);
+}
+
+/** Frees the slots of cancelled requests that their targets have had time to notice. */
+export function freeSettledSlots(context: EntryContext, pool: EntryPool): void {
+    while ((pool.settling[0]?.until ?? Infinity) <= context.now) {
+        const { held, generation } = pool.settling.shift()!;
+        freeSlot(context, pool, held, generation);
+    }
+}
+
+function freeSlot(context: EntryContext, pool: EntryPool, held: HeldTarget, generation: number): void {
     pool.changed = true;
-    if (!releaseSlot(held, running.generation)) {
+    if (!releaseSlot(held, generation)) {
         pool.urgent = true;
         return;
     }
--- a/packages/fair-share/src/entryPool.ts
+++ b/packages/fair-share/src/entryPool.ts
@@ -63,6 +63,8 @@
     readonly budget: RetryBudget;
     /** Target that served each prompt prefix last. */
     readonly prefixTargets: Map<number, string>;
+    /** Slots of cancelled requests that are still counted as in use, oldest first. */
+    readonly settling: { readonly held: HeldTarget; readonly generation: number; readonly until: number; }[];
     /** Broken attempts that wait to be resumed. */
     readonly resuming: Set<RunningRequest>;
     readonly latencies: Map<string, { average: number; slowInRow: number; }>;
@@ -98,6 +100,7 @@
         targets: new Map(),
         budget: createRetryBudget(),
         prefixTargets: new Map(),
+        settling: [],
         resuming: new Set(),
         latencies: new Map(),
         coordinator: "",
