--- a/packages/bench/src/fairnessPlan.ts
+++ b/packages/bench/src/fairnessPlan.ts
@@ -14,7 +14,7 @@
 export const largestRequestCost = promptCharacters / 4 + 2 * outputTokens[1];
 export const smallestShare = 1;
 
-const pickDomain = (index: number) => domains[index % domains.length]!;
+const chooseDomain = (index: number) => domains[index % domains.length]!;
 
 export const workspaces = [
     { name: "flood", share: 1 },
@@ -25,11 +25,11 @@
 
 export const plan: FleetPlan = {
     failureDomains: domains,
-    routerDomains: Array.from({ length: routerCount }, (_, index) => pickDomain(index)),
+    routerDomains: Array.from({ length: routerCount }, (_, index) => chooseDomain(index)),
     services: [{
         name: "assistant",
         kind: "model",
-        failureDomains: Array.from({ length: targetCount }, (_, index) => pickDomain(index)),
+        failureDomains: Array.from({ length: targetCount }, (_, index) => chooseDomain(index)),
         targetLimit,
         coldLimit,
         flags: [`--tokenBaseMs=${tokenMs}`, "--tokenSlopeMs=0.2"],
--- a/packages/bench/src/fleetPlan.ts
+++ b/packages/bench/src/fleetPlan.ts
@@ -26,6 +26,8 @@
     readonly services: readonly ServicePlan[];
     readonly workspaces: readonly WorkspacePlan[];
     readonly platformFlags?: readonly string[];
+    /** Puts a forwarder in front of each router's peer port, so that the routers can be cut off from each other. */
+    readonly forwardsPeers?: boolean;
 }
 
 export const modelName = "assistant-1";
--- a/packages/bench/src/runConfig.ts
+++ b/packages/bench/src/runConfig.ts
@@ -48,14 +48,14 @@
 /** Reads a workspace, then writes it with a share that no other write uses, each through any router. */
 async function runOperator(fleet: Fleet, operator: number, untilMs: number, race: RaceResult) {
     const random = createRandom(seed + operator);
-    const pickRouter = () => fleet.routers[Math.floor(random() * routerCount)]!.url;
+    const chooseRouter = () => fleet.routers[Math.floor(random() * routerCount)]!.url;
     for (let write = 1; Date.now() < untilMs; write++) {
         await sleep(random() * 400);
         const name = `plant-${Math.floor(random() * workspaceCount)}`;
-        const current = await readJson<StoredWorkspace>(`${pickRouter()}/api/v1/workspaces/${name}`);
+        const current = await readJson<StoredWorkspace>(`${chooseRouter()}/api/v1/workspaces/${name}`);
         const share = operator + 1 + write / 10_000;
         const spec = buildWorkspaceSpec({ name, share });
-        const answer = await putResource(pickRouter(), { kind: "workspaces", name, spec, version: current.version });
+        const answer = await putResource(chooseRouter(), { kind: "workspaces", name, spec, version: current.version });
         const acceptedAt = Date.now();
         const stored = answer.body as StoredWorkspace;
         if (answer.status < 300) {
--- a/packages/bench/src/runOnce.ts
+++ b/packages/bench/src/runOnce.ts
@@ -1,4 +1,4 @@
-/** Benchmark `once`: orders and their retries while routers are killed and frozen and the platform's store fails. */
+/** Benchmark `once`: orders and their retries while routers are killed, frozen and cut off and the store fails. */
 import { createRandom } from "@rhubarbwheel/reducer/createRandom";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createCaller } from "./createCaller.js";
@@ -31,6 +31,7 @@
         queueTimeoutMs: 5_000,
     }],
     workspaces: [{ name: "branch-0", share: 1 }, { name: "branch-1", share: 2 }],
+    forwardsPeers: true,
 };
 
 interface OrderRecord {
@@ -80,6 +81,7 @@
 interface FaultCounts {
     kills: number;
     freezes: number;
+    cuts: number;
     storeFaults: number;
     targetFaults: number;
 }
@@ -99,6 +101,13 @@
     process.signal("SIGCONT");
 }
 
+/** Cuts each router off from all others. */
+async function cutPeers(fleet: Fleet, ms: number) {
+    fleet.cutPeers();
+    await sleep(ms);
+    fleet.healPeers();
+}
+
 async function failStore(fleet: Fleet, random: Random) {
     const fault = pick([{ down: true }, { delayMs: 800 }, { loseAnswers: 0.5 }], random);
     await putControl(`${fleet.platformUrl}/control/faults`, fault);
@@ -114,7 +123,7 @@
 /** One router is killed and another frozen at a time, with store and target faults in between and on top. */
 async function runFaults(fleet: Fleet, untilMs: number): Promise<FaultCounts> {
     const random = createRandom(seed);
-    const counts: FaultCounts = { kills: 0, freezes: 0, storeFaults: 0, targetFaults: 0 };
+    const counts: FaultCounts = { kills: 0, freezes: 0, cuts: 0, storeFaults: 0, targetFaults: 0 };
     const repeat = async (key: keyof FaultCounts, pauseMs: number, fault: () => Promise<void>) => {
         while (Date.now() < untilMs - 4_000) {
             await sleep(pauseMs);
@@ -130,6 +139,7 @@
             1_200,
             () => freezeRouter(fleet, half + Math.floor(random() * (routerCount - half)), 500 + random() * 3_000),
         ),
+        repeat("cuts", 4_000, () => cutPeers(fleet, 500 + random() * 1_500)),
         repeat("storeFaults", 2_000, () => failStore(fleet, random)),
         repeat("targetFaults", 700, () => failTarget(fleet, random)),
     ]);
--- a/packages/bench/src/startFleet.ts
+++ b/packages/bench/src/startFleet.ts
@@ -6,6 +6,8 @@
 import { findFreePorts } from "./findFreePorts.js";
 import type { FleetPlan, ServicePlan } from "./fleetPlan.js";
 import { buildServiceSpec, buildWorkspaceSpec, fleetSecret, operatorToken } from "./fleetPlan.js";
+import { startForwarder } from "./startForwarder.js";
+import type { Forwarder } from "./startForwarder.js";
 import type { RunningProcess } from "./startProcess.js";
 import { startProcess } from "./startProcess.js";
 
@@ -34,6 +36,9 @@
     readonly routers: readonly RunningRouter[];
     readonly targets: readonly RunningTarget[];
     readonly writeResource: (kind: ResourceKind, name: string, spec: object, version: number) => Promise<WriteAnswer>;
+    /** Cuts every router off from every other one; needs `forwardsPeers` in the plan. */
+    readonly cutPeers: () => void;
+    readonly healPeers: () => void;
     readonly stop: () => Promise<void>;
 }
 
@@ -53,10 +58,11 @@
     });
     const platformUrl = `http://127.0.0.1:${platform.port}`;
     const targets = (await Promise.all(plan.services.map(startTargets))).flat();
-    const routers = await startRouters(plan, platformUrl);
+    const { routers, forwarders } = await startRouters(plan, platformUrl);
     const stop = async () => {
         await Promise.all(routers.map(router => router.process.stop()));
         await Promise.all([platform, ...targets.map(target => target.process)].map(running => running.stop()));
+        await Promise.all(forwarders.map(forwarder => forwarder.close()));
     };
     try {
         await Promise.all(routers.map(router => waitForStatus(`${router.url}/livez`)));
@@ -70,7 +76,9 @@
     }
     const writeResource = (kind: ResourceKind, name: string, spec: object, version: number) =>
         putResource(routers[0]!.url, { kind, name, spec, version });
-    return { platform, platformUrl, routers, targets, writeResource, stop };
+    const cutPeers = () => forwarders.forEach(forwarder => forwarder.cut());
+    const healPeers = () => forwarders.forEach(forwarder => forwarder.heal());
+    return { platform, platformUrl, routers, targets, writeResource, cutPeers, healPeers, stop };
 }
 
 function resolveScript(packageName: string, file: string): string {
@@ -93,47 +101,67 @@
     }));
 }
 
-async function startRouters(plan: FleetPlan, platformUrl: string): Promise<readonly RunningRouter[]> {
+interface RouterPorts {
+    readonly name: string;
+    readonly failureDomain: string;
+    readonly callerPort: number;
+    readonly peerPort: number;
+    /** Port at which the other routers reach the peer port; differs behind a forwarder. */
+    readonly advertisedPort: number;
+}
+
+interface StartedRouters {
+    readonly routers: readonly RunningRouter[];
+    readonly forwarders: readonly Forwarder[];
+}
+
+async function startRouters(plan: FleetPlan, platformUrl: string): Promise<StartedRouters> {
     const ports = await findFreePorts(plan.routerDomains.length * portsPerRouter);
-    const described = plan.routerDomains.map((failureDomain, index) => ({
+    const peerPorts = plan.routerDomains.map((_, index) => ports[index * portsPerRouter + 1]!);
+    const forwarders = plan.forwardsPeers === true ? await Promise.all(peerPorts.map(startForwarder)) : [];
+    const described = plan.routerDomains.map((failureDomain, index): RouterPorts => ({
         name: `router-${index}`,
         failureDomain,
         callerPort: ports[index * portsPerRouter]!,
-        peerPort: ports[index * portsPerRouter + 1]!,
+        peerPort: peerPorts[index]!,
+        advertisedPort: forwarders[index]?.port ?? peerPorts[index]!,
     }));
-    const seeds = described.map(entry => `${entry.name}@${entry.failureDomain}@127.0.0.1:${entry.peerPort}`).join(",");
-    return Promise.all(described.map(async entry => {
-        const start = () =>
-            startProcess({
-                name: entry.name,
-                script: resolveScript("daemon", "runDaemon"),
-                arguments: [
-                    `--router-name=${entry.name}`,
-                    `--failure-domain=${entry.failureDomain}`,
-                    `--listen=127.0.0.1:${entry.callerPort}`,
-                    `--peer-listen=127.0.0.1:${entry.peerPort}`,
-                    `--peer-address=127.0.0.1:${entry.peerPort}`,
-                    `--platform=${platformUrl}`,
-                    `--seeds=${seeds}`,
-                    `--log-level=${process.env["BENCH_LOG_LEVEL"] ?? "error"}`,
-                ],
-                environment: {
-                    RHUBARBWHEEL_OPERATOR_TOKEN: operatorToken,
-                    RHUBARBWHEEL_FLEET_SECRET: fleetSecret,
-                },
-            });
-        const router: RunningRouter = {
+    const seeds = described.map(entry => `${entry.name}@${entry.failureDomain}@127.0.0.1:${entry.advertisedPort}`);
+    const routers = await Promise.all(described.map(entry => startRouter(entry, seeds.join(","), platformUrl)));
+    return { routers, forwarders };
+}
+
+async function startRouter(entry: RouterPorts, seeds: string, platformUrl: string): Promise<RunningRouter> {
+    const start = () =>
+        startProcess({
             name: entry.name,
-            failureDomain: entry.failureDomain,
-            url: `http://127.0.0.1:${entry.callerPort}`,
-            peerAddress: `127.0.0.1:${entry.peerPort}`,
-            process: await start(),
-            restart: async () => {
-                router.process = await start();
+            script: resolveScript("daemon", "runDaemon"),
+            arguments: [
+                `--router-name=${entry.name}`,
+                `--failure-domain=${entry.failureDomain}`,
+                `--listen=127.0.0.1:${entry.callerPort}`,
+                `--peer-listen=127.0.0.1:${entry.peerPort}`,
+                `--peer-address=127.0.0.1:${entry.advertisedPort}`,
+                `--platform=${platformUrl}`,
+                `--seeds=${seeds}`,
+                `--log-level=${process.env["BENCH_LOG_LEVEL"] ?? "error"}`,
+            ],
+            environment: {
+                RHUBARBWHEEL_OPERATOR_TOKEN: operatorToken,
+                RHUBARBWHEEL_FLEET_SECRET: fleetSecret,
             },
-        };
-        return router;
-    }));
+        });
+    const router: RunningRouter = {
+        name: entry.name,
+        failureDomain: entry.failureDomain,
+        url: `http://127.0.0.1:${entry.callerPort}`,
+        peerAddress: `127.0.0.1:${entry.advertisedPort}`,
+        process: await start(),
+        restart: async () => {
+            router.process = await start();
+        },
+    };
+    return router;
 }
 
 async function writeConfiguration(plan: FleetPlan, url: string, targets: readonly RunningTarget[]) {
--- a/packages/cli/src/cliContext.ts
+++ b/packages/cli/src/cliContext.ts
@@ -1,6 +1,6 @@
 /** What a command gets from `runCli`, so that tests can replace all of it. */
 import type { ResourceKind } from "@rhubarbwheel/types/resources";
-import { makeUsageError } from "./cliError.js";
+import { createUsageError } from "./cliError.js";
 import type { OperatorClient } from "./operatorClient.js";
 import type { OutputFormat } from "./renderResources.js";
 
@@ -30,15 +30,15 @@
 /** Accepts the singular too. */
 export function readKind(text: string | undefined): ResourceKind {
     const kind = resourceKinds.find(name => name === text || name === `${text}s`);
-    if (kind === undefined) throw makeUsageError(`Name one of the kinds ${resourceKinds.join(", ")}.`);
+    if (kind === undefined) throw createUsageError(`Name one of the kinds ${resourceKinds.join(", ")}.`);
     return kind;
 }
 
 export function readName(text: string | undefined): string {
-    if (text === undefined || text === "") throw makeUsageError("Name the resource after its kind.");
+    if (text === undefined || text === "") throw createUsageError("Name the resource after its kind.");
     return text;
 }
 
 export function checkPositionalCount(context: CommandContext, most: number): void {
-    if (context.positionals.length > most) throw makeUsageError("There are too many arguments.");
+    if (context.positionals.length > most) throw createUsageError("There are too many arguments.");
 }
--- a/packages/cli/src/cliError.ts
+++ b/packages/cli/src/cliError.ts
@@ -20,12 +20,12 @@
     }
 }
 
-export function makeUsageError(message: string): CliError {
+export function createUsageError(message: string): CliError {
     return new CliError(exitCodes.usage, "USAGE", message, "See: rhubarbwheel --help");
 }
 
 /** The answer to a write got lost: it may have taken effect. */
-export function makeUnknownError(detail: string): CliError {
+export function createUnknownError(detail: string): CliError {
     const { code, message, hint } = getErrorKind("PLATFORM_UNKNOWN");
     return new CliError(exitCodes.unknown, code, `${message} ${detail}`, hint);
 }
--- a/packages/cli/src/commands/applyResources.ts
+++ b/packages/cli/src/commands/applyResources.ts
@@ -3,7 +3,7 @@
 import { isDeepStrictEqual } from "node:util";
 import type { CommandContext } from "../cliContext.js";
 import { checkPositionalCount, readKind } from "../cliContext.js";
-import { CliError, exitCodes, makeUsageError } from "../cliError.js";
+import { CliError, createUsageError, exitCodes } from "../cliError.js";
 import { waitForRevision } from "../waitForRevision.js";
 
 interface Desired {
@@ -15,7 +15,7 @@
 /** Stops at the first resource that is not accepted, and says which ones were not tried. */
 export async function applyResources(context: CommandContext): Promise<void> {
     checkPositionalCount(context, 0);
-    if (context.file === undefined) throw makeUsageError("Name the file with -f FILE, or -f - for standard input.");
+    if (context.file === undefined) throw createUsageError("Name the file with -f FILE, or -f - for standard input.");
     const desired = parseResources(context.io.readFile(context.file), context.file);
     let revision = 0;
     for (const [index, resource] of desired.entries()) {
@@ -54,7 +54,7 @@
 function parseResources(text: string, file: string): readonly Desired[] {
     const parsed = parseJson(text, file);
     const list = Array.isArray(parsed) ? parsed : (parsed as { resources?: unknown; }).resources ?? [parsed];
-    if (!Array.isArray(list)) throw makeFileError(file, "\"resources\" is not a list.");
+    if (!Array.isArray(list)) throw createFileError(file, "\"resources\" is not a list.");
     return list.map((item, index) => readDesired(item, `${file}, resource ${index + 1}`));
 }
 
@@ -64,20 +64,20 @@
         if (typeof parsed === "object" && parsed) return parsed;
     }
     catch (error) {
-        throw makeFileError(file, `is not JSON: ${(error as Error).message}.`);
+        throw createFileError(file, `is not JSON: ${(error as Error).message}.`);
     }
-    throw makeFileError(file, "is neither a resource nor a list of resources.");
+    throw createFileError(file, "is neither a resource nor a list of resources.");
 }
 
 function readDesired(item: unknown, place: string): Desired {
     const { kind, name, spec } = (item ?? {}) as Partial<Record<keyof Desired, unknown>>;
-    if (typeof kind !== "string") throw makeFileError(place, "\"kind\" is missing.");
-    if (typeof name !== "string" || name === "") throw makeFileError(place, "\"name\" is missing.");
-    if (typeof spec !== "object" || !spec) throw makeFileError(place, "\"spec\" is missing.");
+    if (typeof kind !== "string") throw createFileError(place, "\"kind\" is missing.");
+    if (typeof name !== "string" || name === "") throw createFileError(place, "\"name\" is missing.");
+    if (typeof spec !== "object" || !spec) throw createFileError(place, "\"spec\" is missing.");
     return { kind: readKind(kind), name, spec };
 }
 
-function makeFileError(place: string, problem: string): CliError {
+function createFileError(place: string, problem: string): CliError {
     const hint = "Write {\"kind\": ..., \"name\": ..., \"spec\": {...}} or a list of these.";
     return new CliError(exitCodes.refused, "RESOURCE_INVALID", `${place}: ${problem}`, hint);
 }
--- a/packages/cli/src/commands/getResource.ts
+++ b/packages/cli/src/commands/getResource.ts
@@ -12,7 +12,7 @@
     const name = context.positionals[1];
     if (name === undefined) return await listResources(context);
     const resource = await context.client.readResource(kind, name);
-    if (resource === undefined || resource.deleted) throw makeNotFoundError(`${kind}/${name}`);
+    if (resource === undefined || resource.deleted) throw createNotFoundError(`${kind}/${name}`);
     const isJson = context.output === "json";
     const text = isJson
         ? `${JSON.stringify(resource, undefined, 2)}\n`
@@ -20,7 +20,7 @@
     context.io.writeOutput(text);
 }
 
-export function makeNotFoundError(resource: string): CliError {
+export function createNotFoundError(resource: string): CliError {
     const { code, message, hint } = getErrorKind("RESOURCE_NOT_FOUND");
     return new CliError(exitCodes.refused, code, `${message} (${resource})`, hint);
 }
--- a/packages/cli/src/commands/writeCompletion.ts
+++ b/packages/cli/src/commands/writeCompletion.ts
@@ -1,6 +1,6 @@
 /** `completion bash`: a script that completes commands, kinds and names of resources. */
 import { resourceKinds } from "../cliContext.js";
-import { makeUsageError } from "../cliError.js";
+import { createUsageError } from "../cliError.js";
 
 const script = (commands: readonly string[]) =>
     `# Load with: source <(rhubarbwheel completion bash)
@@ -38,6 +38,7 @@
     commands: readonly string[],
     writeOutput: (text: string) => void,
 ): void {
-    if (positionals.length !== 1 || positionals[0] !== "bash") throw makeUsageError("Name the shell: completion bash.");
+    if (positionals.length !== 1 || positionals[0] !== "bash")
+        throw createUsageError("Name the shell: completion bash.");
     writeOutput(script(commands));
 }
--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -1,7 +1,7 @@
 /** Client of the operators' HTTP API. Tries the given routers in turn, but never sends a write twice. */
 import type { Resource, ResourceKind } from "@rhubarbwheel/types/resources";
 import { request } from "undici";
-import { CliError, exitCodes, makeUnknownError, readErrorAnswer } from "./cliError.js";
+import { CliError, createUnknownError, exitCodes, readErrorAnswer } from "./cliError.js";
 import type { RouterStatus } from "./routerStatus.js";
 
 export interface ResourceListAnswer {
@@ -156,7 +156,7 @@
             "Check the URL, or name further routers in --router or RHUBARBWHEEL_ROUTER.",
         );
     }
-    return makeUnknownError(`The connection to ${router} broke (${code || message}).`);
+    return createUnknownError(`The connection to ${router} broke (${code || message}).`);
 }
 
 async function* splitLines(body: AsyncIterable<Buffer>): AsyncGenerator<string> {
--- a/packages/cli/src/runCli.ts
+++ b/packages/cli/src/runCli.ts
@@ -3,7 +3,7 @@
 import { setTimeout as waitFor } from "node:timers/promises";
 import { parseArgs } from "node:util";
 import type { CliIo, CommandContext } from "./cliContext.js";
-import { CliError, exitCodes, makeUsageError } from "./cliError.js";
+import { CliError, createUsageError, exitCodes } from "./cliError.js";
 import type { ExitCode } from "./cliError.js";
 import { applyResources } from "./commands/applyResources.js";
 import { deleteResource } from "./commands/deleteResource.js";
@@ -68,7 +68,7 @@
         return exitCodes.ok;
     }
     catch (error) {
-        const known = error instanceof CliError ? error : makeOtherError(error, io.signal.aborted);
+        const known = error instanceof CliError ? error : createOtherError(error, io.signal.aborted);
         io.writeError(`error ${known.code}: ${known.message}\nhint: ${known.hint}\n`);
         return known.exitCode;
     }
@@ -82,7 +82,7 @@
         return writeCompletion(positionals, names, io.writeOutput);
     }
     const run = Object.hasOwn(commands, name) ? commands[name] : undefined;
-    if (run === undefined) throw makeUsageError(name === "" ? "Name a command." : `There is no command ${name}.`);
+    if (run === undefined) throw createUsageError(name === "" ? "Name a command." : `There is no command ${name}.`);
     const client = createOperatorClient({
         routers: readRouters(values.router ?? environment.RHUBARBWHEEL_ROUTER),
         token: readToken(values["token-file"], environment.RHUBARBWHEEL_OPERATOR_TOKEN, io),
@@ -104,45 +104,46 @@
         return parseArgs({ args: [...argv], options: flags, allowPositionals: true });
     }
     catch (error) {
-        throw makeUsageError(`${(error as Error).message.split(". ")[0]}.`);
+        throw createUsageError(`${(error as Error).message.split(". ")[0]}.`);
     }
 }
 
 function readRouters(text: string | undefined): readonly string[] {
     const routers = (text ?? "").split(",").map(part => part.trim()).filter(part => part !== "");
-    if (routers.length === 0) throw makeUsageError("Name a router with --router URL or RHUBARBWHEEL_ROUTER.");
+    if (routers.length === 0) throw createUsageError("Name a router with --router URL or RHUBARBWHEEL_ROUTER.");
     return routers.map(router => {
         const url = URL.canParse(router) ? new URL(router) : undefined;
         if (url === undefined || !/^https?:$/.test(url.protocol))
-            throw makeUsageError("--router is not a list of http or https URLs.");
+            throw createUsageError("--router is not a list of http or https URLs.");
         return url.origin;
     });
 }
 
 function readToken(file: string | undefined, token: string | undefined, io: CliIo): string {
     const text = (file === undefined ? token ?? "" : io.readFile(file)).trim();
-    if (text === "") throw makeUsageError("Set RHUBARBWHEEL_OPERATOR_TOKEN, or --token-file to a file with the token.");
+    if (text === "")
+        throw createUsageError("Set RHUBARBWHEEL_OPERATOR_TOKEN, or --token-file to a file with the token.");
     return text;
 }
 
 function readOutput(text = "table"): OutputFormat {
     if (text === "json" || text === "table" || text === "names") return text;
-    throw makeUsageError("--output is none of json, table, names.");
+    throw createUsageError("--output is none of json, table, names.");
 }
 
 function readTimeout(text = "30"): number {
     const seconds = Number(text);
-    if (!(seconds > 0)) throw makeUsageError("--timeout is not a number of seconds above 0.");
+    if (!(seconds > 0)) throw createUsageError("--timeout is not a number of seconds above 0.");
     return seconds * 1_000;
 }
 
-function makeOtherError(error: unknown, isInterrupted: boolean): CliError {
+function createOtherError(error: unknown, isInterrupted: boolean): CliError {
     if (isInterrupted) {
         const hint = "Check with status and get before running the command again.";
         return new CliError(exitCodes.unknown, "INTERRUPTED", "The command was interrupted.", hint);
     }
     const { code, message } = error as NodeJS.ErrnoException;
-    if (code === "ENOENT" || code === "EACCES" || code === "EISDIR") return makeUsageError(message);
+    if (code === "ENOENT" || code === "EACCES" || code === "EISDIR") return createUsageError(message);
     return new CliError(exitCodes.refused, "INTERNAL", String(message), "Report this with the command that you ran.");
 }
 
--- a/packages/configuration/src/createConfirmer.ts
+++ b/packages/configuration/src/createConfirmer.ts
@@ -51,7 +51,7 @@
         opts.ask(to, lastSequence);
     };
 
-    const pickRandom = () => {
+    const chooseRandom = () => {
         const routable = opts.listRoutable();
         return routable[Math.floor(opts.random() * routable.length)];
     };
@@ -71,7 +71,7 @@
         asked += 1;
         const source = sources[Math.floor(opts.random() * sources.length)];
         const useSource = source !== undefined && asked % 3 !== 0;
-        ask(useSource ? opts.getMember(source) : pickRandom(), now);
+        ask(useSource ? opts.getMember(source) : chooseRandom(), now);
     };
 
     return {
--- a/packages/daemon/src/settingsTable.ts
+++ b/packages/daemon/src/settingsTable.ts
@@ -113,7 +113,7 @@
 const parseDuration = parseQuantity({ "": 1, ms: 1, s: 1_000, m: 60_000 }, "a time above 0, such as 500, 500ms or 30s");
 const parseCount = parseQuantity({ "": 1 }, "a whole number above 0");
 
-function makeRow<T>(
+function createRow<T>(
     group: SettingRow<T>["group"],
     value: string,
     parse: SettingRow<T>["parse"],
@@ -127,66 +127,66 @@
 
 /** Key `someFlag` is the flag `--some-flag` and the variable `RHUBARBWHEEL_SOME_FLAG`. */
 export const settingsTable = {
-    routerName: makeRow("Identity", "NAME", parseName, "Name of this router, unique in the fleet.", required),
-    failureDomain: makeRow("Identity", "NAME", parseName, "Failure domain that this host is in.", required),
-    listen: makeRow("Addresses", "IP:PORT", parseHostPort, "Address for callers and operators.", required),
-    peerListen: makeRow("Addresses", "IP:PORT", parseAddress, "Address for other routers.", required),
-    peerAddress: makeRow(
+    routerName: createRow("Identity", "NAME", parseName, "Name of this router, unique in the fleet.", required),
+    failureDomain: createRow("Identity", "NAME", parseName, "Failure domain that this host is in.", required),
+    listen: createRow("Addresses", "IP:PORT", parseHostPort, "Address for callers and operators.", required),
+    peerListen: createRow("Addresses", "IP:PORT", parseAddress, "Address for other routers.", required),
+    peerAddress: createRow(
         "Addresses",
         "IP:PORT",
         parseReachableAddress,
         "Address at which other routers reach this one; --peer-listen by default.",
     ),
-    platform: makeRow(
+    platform: createRow(
         "Addresses",
         "URL,...",
         parsePlatform,
         "Base URLs of the platform's object API, tried in turn.",
         required,
     ),
-    seeds: makeRow(
+    seeds: createRow(
         "Addresses",
         "ROUTER@FAILURE-DOMAIN@IP:PORT,...",
         parseList(parseSeed),
         "Routers to contact first, in addition to the platform's host list.",
         { defaultText: "" },
     ),
-    operatorTokenFile: makeRow(
+    operatorTokenFile: createRow(
         "Secrets",
         "FILE",
         parseText,
         "File with the operator token, at least 16 characters; or RHUBARBWHEEL_OPERATOR_TOKEN holds the token.",
     ),
-    fleetSecretFile: makeRow(
+    fleetSecretFile: createRow(
         "Secrets",
         "FILE",
         parseText,
         "File with the secret that routers share, at least 16 characters; or RHUBARBWHEEL_FLEET_SECRET holds it.",
     ),
-    peerTlsCertificateFile: makeRow("Peer TLS", "FILE", parseText, "Certificate chain of this router, PEM."),
-    peerTlsKeyFile: makeRow("Peer TLS", "FILE", parseText, "Private key of this router, PEM."),
-    peerTlsAuthorityFile: makeRow("Peer TLS", "FILE", parseText, "Authority that signs all routers, PEM."),
-    logLevel: makeRow(
+    peerTlsCertificateFile: createRow("Peer TLS", "FILE", parseText, "Certificate chain of this router, PEM."),
+    peerTlsKeyFile: createRow("Peer TLS", "FILE", parseText, "Private key of this router, PEM."),
+    peerTlsAuthorityFile: createRow("Peer TLS", "FILE", parseText, "Authority that signs all routers, PEM."),
+    logLevel: createRow(
         "Logs and metrics",
         "LEVEL",
         parseChoice("debug", "info", "warn", "error", "silent"),
         "Least level that is logged: debug, info, warn, error or silent.",
         { defaultText: "info" },
     ),
-    logFormat: makeRow(
+    logFormat: createRow(
         "Logs and metrics",
         "FORMAT",
         parseChoice("json", "text"),
         "Form of log lines: json or text.",
         { defaultText: "json" },
     ),
-    statsd: makeRow("Logs and metrics", "IP:PORT", parseHostPort, "StatsD server for metrics; none by default."),
-    maxBodyBytes: makeRow("Limits", "SIZE", parseBytes, "Greatest request body.", { defaultText: "1MiB" }),
-    maxHeaderBytes: makeRow("Limits", "SIZE", parseBytes, "Greatest size of request headers.", {
+    statsd: createRow("Logs and metrics", "IP:PORT", parseHostPort, "StatsD server for metrics; none by default."),
+    maxBodyBytes: createRow("Limits", "SIZE", parseBytes, "Greatest request body.", { defaultText: "1MiB" }),
+    maxHeaderBytes: createRow("Limits", "SIZE", parseBytes, "Greatest size of request headers.", {
         defaultText: "16KiB",
     }),
-    maxOpenCalls: makeRow("Limits", "COUNT", parseCount, "Calls that may be open at once.", { defaultText: "4096" }),
-    maxOpenCallsPerWorkspace: makeRow(
+    maxOpenCalls: createRow("Limits", "COUNT", parseCount, "Calls that may be open at once.", { defaultText: "4096" }),
+    maxOpenCallsPerWorkspace: createRow(
         "Limits",
         "COUNT",
         parseCount,
@@ -195,19 +195,19 @@
             defaultText: "1024",
         },
     ),
-    maxConnections: makeRow("Limits", "COUNT", parseCount, "Connections of callers and operators.", {
+    maxConnections: createRow("Limits", "COUNT", parseCount, "Connections of callers and operators.", {
         defaultText: "8192",
     }),
-    slowReaderTimeout: makeRow("Limits", "TIME", parseDuration, "Longest time that a caller may read nothing.", {
+    slowReaderTimeout: createRow("Limits", "TIME", parseDuration, "Longest time that a caller may read nothing.", {
         defaultText: "30s",
     }),
-    drainTimeout: makeRow("Limits", "TIME", parseDuration, "Longest time that a drain may take.", {
+    drainTimeout: createRow("Limits", "TIME", parseDuration, "Longest time that a drain may take.", {
         defaultText: "60s",
     }),
-    idempotencyRecords: makeRow("Limits", "COUNT", parseCount, "Answers of keyed calls that are kept.", {
+    idempotencyRecords: createRow("Limits", "COUNT", parseCount, "Answers of keyed calls that are kept.", {
         defaultText: "10000",
     }),
-    idempotencyBytes: makeRow("Limits", "SIZE", parseBytes, "Size of the answers of keyed calls that are kept.", {
+    idempotencyBytes: createRow("Limits", "SIZE", parseBytes, "Size of the answers of keyed calls that are kept.", {
         defaultText: "16MiB",
     }),
 } as const satisfies Readonly<Record<string, SettingRow<unknown>>>;
--- a/packages/membership/src/createMembership.ts
+++ b/packages/membership/src/createMembership.ts
@@ -80,7 +80,7 @@
         effects.push({ type: "sendToPeer", router: to.router, address: to.address, message });
 
     /** A member that is not alive here is told so, which lets it refute. */
-    const composeUpdates = (to: string): readonly MemberUpdate[] => {
+    const buildUpdates = (to: string): readonly MemberUpdate[] => {
         const known = table.get(to);
         const updates = queue.take(table.listRoutable().length).filter(update => update.router !== identity.router);
         return known === undefined || known.state === "alive" ? [own, ...updates] : [own, known, ...updates];
@@ -91,8 +91,8 @@
         table,
         random,
         sendProbe: (to, message) =>
-            send(to, { ...message, updates: composeUpdates(to.router), digest: opts.getDigest(currentTime) }),
-        sendRequest: (to, message) => send(to, { ...message, updates: composeUpdates(to.router) }),
+            send(to, { ...message, updates: buildUpdates(to.router), digest: opts.getDigest(currentTime) }),
+        sendRequest: (to, message) => send(to, { ...message, updates: buildUpdates(to.router) }),
         suspect: router => suspect(router),
     });
     prober.addCandidates(opts.seeds.filter(seed => seed.router !== identity.router));
@@ -150,7 +150,7 @@
     };
 
     /** Tells a joiner about members chosen at random; it learns the rest from further probes and updates. */
-    const composeJoinUpdates = (joiner: string): readonly MemberUpdate[] => {
+    const buildJoinUpdates = (joiner: string): readonly MemberUpdate[] => {
         const routable = table.listRoutable();
         const chosen = new Set<Member>();
         const draws = routable.length <= maxUpdatesForJoiner ? 0 : maxUpdatesForJoiner;
@@ -165,7 +165,7 @@
         const sender = table.get(from);
         if (sender === undefined) return;
         const joins = !isRoutable(before) || (before?.incarnation ?? 0) < sender.incarnation;
-        const updates = joins ? [...composeUpdates(from), ...composeJoinUpdates(from)] : composeUpdates(from);
+        const updates = joins ? [...buildUpdates(from), ...buildJoinUpdates(from)] : buildUpdates(from);
         const { sequence } = message;
         send(sender, {
             type: "probeAck",
--- a/packages/platform-client/src/createObjectClient.ts
+++ b/packages/platform-client/src/createObjectClient.ts
@@ -33,7 +33,7 @@
     readonly read: (kind: string, name: string) => Promise<ObjectRead>;
     readonly write: (write: ObjectWrite) => Promise<ObjectWriteResult>;
     /** Remembers a revision that the store is known to have reached. */
-    readonly noteRevision: (revision: number) => void;
+    readonly recordRevision: (revision: number) => void;
 }
 
 export interface ObjectClientOptions {
@@ -76,7 +76,7 @@
 
 export function createObjectClient(transport: PlatformTransport, opts: ObjectClientOptions): ObjectClient {
     let seenRevision = 0;
-    const noteRevision = (revision: number): void => {
+    const recordRevision = (revision: number): void => {
         seenRevision = Math.max(seenRevision, revision);
     };
 
@@ -86,7 +86,7 @@
         if (result.answer.status === 404) return { type: "read", object: undefined };
         const object = result.answer.status === 200 ? parseObject(result.answer.body) : undefined;
         if (object === undefined) return { type: "unavailable" };
-        noteRevision(object.revision);
+        recordRevision(object.revision);
         return { type: "read", object };
     };
 
@@ -162,7 +162,7 @@
 
     const write = async (wanted: ObjectWrite): Promise<ObjectWriteResult> => {
         const result = await writeExact(wanted);
-        if (result.type === "accepted") noteRevision(result.object.revision);
+        if (result.type === "accepted") recordRevision(result.object.revision);
         if (result.type !== "conflict") return result;
         const { currentVersion, deleted } = result;
         if (!deleted || wanted.expectedVersion !== 0 || !wanted.replaceTombstone) {
@@ -173,5 +173,5 @@
         return write({ ...wanted, expectedVersion: currentVersion });
     };
 
-    return { read, write, noteRevision };
+    return { read, write, recordRevision };
 }
--- a/packages/platform-client/src/createPlatformClient.ts
+++ b/packages/platform-client/src/createPlatformClient.ts
@@ -60,7 +60,7 @@
         if (read.length < lists.length) return { type: "unavailable" };
         // The lists are read at different revisions. From the least of them on, a watch misses no change.
         const revision = Math.min(...read.map(list => list.revision));
-        objects.noteRevision(revision);
+        objects.recordRevision(revision);
         return { type: "read", value: { revision, resources: read.flatMap(list => list.resources) } };
     };
 
@@ -71,7 +71,7 @@
         if (result.answer.status === 410) return { type: "revisionGone" };
         const list = result.answer.status === 200 ? parseObjectList(result.answer.body, "changes") : undefined;
         if (list === undefined) return { type: "unavailable" };
-        objects.noteRevision(list.revision);
+        objects.recordRevision(list.revision);
         return { type: "changed", list: { revision: list.revision, resources: convertToResources(list.objects) } };
     };
 
--- a/packages/telemetry/src/createLogger.ts
+++ b/packages/telemetry/src/createLogger.ts
@@ -37,7 +37,7 @@
 
     return {
         logEvent: (event, fields = {}) => {
-            const kind = catalogue[event] ?? makeUnknownKind(event);
+            const kind = catalogue[event] ?? createUnknownKind(event);
             try {
                 logger[kind.level](event, kind, fields);
             }
@@ -49,7 +49,7 @@
     };
 }
 
-function makeUnknownKind(event: number): EventKind {
+function createUnknownKind(event: number): EventKind {
     return { name: `event-${event}`, level: "info", message: "An event that is not in the catalogue.", fields: [] };
 }
 
