--- a/packages/fair-share/src/announcePool.ts
+++ b/packages/fair-share/src/announcePool.ts
@@ -8,13 +8,13 @@
 import { announceAllIntervalMs, announceIntervalBusyMs, announceIntervalIdleMs } from "./constants.js";
 import {
     type AnnouncedEntries,
-    computeLimit,
     type CoordinatedWorkspace,
     type CoordinatorContext,
     type CoordinatorPool,
     type RouterRecord,
 } from "./coordinatorPool.js";
 import { computeEffectiveTime, listUnserved } from "./grantSlots.js";
+import { computeLimit } from "./targetLimits.js";
 
 function listTargetStates(pool: CoordinatorPool): TargetState[] {
     return [...pool.targets.values()].filter(target => target.known).map(target => ({
--- a/packages/fair-share/src/createPoolCoordinator.ts
+++ b/packages/fair-share/src/createPoolCoordinator.ts
@@ -4,24 +4,13 @@
 import type { ConfigurationQueries, MembershipQueries, RouterIdentity, Slice } from "@rhubarbwheel/types/slices";
 import { announcePool } from "./announcePool.js";
 import { applyReport, removeRouter } from "./applyReport.js";
+import { getLeaseName, handleLeaseAnswer } from "./coldLeases.js";
 import { announceOnRequestMs, pauseMs } from "./constants.js";
-import {
-    computeLimit,
-    type CoordinatorContext,
-    type CoordinatorPool,
-    createCoordinatorPool,
-} from "./coordinatorPool.js";
+import { type CoordinatorContext, type CoordinatorPool, createCoordinatorPool } from "./coordinatorPool.js";
 import { updateGrants } from "./grantSlots.js";
 import { startTakeover, stopCoordination, updatePartition, updateTakeover } from "./takeover.js";
-import {
-    getLeaseName,
-    handleLeaseAnswer,
-    handleLoadReport,
-    handleLoadUnavailable,
-    pollTargets,
-    updateLimits,
-    updateTargets,
-} from "./targetStates.js";
+import { computeLimit } from "./targetLimits.js";
+import { handleLoadReport, handleLoadUnavailable, pollTargets, updateLimits, updateTargets } from "./targetStates.js";
 
 export interface PoolCoordinatorOptions {
     readonly identity: RouterIdentity;
--- a/packages/fair-share/src/grantSlots.ts
+++ b/packages/fair-share/src/grantSlots.ts
@@ -1,18 +1,16 @@
 /** Grants free slots to the least-served workspaces, and spreads a reserve while nothing waits. */
 import { relaxedRatio, tightRatio } from "./constants.js";
 import {
-    computeAvailable,
-    computeLimit,
     type CoordinatedTarget,
     type CoordinatedWorkspace,
     type CoordinatorContext,
     type CoordinatorPool,
-    countOutside,
     logCoordinatorEvent,
     type RouterRecord,
     type WorkspaceRecord,
 } from "./coordinatorPool.js";
 import { updateCount } from "./countSlots.js";
+import { computeAvailable, computeLimit, countOutside } from "./targetLimits.js";
 
 /** Virtual time including the cost of grants that no report has confirmed. */
 export function computeEffectiveTime(workspace: CoordinatedWorkspace): number {
--- a/packages/fair-share/src/takeover.ts
+++ b/packages/fair-share/src/takeover.ts
@@ -1,14 +1,10 @@
 /** Start and end of a router's time as coordinator of a pool. */
+import { getLeaseName } from "./coldLeases.js";
 import { pauseSettleMs, takeoverMs } from "./constants.js";
-import {
-    computeLimit,
-    computePart,
-    type CoordinatorContext,
-    type CoordinatorPool,
-    logCoordinatorEvent,
-} from "./coordinatorPool.js";
+import { type CoordinatorContext, type CoordinatorPool, logCoordinatorEvent } from "./coordinatorPool.js";
 import { markUnaccounted } from "./countSlots.js";
-import { getLeaseName, startNewTargets } from "./targetStates.js";
+import { computeLimit, computePart } from "./targetLimits.js";
+import { startNewTargets } from "./targetStates.js";
 
 function recordStateVersion(pool: CoordinatorPool): void {
     if (pool.takeoverUntil !== undefined) return;
--- a/packages/fair-share/src/targetStates.ts
+++ b/packages/fair-share/src/targetStates.ts
@@ -1,12 +1,9 @@
-/** Conditions of targets: load reports, cold starts and their leases, closed targets. */
+/** Conditions of targets: load reports, cold starts, closed targets. */
 import type { LoadReport } from "@rhubarbwheel/types/events";
 import type { TargetObservation } from "@rhubarbwheel/types/peer-messages";
+import { getLeaseName, updateLease } from "./coldLeases.js";
 import {
     defaultWarmUpRequests,
-    leaseDurationMs,
-    leaseMarginMs,
-    leaseRenewMs,
-    leaseRetryMs,
     pollAnswerMs,
     pollIntervalColdMs,
     pollIntervalLostMs,
@@ -14,37 +11,14 @@
     warmUpFactorMax,
 } from "./constants.js";
 import {
-    computeLimit,
-    computePart,
-    computeReusableLimit,
     type CoordinatedTarget,
     type CoordinatorContext,
     type CoordinatorPool,
     createCoordinatedTarget,
-    isTargetOpen,
-    logCoordinatorEvent,
 } from "./coordinatorPool.js";
 import { computeTakenAt, raiseGeneration } from "./countSlots.js";
-
-export function getLeaseName(pool: CoordinatorPool, target: CoordinatedTarget): string {
-    return `cold/${pool.name}/${target.spec.name}`;
-}
-
-function logTarget(
-    context: CoordinatorContext,
-    pool: CoordinatorPool,
-    target: CoordinatedTarget,
-    reason: string,
-): void {
-    logCoordinatorEvent(context, "targetChanged", {
-        service: pool.name,
-        target: target.spec.name,
-        condition: target.condition,
-        generation: target.generation,
-        limit: computeLimit(pool, target),
-        reason,
-    });
-}
+import { logTarget } from "./logTarget.js";
+import { computeLimit, computePart, computeReusableLimit, isTargetOpen } from "./targetLimits.js";
 
 /** Withdraws the slots of a target and applies the cold limit. */
 export function markCold(
@@ -205,51 +179,6 @@
     logTarget(context, pool, target, "completed");
 }
 
-function computeMayGrantCold(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): boolean {
-    const { lease } = target;
-    const { now } = context;
-    if (lease.validUntil - leaseMarginMs > now) return true;
-    if (lease.result !== "unavailable" || pool.majoritySince === undefined || pool.since === undefined) return false;
-    // Another router's lease may still be valid, so that without the store the majority waits for its duration.
-    return now - Math.max(pool.since, pool.majoritySince, lease.takenAt) >= leaseDurationMs;
-}
-
-/** Acquires or renews the lease of a cold target, and withdraws its slots when the right to grant them has ended. */
-function updateLease(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
-    if (target.condition !== "cold" || !target.known || pool.takeoverUntil !== undefined) return;
-    const { lease } = target;
-    const may = computeMayGrantCold(context, pool, target);
-    if (target.mayGrantCold && !may) {
-        raiseGeneration(pool, target, target.generation + 1, context.now);
-        logTarget(context, pool, target, "leaseEnded");
-    }
-    target.mayGrantCold = may;
-    const interval = lease.result === "held" ? leaseRenewMs : leaseRetryMs;
-    if (!target.confirmed || context.now - lease.askedAt < interval) return;
-    lease.askedAt = context.now;
-    context.effects.push({ type: "acquireLease", lease: getLeaseName(pool, target), durationMs: leaseDurationMs });
-}
-
-export function handleLeaseAnswer(
-    context: CoordinatorContext,
-    pool: CoordinatorPool,
-    target: CoordinatedTarget,
-    answer: { readonly result: "held" | "taken" | "unavailable"; readonly validUntil: number; },
-): void {
-    const { lease } = target;
-    lease.result = answer.result;
-    if (answer.result === "held") lease.validUntil = answer.validUntil;
-    if (answer.result === "taken") {
-        lease.validUntil = -Infinity;
-        lease.takenAt = context.now;
-    }
-    logCoordinatorEvent(context, "leaseAnswered", {
-        service: pool.name,
-        target: target.spec.name,
-        result: answer.result,
-    });
-}
-
 function updateClosed(context: CoordinatorContext, pool: CoordinatorPool, target: CoordinatedTarget): void {
     const open = isTargetOpen(context, pool, target);
     if (open === (target.condition !== "closed")) return;
