Measure the time to the first token and between tokens

Cause: the users' target of 0.36 s and 43 ms for 95 in 100 had no measurement on separate processes.

--- a/packages/bench/src/runBench.ts
+++ b/packages/bench/src/runBench.ts
@@ -3,6 +3,7 @@
 import { runConfig } from "./runConfig.js";
 import { runDomain } from "./runDomain.js";
 import { runFairness } from "./runFairness.js";
+import { runLatency } from "./runLatency.js";
 import { runOnce } from "./runOnce.js";
 import { runScale } from "./runScale.js";
 import { runTakeover } from "./runTakeover.js";
@@ -12,6 +13,7 @@
     config: runConfig,
     domain: runDomain,
     fairness: runFairness,
+    latency: runLatency,
     once: runOnce,
     takeover: runTakeover,
     scale: runScale,
--- /dev/null
+++ b/packages/bench/src/runLatency.ts
@@ -0,0 +1,80 @@
+/** Benchmark `latency`: time to the first token and between tokens while capacity is free, cold starts over. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { createCaller } from "./createCaller.js";
+import type { CallerResult } from "./createCaller.js";
+import { plan, targetCount, targetLimit, workspaces } from "./fairnessPlan.js";
+import { getWorkspaceToken, modelName } from "./fleetPlan.js";
+import { computeQuantile } from "./sampleTargets.js";
+import { startFleet } from "./startFleet.js";
+
+const warmUpMs = 8_000;
+const measureMs = 15_000;
+/** Requests kept open, as a part of all slots. */
+const load = 0.6;
+const outputTokens = 40;
+// Pause of a caller between two requests, so that arrivals do not follow the ends of other requests.
+const maxPauseMs = 100;
+const prompt = "proof ".repeat(40);
+
+interface Timings {
+    readonly betweenTokensMs: number[];
+    readonly results: CallerResult[];
+}
+
+export async function runLatency(): Promise<object> {
+    const fleet = await startFleet(plan);
+    const caller = createCaller();
+    try {
+        const timings: Timings = { betweenTokensMs: [], results: [] };
+        let measuring = false;
+        let running = true;
+        let next = 0;
+        const work = async (_: unknown, index: number) => {
+            while (running) {
+                const workspace = workspaces[index % workspaces.length]!.name;
+                let lastTokenAt: number | undefined;
+                const result = await caller.sendChat({
+                    router: fleet.routers[next % fleet.routers.length]!.url,
+                    token: getWorkspaceToken(workspace),
+                    model: modelName,
+                    user: `${workspace}/${next++}`,
+                    prompt,
+                    maxTokens: outputTokens,
+                    onToken: () => {
+                        const now = performance.now();
+                        if (measuring && lastTokenAt !== undefined) timings.betweenTokensMs.push(now - lastTokenAt);
+                        lastTokenAt = now;
+                    },
+                });
+                if (measuring) timings.results.push(result);
+                await sleep((next * 37) % maxPauseMs);
+            }
+        };
+        const callers = Array.from({ length: Math.floor(targetCount * targetLimit * load) }, work);
+        await sleep(warmUpMs);
+        measuring = true;
+        await sleep(measureMs);
+        measuring = false;
+        running = false;
+        await Promise.all(callers);
+        const firstTokenMs = timings.results.flatMap(result => result.firstTokenMs ?? []);
+        const round = (value: number) => Number(value.toFixed(1));
+        return {
+            firstTokenMs: {
+                p50: round(computeQuantile(firstTokenMs, 0.5)),
+                p95: round(computeQuantile(firstTokenMs, 0.95)),
+            },
+            betweenTokensMs: {
+                p50: round(computeQuantile(timings.betweenTokensMs, 0.5)),
+                p95: round(computeQuantile(timings.betweenTokensMs, 0.95)),
+            },
+            requests: timings.results.length,
+            incomplete: timings.results.filter(result => result.outcome !== "complete").length,
+            crossed: timings.results.filter(result => result.crossed).length,
+        };
+    }
+    finally {
+        await caller.close();
+        await fleet.stop();
+    }
+}
