End streams that wait to be resumed when their service is deleted

Cause: a broken stream that waits for news of its target is ended or resumed on ticks and announcements of its pool. A deleted service takes its pool away, so the request never ended and its caller waited for ever. Change: removing a pool ends them. The set of waiting streams holds request ids, so that they are found without a search through all open requests.

--- a/packages/fair-share/src/entryPool.ts
+++ b/packages/fair-share/src/entryPool.ts
@@ -65,8 +65,8 @@
     readonly prefixTargets: Map<number, string>;
     /** Slots of cancelled requests that are still counted as in use, oldest first. */
     readonly settling: { readonly held: HeldTarget; readonly generation: number; readonly until: number; }[];
-    /** Broken attempts that wait to be resumed. */
-    readonly resuming: Set<RunningRequest>;
+    /** Ids of the requests whose broken streams wait to be resumed. */
+    readonly resuming: Set<string>;
     readonly latencies: Map<string, { average: number; slowInRow: number; }>;
     /** Coordinator that reports go to, with its incarnation. */
     coordinator: string;
--- a/packages/fair-share/src/maintainPools.ts
+++ b/packages/fair-share/src/maintainPools.ts
@@ -54,6 +54,8 @@
 
 function removePool(context: EntryContext, pool: EntryPool): void {
     endAllWaiting(context, pool, "SERVICE_UNKNOWN");
+    // No tick reaches a pool that is gone, so streams that wait to be resumed must end now.
+    updateResumptions(context, pool);
     // Requests in progress keep their reference to the pool until they end.
     context.pools.delete(pool.name);
 }
--- a/packages/fair-share/src/resumeStreams.ts
+++ b/packages/fair-share/src/resumeStreams.ts
@@ -33,7 +33,7 @@
     const state = findTargetState(tracked.pool, running.target);
     const generation = state?.generation ?? running.generation;
     running.resumption = { startId, generation, until: context.now + resumeWaitMs };
-    tracked.pool.resuming.add(running);
+    tracked.pool.resuming.add(tracked.waiting.request.id);
 }
 
 type Decision = "wait" | "resume" | "end";
@@ -68,14 +68,14 @@
 
 /** Resumes the streams whose target is known to run still; returns those that cannot continue. */
 export function continueStreams(context: EntryContext, pool: EntryPool): readonly TrackedRequest[] {
-    if (pool.resuming.size === 0) return [];
     const ended: TrackedRequest[] = [];
-    for (const tracked of context.requests.values()) {
-        const { running } = tracked;
-        if (running === undefined || !pool.resuming.has(running)) continue;
+    for (const requestId of pool.resuming) {
+        const tracked = context.requests.get(requestId);
+        const running = tracked?.running;
+        if (tracked === undefined || running === undefined) continue;
         const decision = decideResumption(context, pool, running);
         if (decision === "wait") continue;
-        pool.resuming.delete(running);
+        pool.resuming.delete(requestId);
         if (decision === "resume") resumeAttempt(context, tracked, running);
         else ended.push(tracked);
     }
--- a/packages/fair-share/test/entryFixture.ts
+++ b/packages/fair-share/test/entryFixture.ts
@@ -19,14 +19,14 @@
 };
 
 export function createFixture() {
-    const state = { open: true, version: 0, now: 0 };
+    const state = { open: true, listed: true, version: 0, now: 0 };
     const membership = { findCoordinator: () => coordinator } as unknown as MembershipQueries;
     const configuration = {
-        listServices: () => [service],
-        getService: () => service,
+        listServices: () => (state.listed ? [service] : []),
+        getService: () => (state.listed ? service : undefined),
         getWorkspace: () => ({ share: 1, credentialHashes: [] }),
         getFreshness: () => "fresh",
-        isTargetOpen: () => state.open,
+        isTargetOpen: () => state.open && state.listed,
     } as unknown as ConfigurationQueries;
     const queue = createEntryQueue({ identity: self, membership, configuration });
     const reduce = (event: Record<string, unknown>): readonly Effect[] => {
--- a/packages/fair-share/test/resumeStreams.test.ts
+++ b/packages/fair-share/test/resumeStreams.test.ts
@@ -67,6 +67,14 @@
     assert.ok(isEnded(fixture.reduce({ type: "tick" })));
 });
 
+test("a broken stream ends when its service is deleted", () => {
+    const fixture = createFixture();
+    breakStream(fixture);
+    fixture.state.listed = false;
+    assert.ok(isEnded(fixture.reduce({ type: "configurationApplied", changed: [], revision: 2 })));
+    assert.is(fixture.queue.countInProgress(), 0);
+});
+
 test("a broken stream ends when its caller hangs up", () => {
     const fixture = createFixture();
     breakStream(fixture);
