Make one piece of code of what stood twice

The gap of a pool was computed in the status and in the metrics, readiness repeated the messages of the error catalogue, the status asked for its own digest once more per member, and three benchmarks started and stopped closed loops each in their own copy. cold also reported a recovery time when the targets had not recovered within the limit; it now reports null, and a comment in domain described writes that it does not make.

--- a/packages/bench/src/fairnessPlan.ts
+++ b/packages/bench/src/fairnessPlan.ts
@@ -1,4 +1,5 @@
 /** Fleet and load of the benchmarks `fairness` and `takeover`: uneven arrivals, one flooding workspace. */
+import { chooseDomains } from "./fleetPlan.js";
 import type { FleetPlan } from "./fleetPlan.js";
 import type { ClosedLoop } from "./runClosedLoop.js";
 
@@ -14,8 +15,6 @@
 export const largestRequestCost = promptCharacters / 4 + 2 * outputTokens[1];
 export const smallestShare = 1;
 
-const chooseDomain = (index: number) => domains[index % domains.length]!;
-
 export const workspaces = [
     { name: "flood", share: 1 },
     { name: "large-0", share: 4 },
@@ -25,11 +24,11 @@
 
 export const plan: FleetPlan = {
     failureDomains: domains,
-    routerDomains: Array.from({ length: routerCount }, (_, index) => chooseDomain(index)),
+    routerDomains: chooseDomains(domains, routerCount),
     services: [{
         name: "assistant",
         kind: "model",
-        failureDomains: Array.from({ length: targetCount }, (_, index) => chooseDomain(index)),
+        failureDomains: chooseDomains(domains, targetCount),
         targetLimit,
         coldLimit,
         flags: [`--tokenBaseMs=${tokenMs}`, "--tokenSlopeMs=0.2"],
--- a/packages/bench/src/fleetPlan.ts
+++ b/packages/bench/src/fleetPlan.ts
@@ -34,6 +34,11 @@
 export const operatorToken = "operator-token-for-development";
 export const fleetSecret = "fleet-secret-for-development-only";
 
+/** Deals `count` processes out to the failure domains in turn. */
+export function chooseDomains(domains: readonly string[], count: number): readonly string[] {
+    return Array.from({ length: count }, (_, index) => domains[index % domains.length]!);
+}
+
 export function getWorkspaceToken(workspace: string): string {
     return `token-of-${workspace}`;
 }
--- a/packages/bench/src/runCold.ts
+++ b/packages/bench/src/runCold.ts
@@ -1,11 +1,12 @@
 /** Benchmark `cold`: targets restart cold without warning while the coordinator dies and the store is down. */
 import { setTimeout as sleep } from "node:timers/promises";
-import { createCaller } from "./createCaller.js";
 import type { CallerResult } from "./createCaller.js";
 import { findCoordinator } from "./findCoordinator.js";
+import { chooseDomains } from "./fleetPlan.js";
 import type { FleetPlan } from "./fleetPlan.js";
-import { runClosedLoop } from "./runClosedLoop.js";
+import type { ClosedLoop } from "./runClosedLoop.js";
 import { readTargetStats, sampleUtilisation } from "./sampleTargets.js";
+import { startClosedLoops } from "./startClosedLoops.js";
 import { putControl, startFleet } from "./startFleet.js";
 import type { Fleet, RunningTarget } from "./startFleet.js";
 
@@ -23,11 +24,11 @@
 
 const plan: FleetPlan = {
     failureDomains: domains,
-    routerDomains: Array.from({ length: routerCount }, (_, index) => domains[index % domains.length]!),
+    routerDomains: chooseDomains(domains, routerCount),
     services: [{
         name: "assistant",
         kind: "model",
-        failureDomains: Array.from({ length: targetCount }, (_, index) => domains[index % domains.length]!),
+        failureDomains: chooseDomains(domains, targetCount),
         targetLimit,
         coldLimit,
         flags: ["--tokenBaseMs=10", "--tokenSlopeMs=0", "--warmAfterCompleted=20", "--warmAfterMs=60000"],
@@ -37,17 +38,21 @@
 
 const restart = (target: RunningTarget) => putControl(`${target.url}/control/restart`, {}, "POST");
 
-async function waitForUtilisation(fleet: Fleet): Promise<number> {
+/** Returns whether the targets were busy again within the limit. */
+async function waitForUtilisation(fleet: Fleet): Promise<boolean> {
     const startedAt = Date.now();
     while (Date.now() - startedAt < recoveryLimitMs) {
-        if (await sampleUtilisation(fleet.targets, targetLimit) >= recoveredUtilisation) return Date.now() - startedAt;
+        if (await sampleUtilisation(fleet.targets, targetLimit) >= recoveredUtilisation) return true;
         await sleep(pollMs);
     }
-    return Infinity;
+    return false;
 }
 
-/** Restarts a target alone, one with the coordinator's death, one with the store down, and two with both. */
-async function runFaults(fleet: Fleet): Promise<{ readonly recoveryMs: number; readonly noticedMs: number; }> {
+/**
+ * Restarts a target alone, one with the coordinator's death, one with the store down, and two with both. Returns the
+ * time from the last fault to the recovery, or infinity, which JSON shows as null.
+ */
+async function runFaults(fleet: Fleet): Promise<number> {
     await sleep(warmUpMs);
     await restart(fleet.targets[0]!);
     await sleep(betweenFaultsMs);
@@ -65,8 +70,7 @@
     const lastFaultAt = Date.now();
     await sleep(betweenFaultsMs);
     await putControl(`${fleet.platformUrl}/control/faults`, { down: false });
-    await waitForUtilisation(fleet);
-    return { recoveryMs: Date.now() - lastFaultAt, noticedMs: betweenFaultsMs };
+    return await waitForUtilisation(fleet) ? Date.now() - lastFaultAt : Infinity;
 }
 
 /** Counts the results that are not complete by their code; killed routers and restarted targets break connections. */
@@ -80,40 +84,33 @@
     return counts;
 }
 
+function buildLoops(fleet: Fleet): readonly ClosedLoop[] {
+    return plan.workspaces.flatMap((workspace, index) =>
+        [0, 1, 2].map((offset): ClosedLoop => ({
+            workspace: workspace.name,
+            router: fleet.routers[(index + offset) % routerCount]!.url,
+            concurrency: 8,
+            seed: index * 3 + offset,
+            outputTokens: [10, 40],
+            promptCharacters: 100,
+        }))
+    );
+}
+
 export async function runCold(): Promise<object> {
     const fleet = await startFleet(plan);
-    const caller = createCaller();
     try {
-        const results: CallerResult[] = [];
-        let running = true;
-        const loops = plan.workspaces.flatMap((workspace, index) =>
-            [0, 1, 2].map(offset =>
-                runClosedLoop(caller, {
-                    workspace: workspace.name,
-                    router: fleet.routers[(index + offset) % routerCount]!.url,
-                    concurrency: 8,
-                    seed: index * 3 + offset,
-                    outputTokens: [10, 40],
-                    promptCharacters: 100,
-                }, {
-                    isRunning: () => running,
-                    onResult: (_workspace, result) => running && results.push(result),
-                    onService: () => undefined,
-                })
-            )
-        );
-        const { recoveryMs } = await runFaults(fleet);
-        running = false;
-        await caller.close();
-        await Promise.all(loops);
+        const loops = startClosedLoops(buildLoops(fleet));
+        const recoveryMs = await runFaults(fleet);
+        await loops.stop();
         const stats = await readTargetStats(fleet.targets);
         return {
             overCold: stats.reduce((sum, entry) => sum + Math.max(0, entry.maxColdConcurrency - coldLimit), 0),
             fellOver: stats.reduce((sum, entry) => sum + entry.fellOver, 0),
             recoveryMs,
-            requests: results.length,
-            incomplete: countCodes(results),
-            crossed: results.filter(result => result.crossed).length,
+            requests: loops.results.length,
+            incomplete: countCodes(loops.results),
+            crossed: loops.results.filter(result => result.crossed).length,
         };
     }
     finally {
--- a/packages/bench/src/runConfig.ts
+++ b/packages/bench/src/runConfig.ts
@@ -3,7 +3,7 @@
 import type { WorkspaceSpec } from "@rhubarbwheel/types/resources";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { FleetPlan } from "./fleetPlan.js";
-import { buildWorkspaceSpec } from "./fleetPlan.js";
+import { buildWorkspaceSpec, chooseDomains } from "./fleetPlan.js";
 import { computeQuantile } from "./sampleTargets.js";
 import { putControl, putResource, readJson, startFleet } from "./startFleet.js";
 import type { Fleet } from "./startFleet.js";
@@ -19,7 +19,7 @@
 
 const plan: FleetPlan = {
     failureDomains: domains,
-    routerDomains: Array.from({ length: routerCount }, (_, index) => domains[index % domains.length]!),
+    routerDomains: chooseDomains(domains, routerCount),
     services: [],
     workspaces: Array.from({ length: workspaceCount }, (_, index) => ({ name: `plant-${index}`, share: 1 })),
 };
--- a/packages/bench/src/runDomain.ts
+++ b/packages/bench/src/runDomain.ts
@@ -1,11 +1,11 @@
 /** Benchmark `domain`: operators take a failure domain out under full load and bring it back. */
 import { setTimeout as sleep } from "node:timers/promises";
-import { createCaller } from "./createCaller.js";
-import type { CallerResult } from "./createCaller.js";
 import { createRateMeter } from "./createRateMeter.js";
+import { chooseDomains } from "./fleetPlan.js";
 import type { FleetPlan } from "./fleetPlan.js";
-import { runClosedLoop } from "./runClosedLoop.js";
+import type { ClosedLoop } from "./runClosedLoop.js";
 import { computeMean, readTargetStats } from "./sampleTargets.js";
+import { startClosedLoops } from "./startClosedLoops.js";
 import { putControl, putResource, startFleet } from "./startFleet.js";
 import type { Fleet, RunningTarget } from "./startFleet.js";
 
@@ -28,11 +28,11 @@
 
 const plan: FleetPlan = {
     failureDomains: domains,
-    routerDomains: Array.from({ length: routerCount }, (_, index) => domains[index % domains.length]!),
+    routerDomains: chooseDomains(domains, routerCount),
     services: [{
         name: "assistant",
         kind: "model",
-        failureDomains: Array.from({ length: targetCount }, (_, index) => domains[index % domains.length]!),
+        failureDomains: chooseDomains(domains, targetCount),
         targetLimit,
         coldLimit: 4,
         flags: ["--tokenBaseMs=20", "--tokenSlopeMs=0", "--warmAfterCompleted=20"],
@@ -51,7 +51,7 @@
     readonly leavingLastNewWorkMs: number;
 }
 
-/** Writes the state of the failure domain at every router's operator interface in turn until one accepts it. */
+/** Writes the state of the failure domain through one router; returns when the change was accepted. */
 async function setDomainState(fleet: Fleet, state: "in" | "out", version: number): Promise<number> {
     const resource = { kind: "failuredomains" as const, name: takenOut, spec: { state }, version };
     const answer = await putResource(fleet.routers[1]!.url, resource);
@@ -112,38 +112,31 @@
     return { outAt, backAt, lastNewWorkMs: Math.max(0, lastEntry - outAt), returnMs, leavingLastNewWorkMs };
 }
 
+function buildLoops(fleet: Fleet): readonly ClosedLoop[] {
+    return plan.workspaces.flatMap((workspace, index) =>
+        [0, 1].map((offset): ClosedLoop => ({
+            workspace: workspace.name,
+            router: fleet.routers[(index * 2 + offset) % routerCount]!.url,
+            concurrency: concurrencyPerLoop * workspace.share,
+            seed: index * 2 + offset,
+            outputTokens: [10, 60],
+            promptCharacters: 200,
+        }))
+    );
+}
+
 export async function runDomain(): Promise<object> {
     const fleet = await startFleet(plan);
-    const caller = createCaller();
     try {
-        const results: CallerResult[] = [];
         const meter = createRateMeter(intervalMs, Date.now);
-        let running = true;
-        const loops = plan.workspaces.flatMap((workspace, index) =>
-            [0, 1].map(offset =>
-                runClosedLoop(caller, {
-                    workspace: workspace.name,
-                    router: fleet.routers[(index * 2 + offset) % routerCount]!.url,
-                    concurrency: concurrencyPerLoop * workspace.share,
-                    seed: index * 2 + offset,
-                    outputTokens: [10, 60],
-                    promptCharacters: 200,
-                }, {
-                    isRunning: () => running,
-                    onResult: (_workspace, result) => running && results.push(result),
-                    onService: (_workspace, cost) => meter.add(cost),
-                })
-            )
-        );
+        const loops = startClosedLoops(buildLoops(fleet), (_workspace, cost) => meter.add(cost));
         const startedAt = Date.now();
         const periods = await runPeriods(fleet);
-        running = false;
-        await caller.close();
-        await Promise.all(loops);
+        await loops.stop();
         const steady = computeMean(meter.listBetween(startedAt + warmUpMs, periods.outAt));
         const remaining = steady * (domains.length - 1) / domains.length;
         const whileOut = meter.listBetween(periods.outAt, periods.backAt);
-        const incomplete = results.filter(result => result.outcome !== "complete");
+        const incomplete = loops.results.filter(result => result.outcome !== "complete");
         return {
             lastNewWorkMs: periods.lastNewWorkMs,
             cutOff: incomplete.filter(result => result.outputTokens > 0).length,
@@ -151,8 +144,8 @@
             servedRatio: Number((Math.min(...whileOut) / remaining).toFixed(3)),
             returnMs: periods.returnMs,
             leavingLastNewWorkMs: periods.leavingLastNewWorkMs,
-            requests: results.length,
-            crossed: results.filter(result => result.crossed).length,
+            requests: loops.results.length,
+            crossed: loops.results.filter(result => result.crossed).length,
         };
     }
     finally {
--- a/packages/bench/src/runFairLoad.ts
+++ b/packages/bench/src/runFairLoad.ts
@@ -1,11 +1,10 @@
 /** Runs the load of `fairnessPlan.ts` against a set of routers and samples gap and utilisation. */
-import { createCaller } from "./createCaller.js";
 import type { CallerResult } from "./createCaller.js";
 import { createServiceMeter } from "./createServiceMeter.js";
 import type { ServiceSample } from "./createServiceMeter.js";
 import { buildLoops, targetLimit, workspaces } from "./fairnessPlan.js";
-import { runClosedLoop } from "./runClosedLoop.js";
 import { sampleUtilisation } from "./sampleTargets.js";
+import { startClosedLoops } from "./startClosedLoops.js";
 import type { Fleet } from "./startFleet.js";
 
 export interface FairLoadOptions {
@@ -31,19 +30,9 @@
     fleet: Fleet,
     opts: FairLoadOptions,
 ): Promise<FairLoadResult> {
-    const caller = createCaller();
     const meter = createServiceMeter(workspaces);
-    const results: CallerResult[] = [];
     const utilisation: number[] = [];
-    let running = true;
-    const loops = buildLoops(urls).map(loop =>
-        runClosedLoop(caller, loop, {
-            isRunning: () => running,
-            // Requests that are open at the end are abandoned, and do not count.
-            onResult: (_workspace, result) => running && results.push(result),
-            onService: meter.add,
-        })
-    );
+    const loops = startClosedLoops(buildLoops(urls), meter.add);
     await wait(opts.warmUpMs);
     const beginning = opts.onBegin?.();
     const startedAt = Date.now();
@@ -54,10 +43,8 @@
     }
     await beginning;
     await opts.onEnd?.();
-    running = false;
-    await caller.close();
-    await Promise.all(loops);
+    await loops.stop();
     const received = [...meter.getReceived()].map(([name, cost]) => `${name} ${cost}`);
     console.log(`service received: ${received.join(", ")}`);
-    return { samples: meter.listSamples(), utilisation, results };
+    return { samples: meter.listSamples(), utilisation, results: loops.results };
 }
--- a/packages/bench/src/runOnce.ts
+++ b/packages/bench/src/runOnce.ts
@@ -4,7 +4,7 @@
 import { createCaller } from "./createCaller.js";
 import type { Caller, CallerResult } from "./createCaller.js";
 import type { FleetPlan } from "./fleetPlan.js";
-import { getWorkspaceToken } from "./fleetPlan.js";
+import { chooseDomains, getWorkspaceToken } from "./fleetPlan.js";
 import { putControl, readJson, startFleet } from "./startFleet.js";
 import type { Fleet } from "./startFleet.js";
 
@@ -20,7 +20,7 @@
 
 const plan: FleetPlan = {
     failureDomains: domains,
-    routerDomains: Array.from({ length: routerCount }, (_, index) => domains[index % domains.length]!),
+    routerDomains: chooseDomains(domains, routerCount),
     services: [{
         name: "booking",
         kind: "plain",
--- a/packages/daemon/src/createMetricsReporter.ts
+++ b/packages/daemon/src/createMetricsReporter.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from "@rhubarbwheel/telemetry/createMetrics";
 import type { MetricName } from "@rhubarbwheel/telemetry/metricCatalogue";
 import type { PlatformClient } from "@rhubarbwheel/types/ports";
+import { computePoolGap } from "./computePoolGap.js";
 
 export interface MetricsReporterOptions {
     readonly metrics: Metrics;
@@ -37,6 +38,7 @@
 
     const reportPools = () => {
         const targets = reducer.poolCoordinator.listTargets();
+        const workspaces = reducer.poolCoordinator.listWorkspaces();
         for (const { service: pool, target, limit, held } of targets) {
             metrics.record("pool.limit", limit, { pool, target });
             metrics.record("pool.held", held, { pool, target });
@@ -46,10 +48,7 @@
             const limit = ofPool.reduce((sum, target) => sum + target.limit, 0);
             const held = ofPool.reduce((sum, target) => sum + target.held, 0);
             if (limit > 0) metrics.record("pool.utilisation", held / limit, { pool });
-            const waiting = reducer.poolCoordinator.listWorkspaces()
-                .filter(workspace => workspace.service === pool && workspace.queued > 0)
-                .map(workspace => workspace.virtualTime);
-            const gap = waiting.length === 0 ? 0 : Math.max(...waiting) - Math.min(...waiting);
+            const gap = computePoolGap(workspaces.filter(workspace => workspace.service === pool));
             metrics.record("pool.fairness_gap", gap, { pool });
         }
     };
--- a/packages/daemon/src/createStatus.ts
+++ b/packages/daemon/src/createStatus.ts
@@ -1,5 +1,8 @@
 /** What `GET /api/v1/status` and `/readyz` report. */
+import type { ErrorCode } from "@rhubarbwheel/error/routerError";
+import { getErrorKind } from "@rhubarbwheel/error/routerError";
 import type { ConfigurationQueries, MembershipQueries, RouterIdentity } from "@rhubarbwheel/types/slices";
+import { computePoolGap } from "./computePoolGap.js";
 
 export interface PoolStatus {
     readonly pool: string;
@@ -30,22 +33,19 @@
 export function createStatus(opts: StatusOptions) {
     const buildPool = (pool: string): PoolStatus & { readonly gap: number; } => {
         const workspaces = opts.listPoolWorkspaces(pool);
-        const waiting = workspaces.filter(entry => entry.queued > 0).map(entry => entry.virtualTime);
-        const gap = waiting.length === 0 ? 0 : Math.max(...waiting) - Math.min(...waiting);
         const coordinator = opts.membership.findCoordinator(pool).router;
+        const gap = computePoolGap(workspaces);
         return { pool, coordinator, targets: opts.listPoolTargets(pool), workspaces, gap };
     };
 
-    const buildMembers = () => {
+    const buildMembers = (ownRevision: number) => {
         const revisions = new Map(opts.listPeerRevisions().map(entry => [entry.router, entry.revision]));
         return opts.membership.listRoutable().map(({ router, failureDomain, state, incarnation }) => ({
             router,
             failureDomain,
             state,
             incarnation,
-            revision: router === opts.identity.router
-                ? opts.configuration.getDigest(opts.getNow()).revision
-                : revisions.get(router),
+            revision: router === opts.identity.router ? ownRevision : revisions.get(router),
         }));
     };
 
@@ -61,7 +61,7 @@
                 revision: digest.revision,
                 configurationAgeMs: digest.confirmedAgeMs,
                 draining: opts.isDraining(),
-                members: buildMembers(),
+                members: buildMembers(digest.revision),
                 pools: opts.configuration.listServices().map(service => buildPool(service.name)),
                 queues: opts.listQueues(),
                 openCalls: opts.countOpenCalls(),
@@ -70,13 +70,16 @@
             };
         },
         getReadiness: () => {
-            if (opts.isDraining()) return { ready: false, reason: "The router is shutting down." };
+            // The reasons are those that a refused call gives.
+            if (opts.isDraining()) return refuseReadiness("DRAINING");
             const freshness = opts.configuration.getFreshness();
-            if (freshness === "empty")
-                return { ready: false, reason: "The router has no confirmed configuration yet." };
-            if (freshness === "stale")
-                return { ready: false, reason: "The router cannot confirm that its configuration is current." };
+            if (freshness === "empty") return refuseReadiness("CONFIGURATION_EMPTY");
+            if (freshness === "stale") return refuseReadiness("CONFIGURATION_STALE");
             return { ready: true, reason: "ready" };
         },
     };
 }
+
+function refuseReadiness(code: ErrorCode) {
+    return { ready: false, reason: getErrorKind(code).message };
+}
