Do not take an answer without a length for whole when its connection is reset

Change: the connection notes that it broke before undici hears of it, and the attempt counts as broken.

--- a/packages/forwarding/src/createConnections.ts
+++ b/packages/forwarding/src/createConnections.ts
@@ -1,5 +1,5 @@
 /** Connections to targets. Each carries one call at a time and is kept for later calls while that is safe. */
-import { Client } from "undici";
+import { buildConnector, Client } from "undici";
 
 export interface Connection {
     readonly client: Client;
@@ -7,6 +7,8 @@
     /** Time for which the target keeps the connection open while it is idle, if it has said so. */
     idleLimitMs?: number;
     idleSince: number;
+    /** Whether the target reset the connection, or it broke in another way. */
+    isBroken: boolean;
 }
 
 export interface ConnectionOptions {
@@ -36,17 +38,28 @@
     const isOpen = (connection: Connection, now: number): boolean =>
         now - connection.idleSince < Math.min(maxIdleMs, connection.idleLimitMs ?? maxIdleMs);
 
+    const connect = buildConnector({ timeout: opts.connectTimeoutMs });
+
     const open = (address: string): Connection => {
-        opened += 1;
         const client = new Client(`http://${address}`, {
             pipelining: 1,
-            connect: { timeout: opts.connectTimeoutMs },
+            connect: (connectOpts, onConnected) => {
+                opened += 1;
+                connect(connectOpts, (...result) => {
+                    // undici takes an answer without a length for complete when its connection is reset.
+                    result[1]?.on("error", () => {
+                        connection.isBroken = true;
+                    });
+                    onConnected(...result);
+                });
+            },
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: maxIdleMs,
             keepAliveTimeoutThreshold: 0,
         });
-        return { client, address, idleSince: opts.getNow() };
+        const connection: Connection = { client, address, idleSince: opts.getNow(), isBroken: false };
+        return connection;
     };
 
     const discard = (connection: Connection): void => {
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -76,6 +76,7 @@
     };
 
     const finish = (): void => {
+        if (connection.isBroken) return breakOff("the connection was reset");
         const outcome = relay?.finish();
         if (outcome === undefined) return breakOff("the answer has no head");
         if (outcome.result === "broken") return breakOff(outcome.reason ?? "the answer is incomplete");
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -1,5 +1,5 @@
 /**
- * Runs every `*.test.js` file under `packages`, each in a process of its own so that no state is shared between files.
+ * Runs every `*.test.js` file under `packages` and `platform`, each in a process of its own so that no state is shared between files.
  * Tests listed in KNOWN-RED.txt are run and printed, but do not decide the verdict.
  */
 import { spawn } from "node:child_process";
@@ -11,8 +11,8 @@
 const workerCount = Math.max(2, Math.floor(availableParallelism() / 2));
 
 function listTestFiles() {
-    return readdirSync("packages")
-        .map(name => join("packages", name, "lib", "test"))
+    return [...readdirSync("packages").map(name => join("packages", name)), "platform"]
+        .map(folder => join(folder, "lib", "test"))
         .filter(folder => existsSync(folder))
         .flatMap(folder => readdirSync(folder, { recursive: true }).map(file => join(folder, file)))
         .filter(file => file.endsWith(".test.js"))
