Copy kept prompt parts between engines, and fade what is known of a target

Change: the coordinator names the target that has read most of the prompt, and the chosen one copies from it. Reading rates, latencies and failures fade, so that a target that was slow is tried again. The wait at a target may take 0.75 of the shortest latency target (0.5 before).

--- a/packages/forwarding/src/callDialect.ts
+++ b/packages/forwarding/src/callDialect.ts
@@ -30,6 +30,8 @@
 
 export interface TargetHeaderOptions {
     readonly target: string;
+    /** Address of another target that keeps parts of the prompt. */
+    readonly prefixSourceAddress?: string;
     readonly workspace?: string;
     readonly timeLimitMs: number;
     /** Event after which a stream is to go on. */
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -111,6 +111,7 @@
         method: call.incoming.method as Dispatcher.HttpMethod,
         headers: dialect.buildTargetHeaders(call.incoming.rawHeaders, {
             target: effect.target,
+            prefixSourceAddress: effect.prefixSourceAddress,
             workspace: effect.workspace,
             timeLimitMs: effect.timeLimitMs,
             lastEventId: call.lastEventId,
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -58,6 +58,7 @@
         service: text,
         target: optional(text),
         newTokens: optional(double),
+        prefixSource: optional(text),
         waitMs: optional(double),
         refusal: optional(choice(["overloaded", "shareUsed", "noTarget"])),
         retryAfterMs: optional(double),
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -91,9 +91,10 @@
             promptTokens: request.prompt?.promptTokens ?? 0,
             outputTokens: request.prompt?.outputTokens ?? 0,
             newTokens: choice.newTokens,
+            parts: request.prompt?.parts,
             assignedAt: now,
             expiresAt: now + holdingLifeMs,
-        }, request);
+        });
     };
 
     const reply = (to: RouterMessageEvent, message: Omit<PlacementReplyMessage, "type">): void => {
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -1,10 +1,10 @@
 /** What a router knows of the work at all targets of one service, and the choice among them. */
 import { rankByRendezvous } from "@rhubarbwheel/membership/chooseByRendezvous";
 import type { PoolSpec, TargetEntry } from "@rhubarbwheel/types/fleet";
-import type { AttemptResult, PlacementRequest, PromptPart } from "@rhubarbwheel/types/placement";
+import type { AttemptResult, PlacementRequest, PromptPart, PromptSize } from "@rhubarbwheel/types/placement";
 import { createTargetModel } from "./createTargetModel.js";
 import type { Assignment, TargetModel } from "./createTargetModel.js";
-import { crossDomainMs, holdingLifeMs, readingWeight } from "./placementSettings.js";
+import { copySetupMs, crossDomainMs, holdingLifeMs, leastCopiedTokens, readingWeight } from "./placementSettings.js";
 
 export interface PoolModelOptions {
     readonly spec: PoolSpec;
@@ -15,7 +15,10 @@
 export interface Choice {
     readonly target: string;
     readonly waitMs: number;
+    /** Prompt tokens that the target has to read. */
     readonly newTokens: number;
+    /** Target from which parts of the prompt are copied. */
+    readonly prefixSource?: string;
 }
 
 export interface ChoiceOptions {
@@ -27,12 +30,27 @@
     readonly loadFactor?: number;
 }
 
+/** What a target does before the first answer to a request. */
+interface Preparation {
+    readonly ms: number;
+    readonly newTokens: number;
+    readonly prefixSource?: string;
+}
+
+interface PrefixSource {
+    readonly target: string;
+    readonly keptTokens: number;
+}
+
 /** Milliseconds of waiting that a target is worth less for each whole failure ratio above that of its pool. */
 const failurePenaltyMs = 2_000;
 
 /** Failure ratio above the pool's that is taken for chance. */
 const toleratedFailureRatio = 0.1;
 
+/** Multiple of the least latency of a pool's targets that is taken for chance. */
+const toleratedSlowness = 2;
+
 /** Advantage of the target that is first by rendezvous hashing, so that routers agree without having talked. */
 const homeAdvantageMs = 15;
 
@@ -65,42 +83,91 @@
         targetOfRequest.delete(requestId);
     };
 
-    const assign = (entry: TargetEntry, assignment: Assignment, request?: PlacementRequest): void => {
+    const assign = (entry: TargetEntry, assignment: Assignment): void => {
         const before = targetOfRequest.get(assignment.requestId);
         if (before === entry.target) return;
         if (before !== undefined) end(assignment.requestId, "cancelled", 0, assignment.assignedAt);
         targetOfRequest.set(assignment.requestId, entry.target);
-        obtainModel(entry).assign(assignment, request?.prompt);
+        obtainModel(entry).assign(assignment);
     };
 
+    const findLeastServiceMs = (candidates: readonly TargetEntry[], now: number): number =>
+        Math.min(...candidates.map(entry => obtainModel(entry).getServiceMs(now)));
+
     const computeMeanFailureRatio = (candidates: readonly TargetEntry[], now: number): number => {
         let sum = 0;
         for (const entry of candidates) sum += obtainModel(entry).getFailureRatio(now);
         return sum / Math.max(1, candidates.length);
     };
 
+    /** Finds the target that keeps most of the prompt; one that may stand still cannot hand it on. */
+    const findPrefixSource = (request: PlacementRequest, opts: ChoiceOptions): PrefixSource | undefined => {
+        const { prompt } = request;
+        if (prompt === undefined || spec.engine?.prefixCopies === undefined) return undefined;
+        let best: PrefixSource | undefined;
+        for (const entry of opts.candidates) {
+            const model = obtainModel(entry);
+            const keptTokens = model.countCopyableTokens(prompt);
+            if (keptTokens <= (best?.keptTokens ?? 0) || model.isStalled(opts.now)) continue;
+            best = { target: entry.target, keptTokens };
+        }
+        return best;
+    };
+
+    /** What a target has to read, and what it copies from `source`. */
+    const prepare = (
+        model: TargetModel,
+        prompt: PromptSize,
+        source: PrefixSource | undefined,
+        now: number,
+    ): Preparation => {
+        const keptTokens = model.countKeptTokens(prompt);
+        const copiedTokens = (source?.keptTokens ?? 0) - keptTokens;
+        const copies = spec.engine?.prefixCopies;
+        if (source === undefined || copies === undefined || copiedTokens < leastCopiedTokens) {
+            const newTokens = prompt.promptTokens - keptTokens;
+            return { ms: model.estimateReadingMs(newTokens, now), newTokens };
+        }
+        const newTokens = prompt.promptTokens - source.keptTokens;
+        const copyMs = copySetupMs + copiedTokens * copies.bytesPerToken / copies.bytesPerMs;
+        return { ms: copyMs + model.estimateReadingMs(newTokens, now), newTokens, prefixSource: source.target };
+    };
+
+    /** Cost of a plain call: the part of the places that are taken, and the time by which the target is slow. */
+    const rateService = (model: TargetModel, leastServiceMs: number, now: number): number => {
+        const slowMs = model.getServiceMs(now) - toleratedSlowness * leastServiceMs;
+        return Math.max(0, slowMs) + model.getLoadRatio() * leastServiceMs;
+    };
+
     const choose = (request: PlacementRequest, choiceOpts: ChoiceOptions): Choice | undefined => {
         const { candidates, now, maxWaitMs, loadFactor = 1 } = choiceOpts;
+        const { prompt } = request;
         const meanFailureRatio = computeMeanFailureRatio(candidates, now);
-        const shared = getSharedPart(request.prompt?.parts ?? []);
+        const source = findPrefixSource(request, choiceOpts);
+        const shared = getSharedPart(prompt?.parts ?? []);
         const home = shared === undefined
             ? undefined
             : rankByRendezvous(shared, candidates.map(candidate => candidate.target))[0];
+        const leastServiceMs = findLeastServiceMs(candidates, now);
         let best: Choice | undefined;
         let leastCost = Infinity;
         for (const entry of candidates) {
             const model = obtainModel(entry);
             const waitMs = model.estimateWaitMs(now) * loadFactor;
-            if (waitMs > maxWaitMs || !model.hasRoom(request.prompt)) continue;
+            if (waitMs > maxWaitMs || !model.hasRoom(prompt)) continue;
+            const preparation: Preparation = prompt === undefined
+                ? { ms: rateService(model, leastServiceMs, now), newTokens: 0 }
+                : prepare(model, prompt, source, now);
+            const weight = prompt === undefined ? 1 : readingWeight;
             const failures = model.getFailureRatio(now) - meanFailureRatio - toleratedFailureRatio;
-            const cost = waitMs + readingWeight * model.estimateOwnMs(request.prompt)
+            const cost = waitMs + weight * preparation.ms
                 + Math.max(0, failures) * failurePenaltyMs
                 + (entry.failureDomain === request.failureDomain ? 0 : crossDomainMs)
                 - (entry.target === home ? homeAdvantageMs : 0);
             if (cost >= leastCost) continue;
             leastCost = cost;
-            const newTokens = request.prompt === undefined ? 0 : model.countNewTokens(request.prompt);
-            best = { target: entry.target, waitMs, newTokens };
+            const { newTokens, prefixSource } = preparation;
+            best = { target: entry.target, waitMs, newTokens, prefixSource };
         }
         return best;
     };
--- a/packages/placement/src/createRateEstimator.ts
+++ b/packages/placement/src/createRateEstimator.ts
@@ -1,10 +1,10 @@
 /** Estimates how fast an engine reads prompts, from the times between first events while requests were waiting. */
 
 export interface RateEstimator {
-    /** Records that reading `tokens` kept the engine busy for `busyMs`. */
-    readonly observe: (tokens: number, busyMs: number) => void;
+    /** Records that reading `tokens` kept the engine busy for `busyMs`, up to `now`. */
+    readonly observe: (tokens: number, busyMs: number, now: number) => void;
     /** Tokens per millisecond. */
-    readonly getRate: () => number;
+    readonly getRate: (now: number) => number;
 }
 
 /** Part of the older observations that remains with each new one; about the last 16 requests count. */
@@ -16,15 +16,26 @@
 /** A rate outside this multiple of the prior is taken for an error of measurement. */
 const maxRatio = 6;
 
+/** Time in which observations fade to a third, so that an engine that was slow is tried again. */
+const fadeMs = 4_000;
+
 export function createRateEstimator(priorRate: number): RateEstimator {
-    let tokens = priorRate * priorWeightMs;
-    let busy = priorWeightMs;
+    let tokens = 0;
+    let busyMs = 0;
+    let observedAt = 0;
+
+    const getFade = (now: number): number => Math.exp(Math.min(0, observedAt - now) / fadeMs);
+
     return {
-        observe: (newTokens, busyMs) => {
-            const boundedMs = Math.max(busyMs, newTokens / (priorRate * maxRatio));
-            tokens = tokens * retention + newTokens;
-            busy = busy * retention + boundedMs;
+        observe: (newTokens, newBusyMs, now) => {
+            const remaining = retention * getFade(now);
+            tokens = tokens * remaining + newTokens;
+            busyMs = busyMs * remaining + Math.max(newBusyMs, newTokens / (priorRate * maxRatio));
+            observedAt = now;
+        },
+        getRate: now => {
+            const fade = getFade(now);
+            return (tokens * fade + priorRate * priorWeightMs) / (busyMs * fade + priorWeightMs);
         },
-        getRate: () => tokens / busy,
     };
 }
--- a/packages/placement/src/createTargetModel.ts
+++ b/packages/placement/src/createTargetModel.ts
@@ -1,6 +1,6 @@
 /** What a router knows of the work at one target, and how long another request would wait there. */
 import type { EngineSpec } from "@rhubarbwheel/types/fleet";
-import type { AttemptResult, PromptSize } from "@rhubarbwheel/types/placement";
+import type { AttemptResult, PromptPart, PromptSize } from "@rhubarbwheel/types/placement";
 import { createPromptCache } from "./createPromptCache.js";
 import { createRateEstimator } from "./createRateEstimator.js";
 import { batchRatio, firstEventMs, memoryRatio, priorServiceMs } from "./placementSettings.js";
@@ -15,6 +15,8 @@
     /** Prompt tokens that the target has to read. */
     readonly newTokens: number;
     readonly assignedAt: number;
+    /** Parts of the prompt, if this router knows them. */
+    readonly parts?: readonly PromptPart[];
     startedAt?: number;
     /** Time after which the assignment is forgotten unless a report mentions it. */
     expiresAt: number;
@@ -29,17 +31,26 @@
 }
 
 export interface TargetModel {
-    readonly assign: (assignment: Assignment, prompt?: PromptSize) => void;
+    readonly assign: (assignment: Assignment) => void;
     readonly start: (requestId: string, now: number) => void;
     readonly end: (requestId: string, result: AttemptResult, latencyMs: number, now: number) => void;
     readonly get: (requestId: string) => Assignment | undefined;
     readonly list: () => Iterable<Assignment>;
     readonly count: () => number;
+    /** Part of the places that are taken. */
+    readonly getLoadRatio: () => number;
     /** Time until a request that is sent now begins to run. */
     readonly estimateWaitMs: (now: number) => number;
-    /** Time that the target itself spends on the request before its first answer. */
-    readonly estimateOwnMs: (prompt: PromptSize | undefined) => number;
-    readonly countNewTokens: (prompt: PromptSize) => number;
+    /** Time that a plain call takes. */
+    readonly getServiceMs: (now: number) => number;
+    /** Time for reading tokens of a prompt. */
+    readonly estimateReadingMs: (tokens: number, now: number) => number;
+    /** Tokens at the start of the prompt that need not be read again. */
+    readonly countKeptTokens: (prompt: PromptSize) => number;
+    /** Tokens at the start of the prompt that another target can copy from here. */
+    readonly countCopyableTokens: (prompt: PromptSize) => number;
+    /** Whether an answer is overdue, so that the target may stand still. */
+    readonly isStalled: (now: number) => boolean;
     readonly hasRoom: (prompt: PromptSize | undefined) => boolean;
     /** Part of the recent attempts that failed, 0 to 1; it fades with time. */
     readonly getFailureRatio: (now: number) => number;
@@ -48,6 +59,9 @@
 /** Weight of a new latency in the moving average. */
 const latencyWeight = 0.15;
 
+/** Time in which the remembered latency of an unused target fades to a third. */
+const latencyFadeMs = 5_000;
+
 /** Weight of a new result in the moving average of failures. */
 const failureWeight = 0.2;
 
@@ -71,6 +85,7 @@
     /** Time since which the engine has been reading the prompt of the oldest request without a first event. */
     let readingSince = -Infinity;
     let serviceMs = priorServiceMs;
+    let servedAt = 0;
     let failureRatio = 0;
     let failureAt = 0;
 
@@ -87,8 +102,28 @@
         return undefined;
     };
 
+    /** Latency of plain calls; it fades to the prior, so that a target that was slow is tried again. */
+    const getServiceMs = (now: number): number =>
+        priorServiceMs + (serviceMs - priorServiceMs) * Math.exp((servedAt - now) / latencyFadeMs);
+
     const fadeFailures = (now: number): number => failureRatio * Math.exp((failureAt - now) / failureFadeMs);
 
+    const estimateEngineOverdue = (now: number): number => {
+        const oldest = findOldestUnstarted();
+        if (oldest === undefined) return 0;
+        const elapsedMs = now - Math.max(readingSince, oldest.assignedAt);
+        return Math.max(0, elapsedMs - oldest.newTokens / rate.getRate(now) - firstEventMs - stallSlackMs);
+    };
+
+    const estimateSlotOverdue = (now: number): number => {
+        let overdueMs = 0;
+        for (const assignment of assignments.values())
+            overdueMs = Math.max(overdueMs, now - assignment.assignedAt - 4 * getServiceMs(now) - stallSlackMs);
+        return overdueMs;
+    };
+
+    const estimateOverdueMs = engine === undefined ? estimateSlotOverdue : estimateEngineOverdue;
+
     const estimateEngineWait = (now: number): number => {
         const oldest = findOldestUnstarted();
         if (oldest === undefined) return 0;
@@ -96,54 +131,52 @@
         for (const assignment of assignments.values())
             if (assignment.startedAt === undefined) tokens += assignment.newTokens;
         const elapsedMs = now - Math.max(readingSince, oldest.assignedAt);
-        const expectedMs = oldest.newTokens / rate.getRate();
-        const remainingMs = tokens / rate.getRate() - Math.min(elapsedMs, expectedMs);
-        // A target that is overdue may stand still; the longer it is silent, the longer the next request would wait.
-        return remainingMs + Math.max(0, elapsedMs - expectedMs - firstEventMs - stallSlackMs);
+        return (tokens - Math.min(elapsedMs * rate.getRate(now), oldest.newTokens)) / rate.getRate(now);
     };
 
-    const estimateSlotWait = (now: number): number => {
-        const waiting = assignments.size + 1 - opts.slots;
-        let overdueMs = 0;
-        for (const assignment of assignments.values())
-            overdueMs = Math.max(overdueMs, now - assignment.assignedAt - 4 * serviceMs - stallSlackMs);
-        return Math.max(0, waiting) * serviceMs / opts.slots + overdueMs;
-    };
+    const estimateSlotWait = (): number => Math.max(0, assignments.size + 1 - opts.slots) * serviceMs / opts.slots;
+
+    const estimateWorkMs = engine === undefined ? estimateSlotWait : estimateEngineWait;
 
     return {
-        assign: (assignment, prompt) => {
+        assign: assignment => {
             if (assignments.has(assignment.requestId)) return;
             if (findOldestUnstarted() === undefined) readingSince = assignment.assignedAt;
             assignments.set(assignment.requestId, assignment);
             usedTokens += assignment.promptTokens + assignment.outputTokens;
-            if (engine !== undefined && prompt !== undefined)
-                cache.use(prompt.parts, engine.memoryTokens - usedTokens);
+            if (engine !== undefined && assignment.parts !== undefined)
+                cache.use(assignment.parts, engine.memoryTokens - usedTokens);
         },
         start: (requestId, now) => {
             const assignment = assignments.get(requestId);
             if (assignment === undefined || assignment.startedAt !== undefined) return;
             assignment.startedAt = now;
+            cache.markRead(assignment.parts ?? []);
             const busySince = Math.max(readingSince, assignment.assignedAt + firstEventMs);
-            if (assignment.newTokens > 0) rate.observe(assignment.newTokens, Math.max(1, now - busySince));
+            if (assignment.newTokens > 0) rate.observe(assignment.newTokens, Math.max(1, now - busySince), now);
             readingSince = now;
         },
         end: (requestId, result, latencyMs, now) => {
             const assignment = remove(requestId);
             if (assignment === undefined || result === "cancelled") return;
-            if (engine === undefined && result !== "unsent")
-                serviceMs += latencyWeight * (latencyMs - serviceMs);
+            if (engine === undefined && result !== "unsent") {
+                serviceMs = getServiceMs(now) + latencyWeight * (latencyMs - serviceMs);
+                servedAt = now;
+            }
             failureRatio = fadeFailures(now) * (1 - failureWeight) + (isFailure(result) ? failureWeight : 0);
             failureAt = now;
         },
         get: requestId => assignments.get(requestId),
         list: () => assignments.values(),
         count: () => assignments.size,
-        estimateWaitMs: engine === undefined ? estimateSlotWait : estimateEngineWait,
-        estimateOwnMs: prompt => {
-            if (engine === undefined || prompt === undefined) return serviceMs;
-            return (prompt.promptTokens - cache.countKept(prompt.parts)) / rate.getRate();
-        },
-        countNewTokens: prompt => Math.max(0, prompt.promptTokens - cache.countKept(prompt.parts)),
+        getLoadRatio: () => assignments.size / opts.slots,
+        // A target that is overdue may stand still; the longer it is silent, the longer the next request would wait.
+        estimateWaitMs: now => estimateWorkMs(now) + estimateOverdueMs(now),
+        getServiceMs,
+        estimateReadingMs: (tokens, now) => tokens / rate.getRate(now),
+        countKeptTokens: prompt => Math.min(prompt.promptTokens, cache.countKept(prompt.parts)),
+        countCopyableTokens: prompt => Math.min(prompt.promptTokens, cache.countRead(prompt.parts)),
+        isStalled: now => estimateOverdueMs(now) > 0,
         hasRoom: prompt => {
             if (engine === undefined || prompt === undefined) return true;
             if (assignments.size >= engine.batchSize * batchRatio) return false;
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -130,4 +130,4 @@
 }
 
 /** A placement as the entry router uses it, whoever made it. */
-export type Placement = Pick<PlacementReplyMessage, "target" | "newTokens" | "waitMs" | "refusal" | "retryAfterMs">;
+export type Placement = Omit<PlacementReplyMessage, "type" | "requestId" | "service">;
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -1,7 +1,7 @@
 /** Finds a target for a request: asks the coordinator of the pool, and decides locally if it does not answer in time. */
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementReplyMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
-import { computeAdmissionWait, computePriorRate } from "./admission.js";
+import { computeAdmissionWait, computePriorRate, countCost } from "./admission.js";
 import { createPoolModel } from "./createPoolModel.js";
 import { createRetryBudget } from "./createRetryBudget.js";
 import {
@@ -168,6 +168,7 @@
         ...describeRequest(entry),
         reason: refusal,
         coordinator: entry.coordinator,
+        cost: countCost(entry.request.prompt),
         targetsAgeMs: Math.round(context.view.getAgeMs("targets", context.now)),
     });
     // What may have run must not be reported as not run.
@@ -178,6 +179,7 @@
 function startAttempt(context: EntryContext, entry: EntryRequest, target: TargetEntry, placement: Placement): void {
     const { request } = entry;
     const { requestId, workspace, prompt } = request;
+    const { prefixSource } = placement;
     entry.attempts += 1;
     const newTokens = placement.newTokens ?? prompt?.promptTokens ?? 0;
     entry.attempt = {
@@ -194,15 +196,17 @@
         promptTokens: prompt?.promptTokens ?? 0,
         outputTokens: prompt?.outputTokens ?? 0,
         newTokens,
+        parts: prompt?.parts,
         assignedAt: context.now,
         expiresAt: Infinity,
-    }, { ...describePlacementRequest(context, entry) });
+    });
     context.effects.push({
         type: "startAttempt",
         requestId,
         attempt: entry.attempts,
         target: target.target,
         address: target.address,
+        prefixSourceAddress: prefixSource === undefined ? undefined : context.view.getTarget(prefixSource)?.address,
         workspace,
         timeLimitMs: computeTimeLeft(context, entry),
         mayReuseConnection: request.kind === "idempotent" || request.resumable,
@@ -213,7 +217,9 @@
         attempt: entry.attempts,
         coordinator: entry.coordinator,
         waitMs: placement.waitMs === undefined ? undefined : Math.round(placement.waitMs),
+        cost: countCost(prompt),
         newTokens,
+        prefixSource,
         placedAfterMs: Math.round(context.now - entry.arrivedAt),
         targetsAgeMs: Math.round(context.view.getAgeMs("targets", context.now)),
     });
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -27,11 +27,17 @@
 /** Time from the end of the prompt to the first event at an idle engine, as the users' sheets give it. */
 export const firstEventMs = 30;
 
-/** Weight of the time that an engine spends on a prompt, against the time that the request itself waits. */
-export const readingWeight = 2;
+/** Weight of the time that an engine spends on a prompt, against the waiting of this request: others wait for it too. */
+export const readingWeight = 8;
+
+/** Time in which two engines begin to copy prompt parts, beside the time on the link. */
+export const copySetupMs = 10;
+
+/** Prompt tokens below which copying from another engine is slower than reading. */
+export const leastCopiedTokens = 500;
 
 /** Part of the shortest latency target that requests may wait at an engine; the rest is for reading their own prompt. */
-export const waitRatio = 0.5;
+export const waitRatio = 0.75;
 
 /** Part of the longest wait up to which workspaces beyond their share are admitted. */
 export const overShareRatio = 0.25;
@@ -45,8 +51,8 @@
 /** Time that a plain call takes at a target of which nothing is known yet. */
 export const priorServiceMs = 50;
 
-/** Cost of a target in another failure domain, in milliseconds of waiting. */
-export const crossDomainMs = 4;
+/** Cost of a target in another failure domain, in milliseconds of waiting: a call there moves bytes between domains. */
+export const crossDomainMs = 20;
 
 /** Part of the cold rate that a coordinator grants; the rest is for routers that place requests by themselves. */
 export const coldGrantRatio = 0.8;
--- /dev/null
+++ b/packages/placement/test/placementFixtures.ts
@@ -0,0 +1,52 @@
+/** Pools, targets and requests in the sizes of the users' sheets. */
+import type { PoolSpec, TargetEntry } from "@rhubarbwheel/types/fleet";
+import type { PlacementRequest, PromptPart } from "@rhubarbwheel/types/placement";
+
+export const enginePool: PoolSpec = {
+    service: "assistant",
+    maxConnections: 1330,
+    coldRequestsPerSecond: 22,
+    engine: {
+        batchSize: 128,
+        memoryTokens: 1_077_556,
+        prefixCopies: { bytesPerToken: 18_432, bytesPerMs: 11_000_000 },
+    },
+};
+
+export const plainPool: PoolSpec = { service: "orders", maxConnections: 232, coldRequestsPerSecond: 0 };
+
+export function createTargets(count: number, more: Partial<TargetEntry> = {}): TargetEntry[] {
+    return Array.from({ length: count }, (_, index) => ({
+        target: `target-${index + 1}`,
+        service: "assistant",
+        address: `10.0.0.${index + 1}:8080`,
+        failureDomain: index % 2 === 0 ? "a" : "b",
+        slots: 128,
+        state: "ready" as const,
+        coldForMs: 0,
+        ...more,
+    }));
+}
+
+let lastRequest = 0;
+
+/** A request about a subject: a common part, the subject's part, and tokens of its own. */
+export function createRequest(subject: string, more: Partial<PlacementRequest> = {}): PlacementRequest {
+    const id = `request-${++lastRequest}`;
+    const parts: PromptPart[] = [
+        { id: "common", tokens: 512 },
+        { id: subject, tokens: 4_870 },
+        { id: `own-${id}`, tokens: 6_610 },
+    ];
+    return {
+        requestId: id,
+        service: "assistant",
+        workspace: "ada",
+        prompt: { promptTokens: 11_992, outputTokens: 384, parts },
+        latencyTargetMs: 600,
+        waitedMs: 1,
+        failureDomain: "a",
+        excluded: [],
+        ...more,
+    };
+}
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -14,7 +14,9 @@
             "attempt",
             "coordinator",
             "waitMs",
+            "cost",
             "newTokens",
+            "prefixSource",
             "placedAfterMs",
             "targetsAgeMs",
         ],
@@ -23,7 +25,7 @@
         name: "requestRefused",
         level: "info",
         message: "No target can begin the request in time, or its workspace has used its share.",
-        fields: [...requestFields, "reason", "coordinator", "targetsAgeMs"],
+        fields: [...requestFields, "reason", "coordinator", "cost", "targetsAgeMs"],
     },
     1702: {
         name: "attemptFailed",
--- a/packages/types/src/fleet.ts
+++ b/packages/types/src/fleet.ts
@@ -39,6 +39,15 @@
     readonly batchSize: number;
     /** Tokens that running requests and cached prompt parts can hold together. */
     readonly memoryTokens: number;
+    /** Set if an engine can copy prompt parts from another one instead of reading them. */
+    readonly prefixCopies?: PrefixCopySpec;
+}
+
+/** How engines copy prompt parts from each other. */
+export interface PrefixCopySpec {
+    readonly bytesPerToken: number;
+    /** Capacity of the link of one engine. */
+    readonly bytesPerMs: number;
 }
 
 /** Targets of one service, which serve the same calls. */
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -133,6 +133,8 @@
     readonly attempt: number;
     readonly target: string;
     readonly address: string;
+    /** Address of another target that keeps parts of the prompt. */
+    readonly prefixSourceAddress?: string;
     readonly workspace?: string;
     /** Time that the target is given. */
     readonly timeLimitMs: number;
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -49,6 +49,8 @@
     readonly target?: string;
     /** Prompt tokens that the target is expected to read for this request. */
     readonly newTokens?: number;
+    /** Another target from which the first one copies the parts of the prompt that it does not keep. */
+    readonly prefixSource?: string;
     /** Time that the request is expected to wait at the target. */
     readonly waitMs?: number;
     readonly refusal?: RefusalReason;
