Admit workspaces by the part of their share that they have used

Change: the wait up to which a request is admitted falls with the part of its share that its workspace has used. The end of a request logs the time to the first byte.

--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -2,7 +2,7 @@
 import type { FleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import type { FleetConfiguration } from "@rhubarbwheel/types/fleet";
 import type { PromptSize } from "@rhubarbwheel/types/placement";
-import { firstEventMs, overShareRatio, waitRatio } from "./placementSettings.js";
+import { firstEventMs, fullShareRatio, overShareRatio, waitRatio } from "./placementSettings.js";
 
 /** Cost of a generated token, in prompt tokens. */
 const outputTokenCost = 2;
@@ -47,10 +47,12 @@
 }
 
 /**
- * Longest time that a request may wait at a target. It is the same for all routes of a service, because targets serve in
- * order of arrival: a longer wait for one route would make those with a shorter latency target miss theirs.
+ * Longest time that a request may wait at a target. It depends on the share that its workspace has used, and not on the
+ * route: targets serve in order of arrival, so a longer wait for one route would make those with a shorter latency target
+ * miss theirs. Room is kept for workspaces that have used little: their few requests must not meet a full queue.
  */
-export function computeAdmissionWait(view: FleetView, service: string, isOverShare: boolean): number {
+export function computeAdmissionWait(view: FleetView, service: string, usedRatio: number): number {
     const longestMs = Math.max(0, findShortestTarget(view, service) * waitRatio - firstEventMs);
-    return isOverShare ? longestMs * overShareRatio : longestMs;
+    if (usedRatio > 1) return longestMs * overShareRatio;
+    return longestMs * (1 - usedRatio * (1 - fullShareRatio));
 }
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -71,11 +71,11 @@
         if (usable.length === 0) return "noTarget";
         const cost = countCost(request.prompt);
         const { workspace } = request;
-        const isOverShare = workspace !== undefined && pool.ledger.hasUsedShare(workspace, now);
+        const usedRatio = workspace === undefined ? 0 : pool.ledger.getUsedRatio(workspace, now);
         if (workspace !== undefined) pool.ledger.recordAsked(workspace, cost, now);
-        const maxWaitMs = computeAdmissionWait(view, pool.service, isOverShare);
+        const maxWaitMs = computeAdmissionWait(view, pool.service, usedRatio);
         const choice = pool.model.choose(request, { candidates, now, maxWaitMs });
-        if (choice === undefined) return isOverShare ? "shareUsed" : "overloaded";
+        if (choice === undefined) return usedRatio > 1 ? "shareUsed" : "overloaded";
         if (workspace !== undefined) pool.ledger.recordAdmitted(workspace, cost, now);
         return choice;
     };
--- a/packages/placement/src/createShareLedger.ts
+++ b/packages/placement/src/createShareLedger.ts
@@ -6,8 +6,11 @@
 export interface ShareLedger {
     readonly recordAsked: (workspace: string, cost: number, now: number) => void;
     readonly recordAdmitted: (workspace: string, cost: number, now: number) => void;
-    /** Whether the workspace has received its share while more is asked for than there is. */
-    readonly hasUsedShare: (workspace: string, now: number) => boolean;
+    /**
+     * Part of its share that the workspace has received: above 1 if it has more while others ask for more than there is.
+     * While there is enough for all, the largest demand counts as the share.
+     */
+    readonly getUsedRatio: (workspace: string, now: number) => number;
 }
 
 export interface ShareLedgerOptions {
@@ -33,7 +36,10 @@
     return total;
 }
 
-/** Largest amount that each may have so that all together have at most `capacity`; Infinity if there is enough for all. */
+/**
+ * Largest amount that each may have so that all together have at most `capacity`; the largest amount asked for if there is
+ * enough for all.
+ */
 export function computeShareLevel(asked: readonly number[], capacity: number): number {
     const ascending = [...asked].sort((left, right) => left - right);
     let left = capacity;
@@ -42,7 +48,7 @@
         if (amount > even) return even;
         left -= amount;
     }
-    return Infinity;
+    return ascending.at(-1) ?? Infinity;
 }
 
 export function createShareLedger(opts: ShareLedgerOptions): ShareLedger {
@@ -96,10 +102,10 @@
     return {
         recordAsked: (workspace, cost, now) => record("asked", workspace, cost, now),
         recordAdmitted: (workspace, cost, now) => record("admitted", workspace, cost, now),
-        hasUsedShare: (workspace, now) => {
+        getUsedRatio: (workspace, now) => {
             advance(now);
             const usage = usages.get(workspace);
-            return usage !== undefined && sum(usage.admitted) >= getLevel(now);
+            return usage === undefined ? 0 : sum(usage.admitted) / getLevel(now);
         },
     };
 }
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -110,12 +110,14 @@
 /** Removes the request and logs its end. The caller's side has been told by another effect, or has gone. */
 export function closeRequest(context: EntryContext, entry: EntryRequest, outcome: string, code?: string): void {
     context.requests.delete(entry.request.requestId);
+    const startedAt = entry.attempt?.startedAt;
     logEntryEvent(context, "requestEnded", {
         ...describeRequest(entry),
         outcome,
         code,
         target: entry.attempt?.target,
         attempts: entry.attempts,
+        firstByteMs: startedAt === undefined ? undefined : Math.round(startedAt - entry.arrivedAt),
         durationMs: Math.round(context.now - entry.arrivedAt),
         configurationAgeMs: Math.round(context.view.getAgeMs("configuration", context.now)),
     });
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -123,7 +123,7 @@
     const choice = pool?.model.choose(request, {
         candidates,
         now: context.now,
-        maxWaitMs: computeAdmissionWait(context.view, request.service, false),
+        maxWaitMs: computeAdmissionWait(context.view, request.service, 0),
         loadFactor: Math.min(assumedPeers, Math.max(1, context.view.listRouters().length)),
     });
     logEntryEvent(context, "placedLocally", {
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -39,6 +39,9 @@
 /** Part of the shortest latency target that requests may wait at an engine; the rest is for reading their own prompt. */
 export const waitRatio = 0.75;
 
+/** Part of the longest wait up to which workspaces are admitted that have just received their share. */
+export const fullShareRatio = 0.5;
+
 /** Part of the longest wait up to which workspaces beyond their share are admitted. */
 export const overShareRatio = 0.25;
 
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -37,7 +37,16 @@
         name: "requestEnded",
         level: "info",
         message: "A request has ended.",
-        fields: [...requestFields, "outcome", "code", "target", "attempts", "durationMs", "configurationAgeMs"],
+        fields: [
+            ...requestFields,
+            "outcome",
+            "code",
+            "target",
+            "attempts",
+            "firstByteMs",
+            "durationMs",
+            "configurationAgeMs",
+        ],
     },
     1704: {
         name: "callerGone",
