Close connections of refused callers, and pass over targets that cannot be reached

A target that could not be reached, or whose address belongs to another, is passed over for 300 ms, doubling to 3 s.

--- a/packages/forwarding/src/createAnswerRelay.ts
+++ b/packages/forwarding/src/createAnswerRelay.ts
@@ -17,7 +17,6 @@
 
 export interface RelayOutcome {
     readonly result: AttemptResult;
-    readonly misdirected?: boolean;
     readonly reason?: string;
 }
 
@@ -84,7 +83,7 @@
 
     const finishWhole = (): RelayOutcome => {
         if (head.isRejection)
-            return { result: "rejected", misdirected: head.isMisdirected, reason: `status ${status}` };
+            return { result: head.isMisdirected ? "misdirected" : "rejected", reason: `status ${status}` };
         const body = Buffer.concat(kept);
         if (status >= 500) {
             call.failure = { status, headers: opts.headers, body };
--- a/packages/forwarding/src/createCallerServer.ts
+++ b/packages/forwarding/src/createCallerServer.ts
@@ -65,6 +65,12 @@
     };
     server.on("clientError", refuseInvalid);
 
+    let connections = 0;
+    server.on("connection", socket => {
+        connections += 1;
+        socket.once("close", () => (connections -= 1));
+    });
+
     const applyLimits = (limits: ConnectionLimits): void => {
         server.headersTimeout = limits.headerTimeoutMs;
         server.keepAliveTimeout = limits.idleTimeoutMs + idleSlackMs;
@@ -80,6 +86,7 @@
                     resolve((server.address() as AddressInfo).port);
                 });
             }),
+        countConnections: () => connections,
         closeIdle: () => server.closeIdleConnections(),
         /** Accepts no more connections; resolves when all are closed. */
         close: (): Promise<void> => new Promise(resolve => server.close(() => resolve())),
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -28,6 +28,8 @@
     readonly draw: () => number;
     readonly createRequestId: () => string;
     readonly isDraining: () => boolean;
+    /** Whether so many connections of callers are open that they must be closed after an answer. */
+    readonly isCrowded: () => boolean;
     /** Told of each call that ends before it reaches the reducer. */
     readonly onRefused: (incoming: IncomingMessage, problem: CallProblem) => void;
 }
@@ -43,7 +45,7 @@
 
     const refuse = (incoming: IncomingMessage, response: ServerResponse, problem: CallProblem): void => {
         opts.onRefused(incoming, problem);
-        const close = closingCodes.includes(problem.code) || opts.isDraining();
+        const close = closingCodes.includes(problem.code) || opts.isDraining() || problem.retryAfterMs !== undefined;
         sendFailure(response, problem.code, { ...problem, close });
         if (!incoming.complete) incoming.resume();
     };
@@ -80,7 +82,7 @@
     const serveCall = (incoming: IncomingMessage, response: ServerResponse): void => {
         const arrivedAt = opts.getNow();
         // Callers that keep their connections are told to open new ones elsewhere.
-        if (opts.isDraining()) response.shouldKeepAlive = false;
+        if (opts.isDraining() || opts.isCrowded()) response.shouldKeepAlive = false;
         const described = describeCall(incoming, {
             view: opts.view,
             dialect: opts.dialect,
@@ -149,7 +151,9 @@
 
     const failRequest = ({ requestId, code, retryAfterMs }: FailRequestEffect): void => {
         const call = calls.get(requestId);
-        if (call !== undefined) sendFailure(call.response, code, { retryAfterMs, close: opts.isDraining() });
+        if (call === undefined) return;
+        // A caller that is to come back does so on a new connection; this one would stay open for nothing.
+        sendFailure(call.response, code, { retryAfterMs, close: opts.isDraining() || retryAfterMs !== undefined });
     };
 
     const relayFailure = ({ requestId }: { readonly requestId: string; }): void => {
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -11,7 +11,6 @@
 export interface AttemptEnd {
     readonly result: AttemptResult;
     readonly answered: boolean;
-    readonly misdirected?: boolean;
     readonly load?: ReportedLoad;
     readonly reason?: string;
 }
@@ -24,6 +23,9 @@
     readonly onEnded: (end: AttemptEnd) => void;
 }
 
+/** Results after which the connection is in order. */
+const reusableResults: readonly AttemptResult[] = ["complete", "rejected", "misdirected", "failed"];
+
 function describeError(error: Error): string {
     const { code } = error as NodeJS.ErrnoException;
     return code ?? error.message;
@@ -48,7 +50,7 @@
     const end = (result: AttemptResult, more: Partial<AttemptEnd> = {}): void => {
         if (ended) return;
         ended = true;
-        if (result === "complete" || result === "rejected" || result === "failed") connections.release(connection);
+        if (reusableResults.includes(result)) connections.release(connection);
         else connections.discard(connection);
         context.onEnded({ result, answered: relay?.hasAnswered() ?? false, load, ...more });
     };
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -46,7 +46,7 @@
     excluded: list(text),
 });
 
-const attemptResult = choice(["complete", "rejected", "failed", "broken", "unsent", "cancelled"]);
+const attemptResult = choice(["complete", "rejected", "failed", "broken", "unsent", "cancelled", "misdirected"]);
 
 /** Fields of each kind of message; the key is the name of the kind in the `oneof` of the batch. */
 const messageFields: {
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -154,7 +154,7 @@
         for (const entry of candidates) {
             const model = obtainModel(entry);
             const waitMs = model.estimateWaitMs(now) * loadFactor;
-            if (waitMs > maxWaitMs || !model.hasRoom(prompt)) continue;
+            if (waitMs > maxWaitMs || !model.hasRoom(prompt) || model.isUnreachable(now)) continue;
             const preparation: Preparation = prompt === undefined
                 ? { ms: rateService(model, leastServiceMs, now), newTokens: 0 }
                 : prepare(model, prompt, source, now);
--- a/packages/placement/src/createTargetModel.ts
+++ b/packages/placement/src/createTargetModel.ts
@@ -49,6 +49,8 @@
     readonly countKeptTokens: (prompt: PromptSize) => number;
     /** Tokens at the start of the prompt that another target can copy from here. */
     readonly countCopyableTokens: (prompt: PromptSize) => number;
+    /** Whether calls cannot reach the target, as far as the last one has shown. */
+    readonly isUnreachable: (now: number) => boolean;
     /** Whether an answer is overdue, so that the target may stand still. */
     readonly isStalled: (now: number) => boolean;
     readonly hasRoom: (prompt: PromptSize | undefined) => boolean;
@@ -68,6 +70,12 @@
 /** Time in which the remembered failures of an unused target fade to a third. */
 const failureFadeMs = 3_000;
 
+/** Time for which a target is passed over that could not be reached; a restart takes about as long. */
+const firstUnreachableMs = 300;
+
+/** Longest time for which a target is passed over; the platform drops the entry of a dead one in about as long. */
+const maxUnreachableMs = 3_000;
+
 /** Time by which a first event may be later than expected before the target counts as stalled. */
 const stallSlackMs = 100;
 
@@ -88,6 +96,8 @@
     let servedAt = 0;
     let failureRatio = 0;
     let failureAt = 0;
+    let unreachableUntil = -Infinity;
+    let unreachableMs = firstUnreachableMs;
 
     const remove = (requestId: string): Assignment | undefined => {
         const assignment = assignments.get(requestId);
@@ -138,6 +148,15 @@
 
     const estimateWorkMs = engine === undefined ? estimateSlotWait : estimateEngineWait;
 
+    /** Passes over a target that could not be reached for a while, which doubles with each further try in vain. */
+    const recordReachability = (isReached: boolean, now: number): void => {
+        if (isReached) unreachableMs = firstUnreachableMs;
+        else if (now >= unreachableUntil) {
+            unreachableUntil = now + unreachableMs;
+            unreachableMs = Math.min(maxUnreachableMs, unreachableMs * 2);
+        }
+    };
+
     return {
         assign: assignment => {
             if (assignments.has(assignment.requestId)) return;
@@ -163,6 +182,7 @@
                 serviceMs = getServiceMs(now) + latencyWeight * (latencyMs - serviceMs);
                 servedAt = now;
             }
+            recordReachability(result !== "unsent" && result !== "misdirected", now);
             failureRatio = fadeFailures(now) * (1 - failureWeight) + (isFailure(result) ? failureWeight : 0);
             failureAt = now;
         },
@@ -176,6 +196,7 @@
         estimateReadingMs: (tokens, now) => tokens / rate.getRate(now),
         countKeptTokens: prompt => Math.min(prompt.promptTokens, cache.countKept(prompt.parts)),
         countCopyableTokens: prompt => Math.min(prompt.promptTokens, cache.countRead(prompt.parts)),
+        isUnreachable: now => now < unreachableUntil,
         isStalled: now => estimateOverdueMs(now) > 0,
         hasRoom: prompt => {
             if (engine === undefined || prompt === undefined) return true;
--- a/packages/placement/src/endEntryAttempt.ts
+++ b/packages/placement/src/endEntryAttempt.ts
@@ -59,7 +59,7 @@
 
 /** Whether the call may be sent again after `result`. */
 function mayRepeat(entry: EntryRequest, result: AttemptResult): boolean {
-    if (result === "unsent" || result === "rejected") return true;
+    if (result === "unsent" || result === "misdirected" || result === "rejected") return true;
     const { kind, resumable } = entry.request;
     return kind === "idempotent" || (kind === "stream" && resumable);
 }
@@ -109,7 +109,7 @@
     context.pools.get(entry.request.service)?.model.end(event.requestId, result, latencyMs, context.now);
     sendNotice(context, entry, attempt, { result, load });
     entry.answered ||= event.answered;
-    if (result !== "unsent" && event.misdirected !== true) entry.sends += 1;
+    if (result !== "unsent" && result !== "misdirected") entry.sends += 1;
     if (result === "failed" || result === "broken") entry.mayHaveRun = true;
     if (attempt.cancelled) return closeRequest(context, entry, "cancelled");
     if (result === "complete") return closeRequest(context, entry, "complete");
--- a/packages/placement/test/createPoolModel.test.ts
+++ b/packages/placement/test/createPoolModel.test.ts
@@ -143,4 +143,18 @@
     assert.is(after?.newTokens, 11_992);
 });
 
+// Pattern: `srv_crash`; 206 attempts in 3 s on scale-1 of kaurimbi-press went to crashed targets that were still listed.
+test("a target that cannot be reached is passed over, and tried again with growing pauses", () => {
+    const model = createPoolModel({ spec: plainPool, priorRate });
+    const candidates = createTargets(1, { slots: 6 });
+    const tries: number[] = [];
+    for (let now = 0; now < 10_000; now += 10) {
+        const request = createRequest("", { prompt: undefined });
+        if (place(model, request, { candidates, now }) === undefined) continue;
+        tries.push(now);
+        model.end(request.requestId, now % 20 === 0 ? "unsent" : "misdirected", 1, now);
+    }
+    assert.equal(tries, [0, 300, 900, 2_100, 4_500, 7_500]);
+});
+
 test.run();
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -54,15 +54,10 @@
     readonly type: "attemptFinished";
     readonly requestId: string;
     readonly attempt: number;
-    /**
-     * `rejected`: the target says that it did not run the call. `failed`: it answered with an error of its own, which is
-     * kept until the reducer decides. `broken`: it may have run. `unsent`: no byte of the call has left.
-     */
+    /** The answer of a `failed` attempt is kept until the reducer decides. */
     readonly result: AttemptResult;
     /** Whether the caller has received a part of the answer. */
     readonly answered: boolean;
-    /** The address now belongs to another target. */
-    readonly misdirected?: boolean;
     readonly load?: ReportedLoad;
     /** Short reason for logs. */
     readonly reason?: string;
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -58,7 +58,12 @@
     readonly retryAfterMs?: number;
 }
 
-export type AttemptResult = "complete" | "rejected" | "failed" | "broken" | "unsent" | "cancelled";
+/**
+ * `rejected`: the target says that it did not run the call. `misdirected`: the address belongs to another target now, which
+ * did not run it. `failed`: the target answered with an error. `broken`: it may have run the call. `unsent`: no byte of the
+ * call has left.
+ */
+export type AttemptResult = "complete" | "rejected" | "misdirected" | "failed" | "broken" | "unsent" | "cancelled";
 
 /** Load that a target reported on an answer. */
 export interface ReportedLoad {
