Check calls that are not in order, and bound the memory of bodies

Calls with repeated headers that routers and targets could read differently are refused, bodies of all open calls share a bounded memory, and a call that undici refuses to send ends at once instead of at its deadline.

--- a/packages/forwarding/src/callDialect.ts
+++ b/packages/forwarding/src/callDialect.ts
@@ -41,6 +41,8 @@
 }
 
 export interface CallDialect {
+    /** Headers in lower case that a call may bear only once, because routers and targets could read different ones. */
+    readonly uniqueHeaders: ReadonlySet<string>;
     /** Returns the problem as a text if a header that is needed is missing or malformed. */
     readonly readCallHead: (headers: IncomingHttpHeaders) => CallHead | string;
     /** Headers of an attempt, alternating names and values. `rawHeaders` are those of the call in the same form. */
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -12,7 +12,7 @@
 import type { Connections } from "./createConnections.js";
 import { type CallProblem, describeCall, type DescribedCall } from "./describeCall.js";
 import { mayRelayStatus, type OpenCall } from "./openCall.js";
-import { readCallBody } from "./readCallBody.js";
+import { createBodyMemory, readCallBody } from "./readCallBody.js";
 import { runAttempt } from "./runAttempt.js";
 import { sendFailure } from "./sendFailure.js";
 
@@ -30,15 +30,21 @@
     readonly isDraining: () => boolean;
     /** Whether so many connections of callers are open that they must be closed after an answer. */
     readonly isCrowded: () => boolean;
+    /** Memory for the bodies of all open calls together. */
+    readonly maxBodyMemoryBytes: number;
     /** Told of each call that ends before it reaches the reducer. */
     readonly onRefused: (incoming: IncomingMessage, problem: CallProblem) => void;
 }
 
+/** When callers come back whose bodies did not fit into the memory. */
+const retryElsewhereMs = 200;
+
 /** Errors after which the rest of a call cannot be read as another call. */
 const closingCodes: readonly string[] = ["BODY_TOO_LARGE", "HEADERS_TOO_LARGE", "BODY_TIMEOUT"];
 
 export function createForwarder(opts: ForwarderOptions) {
     const { dispatch } = opts;
+    const memory = createBodyMemory(opts.maxBodyMemoryBytes);
     const calls = new Map<string, OpenCall>();
     /** Functions that break off the attempts in progress; an attempt may outlive its call. */
     const cancellations = new Map<string, () => void>();
@@ -53,10 +59,13 @@
     const submit = (call: OpenCall, described: DescribedCall, arrivedAt: number): void => {
         const { head, route, service, access, regions } = described;
         const { requestId } = call;
+        // The caller may have gone with the last byte of its call.
+        if (call.response.destroyed) return memory.release(call.body.length);
         calls.set(requestId, call);
         call.response.once("close", () => {
             if (!call.response.writableFinished) dispatch({ type: "callerGone", requestId });
             calls.delete(requestId);
+            memory.release(call.body.length);
         });
         const spentMs = opts.getNow() - arrivedAt;
         dispatch({
@@ -94,9 +103,12 @@
         const bodyOptions = {
             maxBytes: limits?.maxBodyBytes ?? Infinity,
             idleTimeoutMs: limits?.idleTimeoutMs ?? 0,
+            memory,
         };
         readCallBody(incoming, bodyOptions, read => {
             if (read.type === "tooLarge") return refuse(incoming, response, { code: "BODY_TOO_LARGE" });
+            if (read.type === "noMemory")
+                return refuse(incoming, response, { code: "OVERLOADED", retryAfterMs: retryElsewhereMs });
             if (read.type === "stalled") return refuse(incoming, response, { code: "BODY_TIMEOUT" });
             if (read.type === "callerGone") return;
             const { head, route } = described;
--- a/packages/forwarding/src/describeCall.ts
+++ b/packages/forwarding/src/describeCall.ts
@@ -37,6 +37,18 @@
     return route.regions.filter(region => access.regions?.includes(region));
 }
 
+/** Finds a header that occurs twice although routers and targets must read the same one. */
+function findRepeatedHeader(rawHeaders: readonly string[], unique: ReadonlySet<string>): string | undefined {
+    const seen = new Set<string>();
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+        const name = (rawHeaders[index] ?? "").toLowerCase();
+        if (!unique.has(name)) continue;
+        if (seen.has(name)) return name;
+        seen.add(name);
+    }
+    return undefined;
+}
+
 /** Size of the request line and the headers as they were sent. */
 export function measureHeadBytes(incoming: IncomingMessage): number {
     const separatorBytes = 4;
@@ -53,6 +65,8 @@
     if (routes === undefined || configuration === undefined || !view.isComplete())
         return { code: "CONFIGURATION_EMPTY", retryAfterMs: retryElsewhereMs };
     if (measureHeadBytes(incoming) > configuration.limits.maxHeaderBytes) return { code: "HEADERS_TOO_LARGE" };
+    const repeated = findRepeatedHeader(incoming.rawHeaders, dialect.uniqueHeaders);
+    if (repeated !== undefined) return { code: "HEADER_INVALID", detail: `${repeated} occurs more than once.` };
     const url = incoming.url ?? "";
     if (!url.startsWith("/")) return { code: "PATH_INVALID" };
     const path = url.split("?", 1)[0] ?? "";
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -108,19 +108,25 @@
         },
     };
 
-    connection.client.dispatch({
-        path: call.incoming.url ?? "/",
-        method: call.incoming.method as Dispatcher.HttpMethod,
-        headers: dialect.buildTargetHeaders(call.incoming.rawHeaders, {
-            target: effect.target,
-            prefixSourceAddress: effect.prefixSourceAddress,
-            workspace: effect.workspace,
-            timeLimitMs: effect.timeLimitMs,
-            lastEventId: call.lastEventId,
-            removeCredential: call.removeCredential,
-        }),
-        body: call.body.length === 0 ? undefined : call.body,
-    }, handler);
+    try {
+        connection.client.dispatch({
+            path: call.incoming.url ?? "/",
+            method: call.incoming.method as Dispatcher.HttpMethod,
+            headers: dialect.buildTargetHeaders(call.incoming.rawHeaders, {
+                target: effect.target,
+                prefixSourceAddress: effect.prefixSourceAddress,
+                workspace: effect.workspace,
+                timeLimitMs: effect.timeLimitMs,
+                lastEventId: call.lastEventId,
+                removeCredential: call.removeCredential,
+            }),
+            body: call.body.length === 0 ? undefined : call.body,
+        }, handler);
+    }
+    catch (error) {
+        // undici refuses some headers and methods that Node's server accepts.
+        queueMicrotask(() => end("unsent", { reason: describeError(error as Error) }));
+    }
 
     return () => {
         if (ended) return;
