--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -26,7 +26,7 @@
 
 export interface FleetViewOptions {
     /** Age of the configuration beyond which credentials are no longer accepted: one may have been revoked meanwhile. */
-    readonly maxCredentialAgeMs: number;
+    readonly getMaxCredentialAgeMs: () => number;
     /** Time for which a target whose entry vanished during an outage of the store is still used. */
     readonly lapseGraceMs: number;
     /** Time after an outage in which vanished entries count as lapsed and not as removed. */
@@ -224,7 +224,7 @@
         listServices: targets.listServices,
         judgeCredentials: now => {
             if (!kinds.configuration.known) return "unknown";
-            return now - kinds.configuration.confirmedAt <= opts.maxCredentialAgeMs ? "current" : "unconfirmed";
+            return now - kinds.configuration.confirmedAt <= opts.getMaxCredentialAgeMs() ? "current" : "unconfirmed";
         },
         listUsableTargets: (service, regions) =>
             targets.listReady(service).filter(target =>
--- a/packages/fleet-view/src/followStore.ts
+++ b/packages/fleet-view/src/followStore.ts
@@ -84,7 +84,8 @@
         const result = await opts.watch(from, opts.waitMs);
         if (stopped || watchEpoch !== epoch) return;
         if (result.type === "unavailable") return fail(result.reason);
-        if (result.type === "historyGone") {
+        // Revisions only grow, so a lower one is that of another store, or of one that has lost its objects.
+        if (result.type === "historyGone" || result.revision < from) {
             revision = undefined;
             return;
         }
--- /dev/null
+++ b/packages/fleet-view/test/createFleetView.test.ts
@@ -0,0 +1,254 @@
+/** What a router may still do, by what it has lost and for how long. All times are on a fake clock. */
+import type { FleetConfiguration, TargetEntry, ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
+import type { PlacementEvent } from "@rhubarbwheel/types/placement-events";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createFleetView } from "../src/createFleetView.js";
+
+const configuration: FleetConfiguration = {
+    version: 7,
+    routes: [],
+    pools: [{ service: "orders", maxConnections: 10, coldRequestsPerSecond: 0 }],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    workspaces: [{ workspace: "ada", credentials: ["key"] }],
+};
+
+function createTarget(target: string, more: Partial<TargetEntry> = {}): TargetEntry {
+    return {
+        target,
+        service: "orders",
+        address: "10.0.0.1:80",
+        failureDomain: "a",
+        slots: 6,
+        state: "ready",
+        coldForMs: 0,
+        ...more,
+    };
+}
+
+function createTestView() {
+    const view = createFleetView({
+        getMaxCredentialAgeMs: () => 4_500,
+        lapseGraceMs: 1_900,
+        lapseWindowMs: 2_500,
+        regionOf: domain => domain === "a" ? "north" : "south",
+    });
+    let revision = 0;
+    const events: number[] = [];
+    const reduce = (event: PlacementEvent): void => {
+        for (const effect of view.reduce(event)) if (effect.type === "log") events.push(effect.event);
+    };
+    const list = <K extends ViewKind>(kind: K, entries: readonly ViewEntries[K][], now: number): void =>
+        reduce({ type: "viewListed", kind, entries, revision: ++revision, confirmedAt: now, now });
+    return {
+        view,
+        events,
+        reduce,
+        list,
+        change: <K extends ViewKind>(kind: K, name: string, entry: ViewEntries[K] | undefined, now: number): void =>
+            reduce({
+                type: "viewChanged",
+                kind,
+                changes: [{ name, entry }],
+                revision: ++revision,
+                confirmedAt: now,
+                now,
+            }),
+        confirm: (kind: ViewKind, now: number): void =>
+            reduce({ type: "viewChanged", kind, changes: [], revision, confirmedAt: now, now }),
+        interrupt: (kind: ViewKind, now: number): void =>
+            reduce({ type: "viewInterrupted", kind, reason: "status 503", now }),
+        listUsable: () => view.listUsableTargets("orders").map(entry => entry.target),
+    };
+}
+
+function createReadyView() {
+    const ready = createTestView();
+    ready.list("configuration", [configuration], 0);
+    ready.list("targets", [createTarget("t1"), createTarget("t2", { failureDomain: "b" })], 0);
+    ready.list("closedDomains", [], 0);
+    return ready;
+}
+
+interface AgeCase {
+    readonly name: string;
+    readonly happen: (fleet: ReturnType<typeof createReadyView>) => void;
+    readonly at: number;
+    readonly credentials: "current" | "unconfirmed" | "unknown";
+    readonly usable: readonly string[];
+}
+
+const cases: readonly AgeCase[] = [
+    { name: "nothing is lost", happen: () => undefined, at: 100, credentials: "current", usable: ["t1", "t2"] },
+    {
+        name: "the store was silent for less than revocations take",
+        happen: fleet => fleet.interrupt("configuration", 1_000),
+        at: 4_400,
+        credentials: "current",
+        usable: ["t1", "t2"],
+    },
+    {
+        name: "the store was silent for longer",
+        happen: fleet => fleet.interrupt("configuration", 1_000),
+        at: 4_600,
+        credentials: "unconfirmed",
+        usable: ["t1", "t2"],
+    },
+    {
+        name: "the store is back",
+        happen: fleet => {
+            fleet.interrupt("configuration", 1_000);
+            fleet.confirm("configuration", 6_000);
+        },
+        at: 6_100,
+        credentials: "current",
+        usable: ["t1", "t2"],
+    },
+    {
+        name: "the process was suspended, or its clock was set",
+        happen: fleet => fleet.reduce({ type: "clockJumped", byMs: 3_000, now: 100 }),
+        at: 101,
+        credentials: "unconfirmed",
+        usable: ["t1", "t2"],
+    },
+    {
+        name: "an entry vanished",
+        happen: fleet => fleet.change("targets", "t1", undefined, 1_000),
+        at: 1_001,
+        credentials: "current",
+        usable: ["t2"],
+    },
+    {
+        name: "an entry vanished in an outage, within the grace",
+        happen: fleet => {
+            fleet.interrupt("targets", 1_000);
+            fleet.list("targets", [createTarget("t2")], 3_000);
+        },
+        at: 4_800,
+        credentials: "unconfirmed",
+        usable: ["t1", "t2"],
+    },
+    {
+        name: "an entry vanished in an outage, after the grace",
+        happen: fleet => {
+            fleet.interrupt("targets", 1_000);
+            fleet.list("targets", [createTarget("t2")], 3_000);
+            fleet.confirm("targets", 5_000);
+        },
+        at: 5_000,
+        credentials: "unconfirmed",
+        usable: ["t2"],
+    },
+    {
+        name: "an entry vanished in an outage and is back",
+        happen: fleet => {
+            fleet.interrupt("targets", 1_000);
+            fleet.list("targets", [createTarget("t2")], 3_000);
+            fleet.change("targets", "t1", createTarget("t1"), 4_000);
+            fleet.confirm("targets", 9_000);
+        },
+        at: 9_000,
+        credentials: "unconfirmed",
+        usable: ["t1", "t2"],
+    },
+    {
+        name: "a leaving target vanished in an outage",
+        happen: fleet => {
+            fleet.change("targets", "t1", createTarget("t1", { state: "leaving" }), 500);
+            fleet.interrupt("targets", 1_000);
+            fleet.list("targets", [createTarget("t2")], 3_000);
+        },
+        at: 3_001,
+        credentials: "current",
+        usable: ["t2"],
+    },
+    {
+        name: "a target is leaving",
+        happen: fleet => fleet.change("targets", "t1", createTarget("t1", { state: "leaving" }), 500),
+        at: 501,
+        credentials: "current",
+        usable: ["t2"],
+    },
+    {
+        name: "an entry became unreadable",
+        happen: fleet => fleet.change("targets", "t1", undefined, 500),
+        at: 501,
+        credentials: "current",
+        usable: ["t2"],
+    },
+    {
+        name: "a failure domain is evacuated",
+        happen: fleet => fleet.change("closedDomains", "b", { failureDomain: "b" }, 500),
+        at: 501,
+        credentials: "current",
+        usable: ["t1"],
+    },
+    {
+        name: "an evacuation has ended while the store was away",
+        happen: fleet => {
+            fleet.change("closedDomains", "b", { failureDomain: "b" }, 500);
+            fleet.interrupt("closedDomains", 1_000);
+            fleet.list("closedDomains", [], 2_000);
+        },
+        at: 2_001,
+        credentials: "current",
+        usable: ["t1", "t2"],
+    },
+];
+
+for (const { name, happen, at, credentials, usable } of cases) {
+    test(name, () => {
+        const fleet = createReadyView();
+        happen(fleet);
+        fleet.reduce({ type: "wake", now: at });
+        assert.is(fleet.view.judgeCredentials(at), credentials);
+        assert.equal(fleet.listUsable(), usable);
+    });
+}
+
+test("a router that has read nothing knows no credentials and is not complete", () => {
+    const { view } = createTestView();
+    assert.is(view.judgeCredentials(0), "unknown");
+    assert.not.ok(view.isComplete());
+});
+
+test("a router is complete once it has read all that it needs", () => {
+    const { view } = createReadyView();
+    assert.ok(view.isComplete());
+});
+
+test("an older configuration is never applied", () => {
+    const fleet = createReadyView();
+    fleet.list("configuration", [{ ...configuration, version: 6, workspaces: [] }], 1_000);
+    assert.is(fleet.view.getConfiguration()?.version, 7);
+    assert.ok(fleet.view.getRoutes()?.findWorkspace("key"));
+    assert.ok(fleet.events.includes(1601));
+});
+
+test("a newer configuration takes effect at once, and a revoked credential with it", () => {
+    const fleet = createReadyView();
+    fleet.change("configuration", "main", { ...configuration, version: 9, workspaces: [] }, 1_000);
+    assert.is(fleet.view.getRoutes()?.findWorkspace("key"), undefined);
+    assert.ok(fleet.view.getRoutes()?.needsCredentials);
+});
+
+test("targets of other regions are left out", () => {
+    const { view } = createReadyView();
+    assert.equal(view.listUsableTargets("orders", ["south"]).map(entry => entry.target), ["t2"]);
+});
+
+test("the rest of a cold start counts down from when the entry arrived", () => {
+    const fleet = createReadyView();
+    fleet.change("targets", "t1", createTarget("t1", { coldForMs: 3_000 }), 1_000);
+    assert.is(fleet.view.getColdLeftMs("t1", 2_000), 2_000);
+    assert.is(fleet.view.getColdLeftMs("t1", 4_500), 0);
+});
+
+test("each loss and return of the store is logged once", () => {
+    const fleet = createReadyView();
+    for (const now of [100, 200, 300]) fleet.interrupt("targets", now);
+    for (const now of [400, 500]) fleet.confirm("targets", now);
+    assert.equal(fleet.events.filter(event => event === 1607 || event === 1608), [1607, 1608]);
+});
+
+test.run();
--- a/packages/forwarding/src/createCallerServer.ts
+++ b/packages/forwarding/src/createCallerServer.ts
@@ -53,6 +53,8 @@
     const refuseInvalid = (error: NodeJS.ErrnoException, socket: Socket): void => {
         const code = error.code ?? error.message;
         if (code === "ECONNRESET" || !socket.writable) return void socket.destroy();
+        // A connection on which nothing was sent gets no answer: there is no call that it could belong to.
+        if (socket.bytesRead === 0) return void socket.destroy();
         opts.onInvalid(code);
         const responses = [...open.get(socket) ?? []];
         const last = responses.at(-1);
--- a/packages/placement/src/createRetryBudget.ts
+++ b/packages/placement/src/createRetryBudget.ts
@@ -6,21 +6,22 @@
     readonly takeRetry: (now: number) => boolean;
 }
 
-export interface RetryBudgetOptions {
+export interface RetryPolicy {
     readonly windowMs: number;
     /** Repeats per request. */
     readonly ratio: number;
     /** Repeats in each window that need no requests. */
-    readonly getReserve: () => number;
+    readonly reserve: number;
 }
 
-export function createRetryBudget(opts: RetryBudgetOptions): RetryBudget {
+export function createRetryBudget(getPolicy: () => RetryPolicy): RetryBudget {
     const requests: number[] = [];
     const retries: number[] = [];
 
     const expire = (times: number[], now: number): void => {
+        const { windowMs } = getPolicy();
         let stale = 0;
-        while (stale < times.length && (times[stale] ?? now) <= now - opts.windowMs) stale++;
+        while (stale < times.length && (times[stale] ?? now) <= now - windowMs) stale++;
         times.splice(0, stale);
     };
 
@@ -32,7 +33,8 @@
         takeRetry: now => {
             expire(requests, now);
             expire(retries, now);
-            if (retries.length + 1 > opts.ratio * requests.length + opts.getReserve()) return false;
+            const { ratio, reserve } = getPolicy();
+            if (retries.length + 1 > ratio * requests.length + reserve) return false;
             retries.push(now);
             return true;
         },
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -5,7 +5,7 @@
 import type { PlacementEffect, RoutedRequest } from "@rhubarbwheel/types/placement-events";
 import type { CoordinatorChoice } from "./createCoordinatorChoice.js";
 import type { PoolModel } from "./createPoolModel.js";
-import type { RetryBudget } from "./createRetryBudget.js";
+import type { RetryBudget, RetryPolicy } from "./createRetryBudget.js";
 import type { SendLimit } from "./createSendLimit.js";
 
 /** Numbers of the log events of requests at their entry router. */
@@ -24,11 +24,8 @@
     readonly router: string;
     readonly failureDomain: string;
     readonly view: FleetView;
-    /** Repeats of one service per request, in the whole fleet. */
-    readonly retryRatio: number;
-    /** Repeats of one service in each window that need no requests, in the whole fleet. */
-    readonly retryReserve: number;
-    readonly retryWindowMs: number;
+    /** Limits on repeats of each service in the whole fleet. */
+    readonly getRetryPolicy: () => RetryPolicy;
     /** Requests a second to a cold target, over all routers, given what the target bears. */
     readonly computeColdLimit: (coldRequestsPerSecond: number) => number;
 }
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -30,10 +30,10 @@
     const pool: EntryPool = {
         service,
         model: createPoolModel({ spec, priorRate: computePriorRate(context.view, service) }),
-        budget: createRetryBudget({
-            windowMs: context.retryWindowMs,
-            ratio: context.retryRatio,
-            getReserve: () => context.retryReserve / Math.max(1, context.view.listRouters().length),
+        budget: createRetryBudget(() => {
+            const policy = context.getRetryPolicy();
+            // Each router takes its part of the reserve, so that the sum holds while routers cannot reach each other.
+            return { ...policy, reserve: policy.reserve / Math.max(1, context.view.listRouters().length) };
         }),
     };
     context.pools.set(service, pool);
--- a/packages/telemetry/src/events/daemonEvents.ts
+++ b/packages/telemetry/src/events/daemonEvents.ts
@@ -42,7 +42,7 @@
         name: "settingsReloaded",
         level: "info",
         message: "The settings file was read again.",
-        fields: ["router", "changed", "problem"],
+        fields: ["router", "changed", "needRestart", "problem"],
     },
     1012: {
         name: "logLinesOmitted",
