Learn from engines what they keep when a coordinator starts

Change: a coordinator asks each engine once for the list of its parts. Test: pattern kill_all in createPoolModel.test.ts.

--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -12,7 +12,12 @@
     PlacementRequest,
     RefusalReason,
 } from "@rhubarbwheel/types/placement";
-import type { PlacementEffect, PlacementSlice, RouterMessageEvent } from "@rhubarbwheel/types/placement-events";
+import type {
+    KeptPartsReadEvent,
+    PlacementEffect,
+    PlacementSlice,
+    RouterMessageEvent,
+} from "@rhubarbwheel/types/placement-events";
 import { computeAdmissionWait, computePriorRate, countCost } from "./admission.js";
 import { createPoolModel } from "./createPoolModel.js";
 import type { Choice, PoolModel } from "./createPoolModel.js";
@@ -56,6 +61,11 @@
             }),
         };
         pools.set(service, pool);
+        // What engines keep outlives the coordinator that placed it.
+        if (spec.engine !== undefined) {
+            for (const { target, address } of view.listUsableTargets(service))
+                effects.push({ type: "readKeptParts", service, target, address });
+        }
         return pool;
     };
 
@@ -153,6 +163,11 @@
         if (expireAt === Infinity) expireAt = now + expiryIntervalMs;
     };
 
+    const recallParts = ({ service, target, parts }: KeptPartsReadEvent): void => {
+        const entry = view.getTarget(target);
+        if (entry !== undefined) pools.get(service)?.model.recallParts(entry, parts);
+    };
+
     const expire = (now: number): void => {
         for (const { model } of pools.values()) {
             model.expire(now);
@@ -165,6 +180,7 @@
         reduce: event => {
             effects = [];
             if (event.type === "routerMessage") handleMessage(event);
+            else if (event.type === "keptPartsRead") recallParts(event);
             if (event.now >= expireAt) expire(event.now);
             return effects;
         },
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -177,6 +177,8 @@
         choose,
         end,
         start: (requestId: string, now: number) => getModel(requestId)?.start(requestId, now),
+        /** Adds prompt parts that a target says it keeps. */
+        recallParts: (entry: TargetEntry, parts: readonly PromptPart[]) => obtainModel(entry).recallParts(parts),
         getAssignment: (requestId: string) => getModel(requestId)?.get(requestId),
         /** Keeps an attempt that its router still reports. */
         keep: (requestId: string, now: number) => {
--- a/packages/placement/src/createPromptCache.ts
+++ b/packages/placement/src/createPromptCache.ts
@@ -11,6 +11,8 @@
     readonly countRead: (parts: readonly PromptPart[]) => number;
     /** Marks all parts as used now, and evicts others beyond `capacityTokens`. */
     readonly use: (parts: readonly PromptPart[], capacityTokens: number) => void;
+    /** Adds parts that the engine says it keeps, as used longer ago than all others. */
+    readonly recall: (parts: readonly PromptPart[]) => void;
     /** Marks the parts as read. */
     readonly markRead: (parts: readonly PromptPart[]) => void;
 }
@@ -56,6 +58,19 @@
                 remove(id);
             }
         },
+        recall: parts => {
+            const used = [...kept];
+            kept.clear();
+            for (const { id, tokens } of parts) {
+                if (!kept.has(id)) totalTokens += tokens;
+                kept.set(id, { tokens, isRead: true });
+            }
+            for (const [id, part] of used) {
+                totalTokens -= kept.get(id)?.tokens ?? 0;
+                kept.delete(id);
+                kept.set(id, part);
+            }
+        },
         markRead: parts => {
             for (const { id } of parts) {
                 const part = kept.get(id);
--- a/packages/placement/src/createTargetModel.ts
+++ b/packages/placement/src/createTargetModel.ts
@@ -34,6 +34,8 @@
     readonly assign: (assignment: Assignment) => void;
     readonly start: (requestId: string, now: number) => void;
     readonly end: (requestId: string, result: AttemptResult, latencyMs: number, now: number) => void;
+    /** Adds prompt parts that the target says it keeps. */
+    readonly recallParts: (parts: readonly PromptPart[]) => void;
     readonly get: (requestId: string) => Assignment | undefined;
     readonly list: () => Iterable<Assignment>;
     readonly count: () => number;
@@ -186,6 +188,7 @@
             failureRatio = fadeFailures(now) * (1 - failureWeight) + (isFailure(result) ? failureWeight : 0);
             failureAt = now;
         },
+        recallParts: cache.recall,
         get: requestId => assignments.get(requestId),
         list: () => assignments.values(),
         count: () => assignments.size,
--- a/packages/placement/test/createPoolModel.test.ts
+++ b/packages/placement/test/createPoolModel.test.ts
@@ -135,6 +135,16 @@
     assert.is(choose(20_000), "target-1");
 });
 
+// Pattern: `kill_all` at the end of a day; the coordinator's memory is gone, and that of the engines is not.
+test("a new coordinator learns from the targets what they keep", () => {
+    const model = createPoolModel({ spec: enginePool, priorRate });
+    const candidates = createTargets(8);
+    model.recallParts(candidates[4]!, [{ id: "common", tokens: 512 }, { id: "s", tokens: 4_870 }]);
+    const choice = place(model, createRequest("s"), { candidates });
+    assert.is(choice?.target, "target-5");
+    assert.is(choice?.newTokens, 6_610);
+});
+
 test("a target that has started again keeps nothing", () => {
     const model = createPoolModel({ spec: enginePool, priorRate });
     const before = createTargets(1, { startedAt: 1 });
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -78,4 +78,10 @@
         message: "A call was refused before it was placed.",
         fields: ["callerId", "host", "path", "code", "detail", "configurationVersion", "configurationAgeMs"],
     },
+    1709: {
+        name: "keptPartsUnknown",
+        level: "info",
+        message: "A target did not tell this coordinator which prompt parts it keeps; requests teach it with time.",
+        fields: ["service", "target", "problem"],
+    },
 };
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -2,7 +2,7 @@
 import type { LogEffect, RaiseEffect, StopEffect } from "./effects.js";
 import type { DrainRequestedEvent } from "./events.js";
 import type { RouteKind, ViewEntries, ViewKind } from "./fleet.js";
-import type { AttemptResult, PlacementMessage, PromptSize, ReportedLoad } from "./placement.js";
+import type { AttemptResult, PlacementMessage, PromptPart, PromptSize, ReportedLoad } from "./placement.js";
 
 /** What the reducer knows about a call; its bytes stay with the forwarder. */
 export interface RoutedRequest {
@@ -103,6 +103,14 @@
     readonly reason: string;
 }
 
+/** Answer to `readKeptParts`. */
+export interface KeptPartsReadEvent extends At {
+    readonly type: "keptPartsRead";
+    readonly service: string;
+    readonly target: string;
+    readonly parts: readonly PromptPart[];
+}
+
 /** The monotonic clock and the time of day no longer agree: the process was suspended, or the time of day was set. */
 export interface ClockJumpedEvent extends At {
     readonly type: "clockJumped";
@@ -120,6 +128,7 @@
     | ViewChangedEvent
     | ViewInterruptedEvent
     | ClockJumpedEvent
+    | KeptPartsReadEvent
     | DrainRequestedEvent;
 
 export interface StartAttemptEffect {
@@ -164,6 +173,14 @@
     readonly requestId: string;
 }
 
+/** Asks an engine which prompt parts it keeps. */
+export interface ReadKeptPartsEffect {
+    readonly type: "readKeptParts";
+    readonly service: string;
+    readonly target: string;
+    readonly address: string;
+}
+
 export interface SendToRouterEffect {
     readonly type: "sendToRouter";
     readonly router: string;
@@ -178,6 +195,7 @@
     | RelayFailureEffect
     | BreakAnswerEffect
     | SendToRouterEffect
+    | ReadKeptPartsEffect
     | LogEffect
     | RaiseEffect<PlacementEvent>
     | StopEffect;
