--- a/packages/daemon/src/createRouter.ts
+++ b/packages/daemon/src/createRouter.ts
@@ -23,6 +23,7 @@
 import { createOperatorStore } from "./createOperatorStore.js";
 import { createPeerProblemLog } from "./createPeerProblemLog.js";
 import { createStatus } from "./createStatus.js";
+import { daemonEvents } from "./daemonEvents.js";
 import type { Settings } from "./parseSettings.js";
 
 /** What the container holds. */
@@ -56,16 +57,6 @@
     readonly writeLog: (line: string) => void;
 }
 
-/** Numbers of the log events of the daemon itself. */
-export const daemonEvents = {
-    started: 1000,
-    drainStarted: 1001,
-    drainFinished: 1002,
-    internalError: 1003,
-    drainTimedOut: 1004,
-    peerProblem: 1010,
-} as const;
-
 const platformTimeoutMs = 2_000;
 const largestRandomSeed = 2 ** 31 - 1;
 // A caller that reads slowly makes the target wait, instead of filling the router's memory.
--- /dev/null
+++ b/packages/daemon/src/daemonEvents.ts
@@ -0,0 +1,12 @@
+/** Numbers of the log events of the process itself; the catalogue of `@rhubarbwheel/telemetry` describes them. */
+export const daemonEvents = {
+    started: 1000,
+    drainStarted: 1001,
+    drainFinished: 1002,
+    internalError: 1003,
+    drainTimedOut: 1004,
+    peerProblem: 1010,
+    settingsReloaded: 1011,
+    logLinesOmitted: 1012,
+    connectionRefused: 1013,
+} as const;
--- a/packages/daemon/src/startRouter.ts
+++ b/packages/daemon/src/startRouter.ts
@@ -1,5 +1,6 @@
 /** Starts a router in this process, and stops it after what is in progress has ended. */
-import { createRouter, daemonEvents } from "./createRouter.js";
+import { createRouter } from "./createRouter.js";
+import { daemonEvents } from "./daemonEvents.js";
 import type { Settings } from "./parseSettings.js";
 
 const tickMs = 100;
--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -59,7 +59,7 @@
 export const fleetViewEvents = {
     configurationApplied: 1600,
     configurationIgnored: 1601,
-    targetChanged: 1602,
+    targetEntryChanged: 1602,
     targetRemoved: 1603,
     targetLapsed: 1604,
     domainClosed: 1605,
@@ -123,7 +123,7 @@
             && before.startedAt === entry.startedAt && (before.coldForMs > 0) === (entry.coldForMs > 0);
         if (isSame) return;
         const { target, service, address, failureDomain, state, coldForMs } = entry;
-        log("targetChanged", { target, service, address, failureDomain, state, coldForMs });
+        log("targetEntryChanged", { target, service, address, failureDomain, state, coldForMs });
     };
 
     const dropTarget = (name: string, now: number): void => {
--- a/packages/placement/src/createPlacementEntry.ts
+++ b/packages/placement/src/createPlacementEntry.ts
@@ -76,7 +76,7 @@
         handleReply(context, event.from, event.message);
     else if (event.type === "drainRequested" && context.drainingSince === undefined) {
         context.drainingSince = event.now;
-        logEntryEvent(context, "drainStarted", { requests: context.requests.size });
+        logEntryEvent(context, "entryDrainStarted", { requests: context.requests.size });
     }
 }
 
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -13,11 +13,11 @@
     requestPlaced: 1700,
     requestRefused: 1701,
     attemptFailed: 1702,
-    requestEnded: 1703,
+    placedRequestEnded: 1703,
     callerGone: 1704,
     coordinatorSuspected: 1705,
     placedLocally: 1706,
-    drainStarted: 1707,
+    entryDrainStarted: 1707,
 } as const;
 
 export interface EntryOptions {
@@ -108,7 +108,7 @@
 export function closeRequest(context: EntryContext, entry: EntryRequest, outcome: string, code?: string): void {
     context.requests.delete(entry.request.requestId);
     const startedAt = entry.attempt?.startedAt;
-    logEntryEvent(context, "requestEnded", {
+    logEntryEvent(context, "placedRequestEnded", {
         ...describeRequest(entry),
         outcome,
         code,
--- a/packages/telemetry/src/events/fleetViewEvents.ts
+++ b/packages/telemetry/src/events/fleetViewEvents.ts
@@ -15,7 +15,7 @@
         fields: ["version", "inForce", "revision"],
     },
     1602: {
-        name: "targetChanged",
+        name: "targetEntryChanged",
         level: "info",
         message: "A target has appeared, or its state, address or start time has changed.",
         fields: ["target", "service", "address", "failureDomain", "state", "coldForMs"],
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -34,7 +34,7 @@
         fields: [...requestFields, "target", "attempt", "result", "reason", "targetsAgeMs"],
     },
     1703: {
-        name: "requestEnded",
+        name: "placedRequestEnded",
         level: "info",
         message: "A request has ended.",
         fields: [
@@ -67,7 +67,7 @@
         fields: [...requestFields, "reason", "target", "targetsAgeMs"],
     },
     1707: {
-        name: "drainStarted",
+        name: "entryDrainStarted",
         level: "info",
         message: "The router drains: requests in progress finish, callers are told to connect elsewhere.",
         fields: ["requests"],
