--- a/packages/configuration/src/createConfiguration.ts
+++ b/packages/configuration/src/createConfiguration.ts
@@ -17,7 +17,7 @@
     PeerMessage,
     ProbeAckMessage,
 } from "@rhubarbwheel/types/peer-messages";
-import type { Resource, ResourceKind, ResourceOf } from "@rhubarbwheel/types/resources";
+import type { Resource } from "@rhubarbwheel/types/resources";
 import type {
     ConfigurationQueries,
     Member,
@@ -25,7 +25,7 @@
     RouterIdentity,
     Slice,
 } from "@rhubarbwheel/types/slices";
-
+import { configurationLogEvents } from "./configurationLogEvents.js";
 import { maxChangesLogged, maxResourcesPerUpdate, suspectAfterMs } from "./configurationSettings.js";
 import { createConfirmer } from "./createConfirmer.js";
 import { createFreshness, type FreshnessState } from "./createFreshness.js";
@@ -35,6 +35,7 @@
 import { createRoles } from "./createRoles.js";
 import { createSpread, type UpdateRange } from "./createSpread.js";
 import { type CallerRole, createStoreCaller } from "./createStoreCaller.js";
+import type { PeerRevision, ResourceQueries } from "./resourceQueries.js";
 
 export interface ConfigurationOptions {
     readonly identity: RouterIdentity;
@@ -51,33 +52,6 @@
         readonly isListed?: (router: string) => boolean;
     };
 
-/** Queries of this slice beyond the shared contract. */
-export interface ResourceQueries {
-    /** Lists the resources of a kind that are not deleted, sorted by name. */
-    readonly listResources: <K extends ResourceKind>(kind: K) => readonly ResourceOf<K>[];
-    /** Greatest store revision up to which this router holds every change. */
-    readonly getRevision: () => number;
-    /** Revisions that other routers last reported, with the time at which they were heard. */
-    readonly listPeerRevisions: () => readonly PeerRevision[];
-}
-
-export interface PeerRevision {
-    readonly router: string;
-    readonly revision: number;
-    readonly heardAt: number;
-}
-
-/** Numbers of the log events of the configuration. */
-export const configurationLogEvents = {
-    applied: 1400,
-    appliedBatch: 1401,
-    freshness: 1402,
-    storeUnreachable: 1403,
-    storeReachable: 1404,
-    revisionGone: 1405,
-    role: 1406,
-} as const;
-
 export function createConfiguration(opts: ConfigurationOptions): Slice & ConfigurationQueries & ResourceQueries {
     const { identity, membership, random } = opts;
     const table = createResourceTable();
--- a/packages/daemon/src/createRouter.ts
+++ b/packages/daemon/src/createRouter.ts
@@ -24,7 +24,7 @@
 import { createPeerProblemLog } from "./createPeerProblemLog.js";
 import { createStatus } from "./createStatus.js";
 import { daemonEvents } from "./daemonEvents.js";
-import type { Settings } from "./parseSettings.js";
+import type { Settings } from "./settings.js";
 
 /** What the container holds. */
 interface Cradle {
--- a/packages/daemon/src/parseSettings.ts
+++ b/packages/daemon/src/parseSettings.ts
@@ -3,49 +3,13 @@
 import { parseArgs } from "node:util";
 import results from "ts-results";
 import type { Result } from "ts-results";
+import type { Environment, Settings } from "./settings.js";
 import type { ReadFile } from "./settingsReader.js";
 import { createSettingsReader, findGiven } from "./settingsReader.js";
-import type { HostPort, Seed } from "./settingsTable.js";
 import { formatFlag, formatVariable, settingKeys } from "./settingsTable.js";
 
 const { Err, Ok } = results;
 
-/** Durations are in milliseconds, sizes in bytes. */
-export interface Settings {
-    readonly routerName: string;
-    readonly failureDomain: string;
-    readonly listen: HostPort;
-    /** `ip:port`. */
-    readonly peerListen: string;
-    /** `ip:port` at which other routers reach this one. */
-    readonly peerAddress: string;
-    readonly platform: readonly string[];
-    readonly seeds: readonly Seed[];
-    readonly operatorToken: string;
-    readonly fleetSecret: string;
-    readonly peerTls?: { readonly certificate: Buffer; readonly key: Buffer; readonly authority: Buffer; };
-    readonly logLevel: "debug" | "info" | "warn" | "error" | "silent";
-    readonly logFormat: "json" | "text";
-    readonly statsd?: HostPort;
-    readonly maxBodyBytes: number;
-    readonly maxHeaderBytes: number;
-    readonly maxOpenCalls: number;
-    readonly maxOpenCallsPerWorkspace: number;
-    readonly maxConnections: number;
-    readonly slowReaderTimeoutMs: number;
-    readonly drainTimeoutMs: number;
-    readonly idempotencyRecords: number;
-    readonly idempotencyBytes: number;
-    /** Text of each setting and where it came from, without secrets. */
-    readonly effective: readonly EffectiveSetting[];
-}
-
-export interface EffectiveSetting {
-    readonly flag: string;
-    readonly text: string;
-    readonly source: "flag" | "variable" | "default";
-}
-
 export interface SettingsProblem {
     readonly flag: string;
     readonly variable: string;
@@ -53,8 +17,6 @@
     readonly remedy: string;
 }
 
-export type Environment = Readonly<Record<string, string | undefined>>;
-
 /** What the command line asks for; help and the check need no network. */
 export type SettingsAction = "run" | "help" | "checkSettings";
 
--- a/packages/daemon/src/renderSettings.ts
+++ b/packages/daemon/src/renderSettings.ts
@@ -1,5 +1,6 @@
 /** Texts about settings: help, effective settings, problems. */
-import type { Settings, SettingsProblem } from "./parseSettings.js";
+import type { SettingsProblem } from "./parseSettings.js";
+import type { Settings } from "./settings.js";
 import type { SettingRow } from "./settingsTable.js";
 import { formatFlag, formatVariable, settingKeys, settingsTable } from "./settingsTable.js";
 
--- a/packages/daemon/src/settingsReader.ts
+++ b/packages/daemon/src/settingsReader.ts
@@ -1,5 +1,5 @@
 /** Reads single settings from flags, variables and files, and reports what is wrong with them. */
-import type { EffectiveSetting, Environment, Settings } from "./parseSettings.js";
+import type { EffectiveSetting, Environment, Settings } from "./settings.js";
 import type { SettingKey, SettingRow } from "./settingsTable.js";
 import { formatFlag, formatVariable, settingsTable } from "./settingsTable.js";
 
--- a/packages/daemon/src/startRouter.ts
+++ b/packages/daemon/src/startRouter.ts
@@ -1,7 +1,7 @@
 /** Starts a router in this process, and stops it after what is in progress has ended. */
 import { createRouter } from "./createRouter.js";
 import { daemonEvents } from "./daemonEvents.js";
-import type { Settings } from "./parseSettings.js";
+import type { Settings } from "./settings.js";
 
 const tickMs = 100;
 const metricsIntervalMs = 10_000;
--- a/packages/daemon/test/parseSettings.test.ts
+++ b/packages/daemon/test/parseSettings.test.ts
@@ -1,9 +1,9 @@
 /** Guards against a router that starts with settings other than the intended ones, and against printed secrets. */
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { Environment } from "../src/parseSettings.js";
 import { parseSettings, readSettingsAction } from "../src/parseSettings.js";
 import { renderHelp, renderProblems, renderSettings } from "../src/renderSettings.js";
+import type { Environment } from "../src/settings.js";
 import { formatFlag, formatVariable, settingKeys } from "../src/settingsTable.js";
 
 const secret = "0123456789abcdef";
--- a/packages/telemetry/src/createLogger.ts
+++ b/packages/telemetry/src/createLogger.ts
@@ -1,7 +1,7 @@
 /** Logger of numbered events, over loglevel. Secrets are redacted by the names of their fields. */
 import loglevel from "loglevel";
-import type { EventKind, EventLevel } from "./eventCatalogue.js";
 import { eventCatalogue } from "./eventCatalogue.js";
+import type { EventKind, EventLevel } from "./eventKind.js";
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
--- a/packages/telemetry/src/eventCatalogue.ts
+++ b/packages/telemetry/src/eventCatalogue.ts
@@ -2,6 +2,7 @@
  * The numbered log events. Numbers are stable: a removed event leaves a gap. `docs/events.md` is made from this
  * catalogue by `npm run generate:docs` in this package.
  */
+import type { EventKind } from "./eventKind.js";
 import { configurationEvents } from "./events/configurationEvents.js";
 import { daemonEvents } from "./events/daemonEvents.js";
 import { fleetViewEvents } from "./events/fleetViewEvents.js";
@@ -11,17 +12,6 @@
 import { placementEvents } from "./events/placementEvents.js";
 import { routingEvents } from "./events/routingEvents.js";
 
-export type EventLevel = "debug" | "info" | "warn" | "error";
-
-export interface EventKind {
-    /** camelCase, unique. */
-    readonly name: string;
-    readonly level: EventLevel;
-    readonly message: string;
-    /** Names of the fields that the event may carry. */
-    readonly fields: readonly string[];
-}
-
 /** First number of each range of 100, with the part of the router that the range belongs to. */
 export const eventRanges: Readonly<Record<number, string>> = {
     1000: "Daemon",
--- a/packages/telemetry/src/events/configurationEvents.ts
+++ b/packages/telemetry/src/events/configurationEvents.ts
@@ -1,5 +1,5 @@
 /** Log events of resources and their freshness. */
-import type { EventKind } from "../eventCatalogue.js";
+import type { EventKind } from "../eventKind.js";
 
 export const configurationEvents: Readonly<Record<number, EventKind>> = {
     1400: {
--- a/packages/telemetry/src/events/daemonEvents.ts
+++ b/packages/telemetry/src/events/daemonEvents.ts
@@ -1,5 +1,5 @@
 /** Log events of the process of a router. */
-import type { EventKind } from "../eventCatalogue.js";
+import type { EventKind } from "../eventKind.js";
 
 export const daemonEvents: Readonly<Record<number, EventKind>> = {
     1000: {
--- a/packages/telemetry/src/events/fleetViewEvents.ts
+++ b/packages/telemetry/src/events/fleetViewEvents.ts
@@ -1,5 +1,5 @@
 /** Log events of what a router believes about the fleet. */
-import type { EventKind } from "../eventCatalogue.js";
+import type { EventKind } from "../eventKind.js";
 
 export const fleetViewEvents: Readonly<Record<number, EventKind>> = {
     1600: {
--- a/packages/telemetry/src/events/idempotencyEvents.ts
+++ b/packages/telemetry/src/events/idempotencyEvents.ts
@@ -1,5 +1,5 @@
 /** Log events of calls with idempotency keys. */
-import type { EventKind } from "../eventCatalogue.js";
+import type { EventKind } from "../eventKind.js";
 
 export const idempotencyEvents: Readonly<Record<number, EventKind>> = {
     1500: {
--- a/packages/telemetry/src/events/membershipEvents.ts
+++ b/packages/telemetry/src/events/membershipEvents.ts
@@ -1,5 +1,5 @@
 /** Log events of the routers that this router knows. */
-import type { EventKind } from "../eventCatalogue.js";
+import type { EventKind } from "../eventKind.js";
 
 export const membershipEvents: Readonly<Record<number, EventKind>> = {
     1300: {
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -1,5 +1,5 @@
 /** Log events of requests that are placed by coordinators. */
-import type { EventKind } from "../eventCatalogue.js";
+import type { EventKind } from "../eventKind.js";
 
 const requestFields = ["callerId", "requestId", "route", "service", "workspace"];
 
--- a/packages/telemetry/src/events/placementEvents.ts
+++ b/packages/telemetry/src/events/placementEvents.ts
@@ -1,5 +1,5 @@
 /** Log events of slots and targets at the coordinator of a pool. */
-import type { EventKind } from "../eventCatalogue.js";
+import type { EventKind } from "../eventKind.js";
 
 export const placementEvents: Readonly<Record<number, EventKind>> = {
     1200: {
--- a/packages/telemetry/src/events/routingEvents.ts
+++ b/packages/telemetry/src/events/routingEvents.ts
@@ -1,5 +1,5 @@
 /** Log events of requests at their entry router. */
-import type { EventKind } from "../eventCatalogue.js";
+import type { EventKind } from "../eventKind.js";
 
 export const routingEvents: Readonly<Record<number, EventKind>> = {
     1100: {
--- a/packages/telemetry/src/renderEventCatalogue.ts
+++ b/packages/telemetry/src/renderEventCatalogue.ts
@@ -1,6 +1,6 @@
 /** Renders the event catalogue as the page `docs/events.md`. */
-import type { EventKind } from "./eventCatalogue.js";
 import { eventCatalogue, eventRanges } from "./eventCatalogue.js";
+import type { EventKind } from "./eventKind.js";
 
 const rangeSize = 100;
 
--- a/packages/telemetry/test/createLogger.test.ts
+++ b/packages/telemetry/test/createLogger.test.ts
@@ -3,7 +3,7 @@
 import * as assert from "uvu/assert";
 import type { LoggerOptions } from "../src/createLogger.js";
 import { createLogger } from "../src/createLogger.js";
-import type { EventKind } from "../src/eventCatalogue.js";
+import type { EventKind } from "../src/eventKind.js";
 
 const catalogue: Record<number, EventKind> = {
     1: { name: "opened", level: "info", message: "Opened.", fields: ["peer"] },
