Serve requests that come back late only with room that fresh ones leave, and tell refused callers when to come back

Change: the coordinator remembers refusals by the last prompt part; a request that comes back too late for its target is admitted up to 0.4 of the wait of a fresh one. Refused callers are told to come back after 0.3 of the time that they have left, when a burst is more likely to be over, instead of after 1 s.

--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -41,6 +41,7 @@
     prompt: optional(promptSize),
     latencyTargetMs: double,
     waitedMs: double,
+    timeLeftMs: double,
     regions: optional(wrappedList(text)),
     failureDomain: text,
     excluded: list(text),
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -2,7 +2,15 @@
 import type { FleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import type { FleetConfiguration } from "@rhubarbwheel/types/fleet";
 import type { PromptSize } from "@rhubarbwheel/types/placement";
-import { firstEventMs, fullShareRatio, overShareRatio, waitRatio } from "./placementSettings.js";
+import {
+    firstEventMs,
+    fullShareRatio,
+    lateRatio,
+    leastRetryAfterMs,
+    overShareRatio,
+    retryAfterRatio,
+    waitRatio,
+} from "./placementSettings.js";
 
 /** Cost of a generated token, in prompt tokens. */
 const outputTokenCost = 2;
@@ -25,6 +33,16 @@
     return tokensPerSecond === undefined || count === 0 ? defaultRate : tokensPerSecond / 1_000 / count;
 }
 
+/** How much a request may ask of a pool that is in demand. */
+export interface Claim {
+    /** Part of its share that the workspace has used. */
+    readonly usedRatio: number;
+    /** Whether the request came back after it was refused, too late for its latency target. */
+    readonly isLate: boolean;
+}
+
+export const fullClaim: Claim = { usedRatio: 0, isLate: false };
+
 const shortestTargets = new WeakMap<FleetConfiguration, ReadonlyMap<string, number>>();
 
 /** Shortest latency target of the routes to each service; computed once for each configuration. */
@@ -51,8 +69,14 @@
  * route: targets serve in order of arrival, so a longer wait for one route would make those with a shorter latency target
  * miss theirs. Room is kept for workspaces that have used little: their few requests must not meet a full queue.
  */
-export function computeAdmissionWait(view: FleetView, service: string, usedRatio: number): number {
+export function computeAdmissionWait(view: FleetView, service: string, claim: Claim): number {
     const longestMs = Math.max(0, findShortestTarget(view, service) * waitRatio - firstEventMs);
-    if (usedRatio > 1) return longestMs * overShareRatio;
-    return longestMs * (1 - usedRatio * (1 - fullShareRatio));
+    const { usedRatio, isLate } = claim;
+    const shareFactor = usedRatio > 1 ? overShareRatio : 1 - usedRatio * (1 - fullShareRatio);
+    return longestMs * shareFactor * (isLate ? lateRatio : 1);
+}
+
+/** When a refused caller with this time left comes back. */
+export function computeRetryAfter(timeLeftMs: number): number {
+    return Math.max(leastRetryAfterMs, timeLeftMs * retryAfterRatio);
 }
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -18,13 +18,14 @@
     PlacementSlice,
     RouterMessageEvent,
 } from "@rhubarbwheel/types/placement-events";
-import { computeAdmissionWait, computePriorRate, countCost } from "./admission.js";
+import { computeAdmissionWait, computePriorRate, computeRetryAfter, countCost } from "./admission.js";
 import { createPoolModel } from "./createPoolModel.js";
 import type { Choice, PoolModel } from "./createPoolModel.js";
+import { createReturnMemory } from "./createReturnMemory.js";
 import { createSendLimit } from "./createSendLimit.js";
 import { createShareLedger } from "./createShareLedger.js";
 import type { ShareLedger } from "./createShareLedger.js";
-import { coldGrantRatio, holdingLifeMs, retryAfterMs, shareWindowMs } from "./placementSettings.js";
+import { coldGrantRatio, holdingLifeMs, shareWindowMs } from "./placementSettings.js";
 
 export interface PlacementCoordinatorOptions {
     readonly router: string;
@@ -43,6 +44,7 @@
     const { view } = opts;
     const pools = new Map<string, CoordinatedPool>();
     const coldSends = createSendLimit();
+    const returns = createReturnMemory();
     let expireAt = Infinity;
     let effects: PlacementEffect[] = [];
 
@@ -83,9 +85,14 @@
         const { workspace } = request;
         const usedRatio = workspace === undefined ? 0 : pool.ledger.getUsedRatio(workspace, now);
         if (workspace !== undefined) pool.ledger.recordAsked(workspace, cost, now);
-        const maxWaitMs = computeAdmissionWait(view, pool.service, usedRatio);
+        const isLate = (returns.getWaitedMs(request, now) ?? 0) > request.latencyTargetMs;
+        const maxWaitMs = computeAdmissionWait(view, pool.service, { usedRatio, isLate });
         const choice = pool.model.choose(request, { candidates, now, maxWaitMs });
-        if (choice === undefined) return usedRatio > 1 ? "shareUsed" : "overloaded";
+        if (choice === undefined) {
+            returns.recordRefusal(request, now);
+            return usedRatio > 1 ? "shareUsed" : "overloaded";
+        }
+        returns.forget(request);
         if (workspace !== undefined) pool.ledger.recordAdmitted(workspace, cost, now);
         return choice;
     };
@@ -115,6 +122,7 @@
     const handleAsk = (event: RouterMessageEvent, request: PlacementRequest): void => {
         const { requestId, service } = request;
         const pool = obtainPool(service);
+        const retryAfterMs = computeRetryAfter(request.timeLeftMs);
         if (pool === undefined) return reply(event, { requestId, service, refusal: "noTarget", retryAfterMs });
         const assigned = pool.model.getAssignment(requestId);
         // A repeated question gets the same answer.
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -1,7 +1,7 @@
 /** Finds a target for a request: asks the coordinator of the pool, and decides locally if it does not answer in time. */
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementReplyMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
-import { computeAdmissionWait, computePriorRate, countCost } from "./admission.js";
+import { computeAdmissionWait, computePriorRate, computeRetryAfter, countCost, fullClaim } from "./admission.js";
 import { createPoolModel } from "./createPoolModel.js";
 import { createRetryBudget } from "./createRetryBudget.js";
 import {
@@ -14,7 +14,7 @@
     logEntryEvent,
     type Placement,
 } from "./entryState.js";
-import { askRepeatMs, askTimeoutMs, retryAfterMs, retryElsewhereMs } from "./placementSettings.js";
+import { askRepeatMs, askTimeoutMs, retryElsewhereMs } from "./placementSettings.js";
 
 /** Refusals that end a request; a router that cannot find a target now may find one soon. */
 const refusalCodes = { overloaded: "OVERLOADED", shareUsed: "SHARE_USED", noTarget: "NO_TARGET" } as const;
@@ -68,6 +68,7 @@
         prompt,
         latencyTargetMs,
         waitedMs: context.now - entry.arrivedAt,
+        timeLeftMs: computeTimeLeft(context, entry),
         regions,
         failureDomain: context.failureDomain,
         excluded: [...entry.excluded],
@@ -123,7 +124,7 @@
     const choice = pool?.model.choose(request, {
         candidates,
         now: context.now,
-        maxWaitMs: computeAdmissionWait(context.view, request.service, 0),
+        maxWaitMs: computeAdmissionWait(context.view, request.service, fullClaim),
         loadFactor: Math.min(assumedPeers, Math.max(1, context.view.listRouters().length)),
     });
     logEntryEvent(context, "placedLocally", {
@@ -133,7 +134,7 @@
         targetsAgeMs: Math.round(context.view.getAgeMs("targets", context.now)),
     });
     const refusal = usable.length === 0 ? "noTarget" : "overloaded";
-    applyPlacement(context, entry, choice ?? { refusal, retryAfterMs });
+    applyPlacement(context, entry, choice ?? { refusal, retryAfterMs: computeRetryAfter(request.timeLeftMs) });
 }
 
 export function handleReply(context: EntryContext, from: string, reply: PlacementReplyMessage): void {
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -45,6 +45,9 @@
 /** Part of the longest wait up to which workspaces beyond their share are admitted. */
 export const overShareRatio = 0.25;
 
+/** Part of the wait above that is left to requests which came back too late for their latency target: others still can meet it. */
+export const lateRatio = 0.4;
+
 /** Part of an engine's memory that running requests may take; above it the engine preempts requests. */
 export const memoryRatio = 0.8;
 
@@ -60,8 +63,11 @@
 /** Part of the cold rate that a coordinator grants; the rest is for routers that place requests by themselves. */
 export const coldGrantRatio = 0.8;
 
-/** When refused callers come back: the users' callers wait at most a third of their time left. */
-export const retryAfterMs = 1_000;
+/** Part of its time left after which a refused caller comes back; the users' callers wait a third at most. */
+export const retryAfterRatio = 0.3;
+
+/** Shortest time after which a refused caller comes back. */
+export const leastRetryAfterMs = 200;
 
 /** When callers come back that a router without configuration or targets refused. */
 export const retryElsewhereMs = 200;
--- /dev/null
+++ b/packages/placement/test/createPlacementEntry.test.ts
@@ -0,0 +1,154 @@
+/** What an entry router does when attempts fail, callers leave and time runs out: nothing runs twice that must not. */
+import type { TargetEntry } from "@rhubarbwheel/types/fleet";
+import type { AttemptResult } from "@rhubarbwheel/types/placement";
+import type { AttemptFinishedEvent, RoutedRequest } from "@rhubarbwheel/types/placement-events";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createEntryHarness, createRoutedRequest, findAttempt, summarizeEffects } from "./entryHarness.js";
+import { createTargets, plainPool } from "./placementFixtures.js";
+
+const targets = createTargets(2, { service: "orders", slots: 6 });
+
+function createHarness(more: { readonly reserve?: number; readonly targets?: readonly TargetEntry[]; } = {}) {
+    return createEntryHarness({ pool: plainPool, targets, ...more });
+}
+
+interface RepeatCase {
+    readonly result: AttemptResult;
+    readonly request: Partial<RoutedRequest>;
+    readonly more?: Partial<AttemptFinishedEvent>;
+    /** Effects that follow the end of the first attempt. */
+    readonly expected: string;
+}
+
+const unsafe = { kind: "nonIdempotent", maxTargets: 2 } as const;
+const stream = { kind: "stream", maxTargets: 2 } as const;
+
+const repeatCases: readonly RepeatCase[] = [
+    { result: "broken", request: {}, expected: "start other for 1190 ms" },
+    { result: "failed", request: {}, expected: "start other for 1190 ms" },
+    { result: "failed", request: { maxTargets: 1 }, expected: "relayFailure" },
+    { result: "broken", request: { maxTargets: 1 }, expected: "fail TARGET_BROKEN" },
+    { result: "broken", request: unsafe, expected: "fail TARGET_BROKEN" },
+    { result: "failed", request: unsafe, expected: "relayFailure" },
+    { result: "rejected", request: unsafe, expected: "start other for 1190 ms" },
+    { result: "rejected", request: { ...unsafe, maxTargets: 1 }, expected: "fail TARGET_REFUSED" },
+    { result: "unsent", request: { ...unsafe, maxTargets: 1 }, expected: "start other for 1190 ms" },
+    { result: "misdirected", request: { ...unsafe, maxTargets: 1 }, expected: "start other for 1190 ms" },
+    { result: "broken", request: stream, expected: "fail TARGET_BROKEN" },
+    { result: "broken", request: stream, more: { answered: true }, expected: "breakAnswer" },
+    { result: "broken", request: { ...stream, resumable: true }, expected: "start other for 1190 ms" },
+    {
+        result: "broken",
+        request: { ...stream, resumable: true },
+        more: { answered: true },
+        expected: "start other for 1190 ms",
+    },
+];
+
+for (const { result, request, more, expected } of repeatCases) {
+    const name = `${result}${more?.answered === true ? " midway" : ""}: ${JSON.stringify(request)}`;
+    test(name, () => {
+        const harness = createHarness();
+        const first = findAttempt(harness.route(createRoutedRequest(request), 0));
+        const effects = harness.finish(first, 10, { result, ...more });
+        const other = first.target === "target-1" ? "target-2" : "target-1";
+        assert.is(summarizeEffects(effects), expected.replace("other", other));
+    });
+}
+
+// Pattern: `answer_lost` followed by `srv_grey`; a call that may have run must not be reported as not run.
+test("a call that may have run is never refused afterwards", () => {
+    const harness = createHarness();
+    const first = findAttempt(harness.route(createRoutedRequest({ maxTargets: 3 }), 0));
+    const second = findAttempt(harness.finish(first, 10, { result: "broken" }));
+    assert.is(summarizeEffects(harness.finish(second, 20, { result: "rejected" })), "fail TARGET_BROKEN");
+});
+
+test("the deadline shrinks by the time that has passed, and ends the request", () => {
+    const harness = createHarness();
+    const first = findAttempt(harness.route(createRoutedRequest(), 0));
+    assert.is(first.timeLimitMs, 1_200);
+    assert.is(findAttempt(harness.finish(first, 400, { result: "rejected" })).timeLimitMs, 800);
+    assert.is(summarizeEffects(harness.reduce({ type: "wake", now: 1_200 })), "cancelAttempt, fail TARGET_TIMEOUT");
+});
+
+test("a request is not repeated shortly before its end", () => {
+    const harness = createHarness();
+    const first = findAttempt(harness.route(createRoutedRequest(), 0));
+    assert.is(summarizeEffects(harness.finish(first, 1_160, { result: "rejected" })), "fail TARGET_REFUSED");
+});
+
+// Pattern: `srv_grey` with all targets failing; the budget bounds what repeats add to the load.
+test("repeats end with the budget: a fifth of the requests and the reserve", () => {
+    const harness = createHarness({ reserve: 3 });
+    let repeats = 0;
+    for (let now = 0; now < 100; now++) {
+        const first = findAttempt(harness.route(createRoutedRequest(), now));
+        const effects = harness.finish(first, now, { result: "broken" });
+        if (summarizeEffects(effects).startsWith("start")) repeats += 1;
+    }
+    assert.is(repeats, 23);
+});
+
+const goneCases = [
+    { request: {}, expected: "cancelAttempt" },
+    { request: stream, expected: "cancelAttempt" },
+    // Cutting it off would leave its outcome unknown.
+    { request: unsafe, expected: "" },
+];
+
+// Pattern: `give_up`.
+for (const { request, expected } of goneCases) {
+    test(`the caller of ${JSON.stringify(request)} leaves`, () => {
+        const harness = createHarness();
+        const { requestId } = findAttempt(harness.route(createRoutedRequest(request), 0));
+        assert.is(summarizeEffects(harness.reduce({ type: "callerGone", requestId, now: 10 })), expected);
+    });
+}
+
+// Pattern: `cold_return` while routers cannot reach each other: their parts add up to the limit.
+test("routers without a coordinator send no more to a cold target than their part", () => {
+    const routers = ["r1", "r2", "r3"].map(router => ({
+        router,
+        incarnation: 1,
+        address: "10.0.0.1:7400",
+        failureDomain: "a",
+    }));
+    const cold = createTargets(1, { service: "orders", coldForMs: 10_000 });
+    const pool = { ...plainPool, coldRequestsPerSecond: 4 };
+    const harness = createEntryHarness({ pool, targets: cold, routers });
+    let sent = 0;
+    for (let now = 0; now < 900; now += 10) {
+        const effects = [
+            ...harness.route(createRoutedRequest(), now),
+            // The question to the coordinator stays without an answer.
+            ...harness.reduce({ type: "wake", now: now + 5 }),
+        ];
+        sent += effects.filter(effect => effect.type === "startAttempt").length;
+    }
+    // Limit 4 x 1.5 + 5 = 11 over three routers, of which the first two have one more.
+    assert.ok(sent <= 4, `${sent} sends`);
+    assert.ok(sent >= 1);
+});
+
+// Pattern: `evacuate` and `release`: the coordinator's list may be older than this router's own.
+test("a target that is leaving, or whose failure domain is evacuated, gets nothing", () => {
+    const harness = createHarness();
+    const closed = { failureDomain: "a" };
+    const changes = [{ name: "a", entry: closed }];
+    harness.reduce({ type: "viewChanged", kind: "closedDomains", changes, revision: 2, confirmedAt: 0, now: 0 });
+    assert.is(findAttempt(harness.route(createRoutedRequest(), 1)).target, "target-2");
+    const leaving = { name: "target-2", entry: { ...targets[1]!, state: "leaving" as const } };
+    harness.reduce({ type: "viewChanged", kind: "targets", changes: [leaving], revision: 3, confirmedAt: 0, now: 2 });
+    assert.is(summarizeEffects(harness.route(createRoutedRequest(), 3)), "fail NO_TARGET");
+});
+
+test("requests that come long after the start of a drain are told to come back elsewhere", () => {
+    const harness = createHarness();
+    harness.reduce({ type: "drainRequested", now: 0 });
+    findAttempt(harness.route(createRoutedRequest(), 1_000));
+    assert.is(summarizeEffects(harness.route(createRoutedRequest(), 2_000)), "fail DRAINING");
+});
+
+test.run();
--- /dev/null
+++ b/packages/placement/test/entryHarness.ts
@@ -0,0 +1,85 @@
+/** The slice of an entry router with a fleet view, on a fake clock. Without routers it places requests by itself. */
+import type {
+    AttemptFinishedEvent,
+    PlacementEffect,
+    PlacementEvent,
+    RoutedRequest,
+    StartAttemptEffect,
+} from "@rhubarbwheel/types/placement-events";
+import { createPlacementEntry } from "../src/createPlacementEntry.js";
+import { createViewFixture } from "./viewFixture.js";
+import type { ViewFixtureOptions } from "./viewFixture.js";
+
+let lastRequest = 0;
+
+export function createRoutedRequest(more: Partial<RoutedRequest> = {}): RoutedRequest {
+    const requestId = `routed-${++lastRequest}`;
+    return {
+        requestId,
+        callerId: `caller-${requestId}`,
+        route: "route",
+        service: "orders",
+        workspace: "ada",
+        kind: "idempotent",
+        resumable: false,
+        maxTargets: 2,
+        latencyTargetMs: 200,
+        timeLimitMs: 1_200,
+        ...more,
+    };
+}
+
+export function createEntryHarness(opts: ViewFixtureOptions & { readonly reserve?: number; }) {
+    const { view, listAll } = createViewFixture(opts);
+    const entry = createPlacementEntry({
+        router: "r1",
+        failureDomain: "a",
+        view,
+        getRetryPolicy: () => ({ ratio: 0.2, reserve: opts.reserve ?? 100, windowMs: 10_000 }),
+        computeColdLimit: perSecond => perSecond * 1.5 + 5,
+    });
+    const reduce = (event: PlacementEvent): readonly PlacementEffect[] => {
+        view.reduce(event);
+        return entry.reduce(event);
+    };
+    listAll(reduce);
+
+    const finish = (
+        attempt: StartAttemptEffect,
+        now: number,
+        more: Partial<AttemptFinishedEvent>,
+    ): readonly PlacementEffect[] =>
+        reduce({
+            type: "attemptFinished",
+            requestId: attempt.requestId,
+            attempt: attempt.attempt,
+            result: "complete",
+            answered: false,
+            now,
+            ...more,
+        });
+
+    return {
+        view,
+        entry,
+        reduce,
+        finish,
+        route: (request: RoutedRequest, now: number) => reduce({ type: "requestRouted", request, now }),
+    };
+}
+
+export function findAttempt(effects: readonly PlacementEffect[]): StartAttemptEffect {
+    const found = effects.find(effect => effect.type === "startAttempt");
+    if (found === undefined) throw new Error(`There is no attempt: ${summarizeEffects(effects)}`);
+    return found;
+}
+
+/** Effects other than log lines, as one line. */
+export function summarizeEffects(effects: readonly PlacementEffect[]): string {
+    return effects.flatMap(effect => {
+        if (effect.type === "log") return [];
+        if (effect.type === "startAttempt") return [`start ${effect.target} for ${Math.round(effect.timeLimitMs)} ms`];
+        if (effect.type === "failRequest") return [`fail ${effect.code}`];
+        return [effect.type];
+    }).join(", ");
+}
--- a/packages/placement/test/placementFixtures.ts
+++ b/packages/placement/test/placementFixtures.ts
@@ -45,6 +45,7 @@
         prompt: { promptTokens: 11_992, outputTokens: 384, parts },
         latencyTargetMs: 600,
         waitedMs: 1,
+        timeLeftMs: 15_000,
         failureDomain: "a",
         excluded: [],
         ...more,
--- /dev/null
+++ b/packages/placement/test/viewFixture.ts
@@ -0,0 +1,62 @@
+/** A fleet view on a fake clock, and the lists of the store that fill it. */
+import { createFleetView } from "@rhubarbwheel/fleet-view/createFleetView";
+import type { FleetConfiguration, PoolSpec, RouterEntry, TargetEntry, ViewKind } from "@rhubarbwheel/types/fleet";
+import type { PlacementEvent } from "@rhubarbwheel/types/placement-events";
+
+export interface ViewFixtureOptions {
+    readonly pool: PoolSpec;
+    readonly targets: readonly TargetEntry[];
+    readonly latencyTargetMs?: number;
+    readonly tokensPerSecond?: number;
+    /** Routers in the store; none if missing. */
+    readonly routers?: readonly RouterEntry[];
+}
+
+function createConfiguration(opts: ViewFixtureOptions): FleetConfiguration {
+    return {
+        version: 1,
+        routes: [{
+            name: "route",
+            host: "h",
+            pathPrefix: "/",
+            kind: "stream",
+            resumable: false,
+            open: false,
+            timeoutMs: 15_000,
+            latencyTargetMs: opts.latencyTargetMs ?? 300,
+            maxTargets: 1,
+            destinations: [{ service: opts.pool.service, weight: 1 }],
+        }],
+        pools: [opts.pool],
+        limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+        tokensPerSecond: opts.tokensPerSecond ?? 660_000,
+    };
+}
+
+export function createViewFixture(opts: ViewFixtureOptions) {
+    const view = createFleetView({
+        getMaxCredentialAgeMs: () => 4_500,
+        lapseGraceMs: 1_900,
+        lapseWindowMs: 2_500,
+        regionOf: () => undefined,
+    });
+
+    /** Delivers everything that the store holds, at time zero. */
+    const listAll = (reduce: (event: PlacementEvent) => unknown): void => {
+        const list = (kind: ViewKind, entries: readonly unknown[]): void =>
+            void reduce({
+                type: "viewListed",
+                kind,
+                entries: entries as never,
+                revision: 1,
+                confirmedAt: 0,
+                now: 0,
+            });
+        list("configuration", [createConfiguration(opts)]);
+        list("targets", opts.targets);
+        list("closedDomains", []);
+        list("routers", opts.routers ?? []);
+    };
+
+    return { view, listAll };
+}
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -24,6 +24,8 @@
     readonly latencyTargetMs: number;
     /** Time that the request has spent at its entry router. */
     readonly waitedMs: number;
+    /** Time until its answer must be complete. */
+    readonly timeLeftMs: number;
     /** Regions whose targets may run it; all if missing. */
     readonly regions?: readonly string[];
     /** Failure domain of the entry router; targets there are preferred if all else is equal. */
