--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -15,6 +15,7 @@
 } from "@rhubarbwheel/types/fleet";
 import { viewKinds } from "@rhubarbwheel/types/fleet";
 import type {
+    ConfigurationConfirmedEvent,
     PlacementEffect,
     PlacementEvent,
     PlacementSlice,
@@ -177,6 +178,12 @@
         state.confirmedAt = Math.max(state.confirmedAt, event.confirmedAt);
     };
 
+    /** The store still counts as lost: other kinds of entries grow old all the same. */
+    const confirmByRouter = ({ version, confirmedAt }: ConfigurationConfirmedEvent): void => {
+        const state = kinds.configuration;
+        if (version === configuration?.version) state.confirmedAt = Math.max(state.confirmedAt, confirmedAt);
+    };
+
     const applyList = (event: ViewListedEvent): void => {
         const changes = event.entries.map(entry => ({ name: nameEntry(event.kind, entry), entry }));
         const present = new Set(changes.map(change => change.name));
@@ -200,6 +207,7 @@
             if (event.kind === "targets") targets.rebuildIndex();
             confirm(event);
         }
+        else if (event.type === "configurationConfirmed") confirmByRouter(event);
         else if (event.type === "viewInterrupted") interrupt(event.kind, event.now, event.reason);
         else if (event.type === "clockJumped") {
             // The monotonic clock may have stood still for seconds, so no age that was computed from it holds.
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -1,5 +1,6 @@
 /** Converts between placement messages and datagrams. */
 import { rhubarbwheel } from "#generated/peer";
+import type { ConfirmationAskMessage, ConfirmationReplyMessage } from "@rhubarbwheel/types/confirmation";
 import type {
     AttemptNoticeMessage,
     Holding,
@@ -72,6 +73,12 @@
         latencyMs: double,
         load: optional(shape<ReportedLoad>({ running: integer, waiting: integer })),
     }),
+    confirmationAsk: shape<Untyped<ConfirmationAskMessage>>({ sequence: integer }),
+    confirmationReply: shape<Untyped<ConfirmationReplyMessage>>({
+        sequence: integer,
+        configurationVersion: integer,
+        ageMs: double,
+    }),
     holdings: shape<Untyped<HoldingsMessage>>({
         service: text,
         holdings: list(shape<Holding>({
--- /dev/null
+++ b/packages/peer-protocol/test/placementCodec.test.ts
@@ -0,0 +1,93 @@
+/** Guards against placement messages that change on the way between routers, and against crashes on hostile bytes. */
+import type { PlacementMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
+import * as fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { decodePlacementBatch, encodePlacementBatch } from "../src/placementCodec.js";
+
+const request: PlacementRequest = {
+    requestId: "r1.abc.7",
+    service: "assistant",
+    workspace: "ada",
+    prompt: { promptTokens: 12_000, outputTokens: 384, parts: [{ id: "5c1e07a2", tokens: 800 }] },
+    latencyTargetMs: 600,
+    waitedMs: 1.25,
+    timeLeftMs: 14_998.75,
+    regions: [],
+    failureDomain: "a",
+    excluded: ["t1", "t2"],
+};
+
+const messages: readonly PlacementMessage[] = [
+    { type: "placementAsk", request },
+    {
+        type: "placementAsk",
+        request: { ...request, workspace: undefined, prompt: undefined, regions: undefined, excluded: [] },
+    },
+    {
+        type: "placementReply",
+        requestId: "a",
+        service: "s",
+        target: "t",
+        newTokens: 12,
+        prefixSource: "u",
+        waitMs: 0.5,
+    },
+    { type: "placementReply", requestId: "a", service: "s", refusal: "shareUsed", retryAfterMs: 4_500 },
+    { type: "attemptNotice", requestId: "a", service: "s", target: "t", latencyMs: 3.5 },
+    {
+        type: "attemptNotice",
+        requestId: "a",
+        service: "s",
+        target: "t",
+        result: "misdirected",
+        latencyMs: 3.5,
+        load: { running: 3, waiting: 0 },
+    },
+    {
+        type: "holdings",
+        service: "s",
+        holdings: [{
+            requestId: "a",
+            target: "t",
+            workspace: undefined,
+            promptTokens: 1,
+            outputTokens: 2,
+            newTokens: 0,
+            ageMs: 10,
+            started: true,
+        }],
+    },
+    { type: "confirmationAsk", sequence: 12 },
+    { type: "confirmationReply", sequence: 12, configurationVersion: 170, ageMs: 250.5 },
+];
+
+/** Missing and undefined properties mean the same. */
+function normalize(value: unknown): unknown {
+    return JSON.parse(JSON.stringify(value));
+}
+
+test("each message is the same after a round trip", () => {
+    const decoded = decodePlacementBatch(encodePlacementBatch({ from: "r1", messages }));
+    assert.equal(decoded.problems, []);
+    assert.is(decoded.from, "r1");
+    assert.equal(normalize(decoded.messages), normalize(messages));
+});
+
+test("bytes that are random, cut short or altered never throw, and yield only messages of known kinds", () => {
+    const kinds = new Set(messages.map(message => message.type));
+    const encoded = encodePlacementBatch({ from: "r1", messages });
+    fc.assert(
+        fc.property(fc.nat(), fc.nat(), fc.uint8Array(), (cut, position, noise) => {
+            const altered = Buffer.from(encoded);
+            altered[position % altered.length] = (altered[position % altered.length] ?? 0) ^ (1 + cut % 255);
+            for (const bytes of [noise, encoded.subarray(0, cut % encoded.length), altered]) {
+                const decoded = decodePlacementBatch(bytes);
+                assert.ok(decoded.messages.every(message => kinds.has(message.type)));
+            }
+        }),
+        { seed: 20261204, numRuns: 500 },
+    );
+});
+
+test.run();
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -1,4 +1,5 @@
 /** Root reducer of a router that places requests: the fleet view, the coordinator of its pools, and its own requests. */
+import { createConfirmer } from "@rhubarbwheel/fleet-view/createConfirmer";
 import { createFleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import type { FleetViewOptions } from "@rhubarbwheel/fleet-view/createFleetView";
 import { createPlacementCoordinator } from "@rhubarbwheel/placement/createPlacementCoordinator";
@@ -10,6 +11,8 @@
 export interface PlacementReducerOptions {
     readonly view: FleetViewOptions;
     readonly entry: Omit<EntryOptions, "view">;
+    /** Random number in [0, 1). */
+    readonly draw: () => number;
 }
 
 /** Messages of a router to itself become events of the same step. */
@@ -21,9 +24,10 @@
 export function createPlacementReducer(opts: PlacementReducerOptions) {
     const { router } = opts.entry;
     const view = createFleetView(opts.view);
+    const confirmer = createConfirmer({ router, view, draw: opts.draw });
     const coordinator = createPlacementCoordinator({ router, view });
     const entry = createPlacementEntry({ ...opts.entry, view });
-    const slices: readonly PlacementSlice[] = [view, coordinator, entry];
+    const slices: readonly PlacementSlice[] = [view, confirmer, coordinator, entry];
 
     return {
         reduce: (event: PlacementEvent): readonly PlacementEffect[] =>
--- a/packages/telemetry/src/events/fleetViewEvents.ts
+++ b/packages/telemetry/src/events/fleetViewEvents.ts
@@ -68,4 +68,10 @@
         message: "An entry of the store cannot be read and is ignored.",
         fields: ["kind", "entry", "revision", "problem"],
     },
+    1611: {
+        name: "confirmedByRouter",
+        level: "info",
+        message: "The store does not answer this router; another router confirms that its configuration is the newest.",
+        fields: ["router", "version", "ageMs"],
+    },
 };
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -96,6 +96,13 @@
     readonly confirmedAt: number;
 }
 
+/** Another router holds the same version of the configuration, and the store confirmed it at this time at the earliest. */
+export interface ConfigurationConfirmedEvent extends At {
+    readonly type: "configurationConfirmed";
+    readonly version: number;
+    readonly confirmedAt: number;
+}
+
 /** A call to the store failed. */
 export interface ViewInterruptedEvent extends At {
     readonly type: "viewInterrupted";
@@ -127,6 +134,7 @@
     | ViewListedEvent
     | ViewChangedEvent
     | ViewInterruptedEvent
+    | ConfigurationConfirmedEvent
     | ClockJumpedEvent
     | KeptPartsReadEvent
     | DrainRequestedEvent;
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -1,4 +1,5 @@
 /** Messages and shapes by which routers place requests on targets. Durations are in ms. */
+import type { ConfirmationAskMessage, ConfirmationReplyMessage } from "./confirmation.js";
 
 /** One part of a prompt; a target that keeps it and all parts before it need not read it again. */
 export interface PromptPart {
@@ -106,4 +107,10 @@
     readonly holdings: readonly Holding[];
 }
 
-export type PlacementMessage = PlacementAskMessage | PlacementReplyMessage | AttemptNoticeMessage | HoldingsMessage;
+export type PlacementMessage =
+    | PlacementAskMessage
+    | PlacementReplyMessage
+    | AttemptNoticeMessage
+    | HoldingsMessage
+    | ConfirmationAskMessage
+    | ConfirmationReplyMessage;
