Wait a moment after a change in the store, so that several changes cost one call

After a start of the whole fleet each router's announcement wakes the watch of every other router: 19 x 19 calls; a series of versions costs 19 calls a version. A change that comes in the pause is seen at its end, far within its bound. Test: followStore.test.ts (patterns config_storm, herd_kill).

--- a/packages/fleet-view/src/followStore.ts
+++ b/packages/fleet-view/src/followStore.ts
@@ -32,6 +32,8 @@
     readonly watch: (revision: number, waitMs: number) => Promise<StoreWatchResult<K>>;
     /** Longest wait of one watch; it bounds the time after which a silent connection is noticed. */
     readonly waitMs: number;
+    /** Pause after a change, so that several that come together cost one call; none if missing. */
+    readonly settleMs?: number;
     readonly emit: (event: FollowEvent) => void;
     readonly getNow: () => number;
     readonly sleep: (ms: number) => Promise<void>;
@@ -94,6 +96,7 @@
         // An answer without changes was given only after the whole wait.
         const confirmedAt = result.changes.length === 0 ? Math.min(opts.getNow(), askedAt + opts.waitMs) : askedAt;
         opts.emit({ type: "viewChanged", kind, changes: result.changes, revision, confirmedAt });
+        if (result.changes.length > 0 && opts.settleMs !== undefined) await opts.sleep(opts.settleMs);
     };
 
     const run = async (): Promise<void> => {
--- a/packages/fleet-view/test/followStore.test.ts
+++ b/packages/fleet-view/test/followStore.test.ts
@@ -7,7 +7,11 @@
 type Answer = StoreListResult<"closedDomains"> | StoreWatchResult<"closedDomains">;
 
 /** Follows a store that gives these answers in order, and returns what happened as lines. */
-async function follow(answers: readonly Answer[], elapsedMs = 10): Promise<string[]> {
+async function follow(
+    answers: readonly Answer[],
+    elapsedMs = 10,
+    settleMs?: number,
+): Promise<string[]> {
     const lines: string[] = [];
     let now = 0;
     let given = 0;
@@ -26,6 +30,7 @@
     const follower = followStore<"closedDomains">({
         kind: "closedDomains",
         waitMs: 2_500,
+        settleMs,
         list: () => next("list") as Promise<StoreListResult<"closedDomains">>,
         watch: revision => next(`watch ${revision}`) as Promise<StoreWatchResult<"closedDomains">>,
         emit: event => {
@@ -65,6 +70,22 @@
     ]);
 });
 
+// Patterns: `config_storm`, and `herd_kill`, after which every router announces itself to every other one.
+test("after a change the follower waits for others that come with it, and not after a quiet watch", async () => {
+    assert.equal(await follow([listed, changed, { ...quiet, revision: 8 }, { ...changed, revision: 9 }], 10, 300), [
+        "list",
+        "viewListed 1 confirmed at 0",
+        "watch 5",
+        "viewChanged 1 confirmed at 10",
+        "sleep 300",
+        "watch 8",
+        "viewChanged 0 confirmed at 330",
+        "watch 8",
+        "viewChanged 1 confirmed at 330",
+        "sleep 300",
+    ]);
+});
+
 test("an answer without changes confirms up to the end of its wait", async () => {
     const lines = await follow([listed, quiet], 2_600);
     assert.is(lines.at(-1), "viewChanged 0 confirmed at 5100");
