Do not hold what happened to an earlier socket against the next answer

A kept connection to a target outlives its sockets: when an idle socket was reset, or ended after an answer with Connection: close, the connection stayed marked as broken, undici opened a new socket for the next call, and that call's whole answer was taken for a broken one. Ruled out: changes of the idle timeout (the replay shows one such request without any), the balancer, drains. Change: the mark belongs to the socket that is open; an answer with a length is whole when all of it has arrived. Test: answers.test.ts, an idle connection that is reset or closed in order before the next call, four cases: all failed before (502 or no answer at all), all pass now, three runs.

--- a/packages/forwarding/src/createConnections.ts
+++ b/packages/forwarding/src/createConnections.ts
@@ -1,4 +1,5 @@
 /** Connections to targets. Each carries one call at a time and is kept for later calls while that is safe. */
+import type { Socket } from "node:net";
 import { buildConnector, Client } from "undici";
 
 export interface Connection {
@@ -8,8 +9,8 @@
     idleLimitMs?: number;
     idleSince: number;
     /**
-     * Whether the target reset the connection, or it broke in another way. When the connection has ended, this is known in
-     * the next turn of the loop only.
+     * Whether the target reset the socket that is or was open last, or it broke in another way. When the socket has ended,
+     * this is known in the next turn of the loop only.
      */
     isBroken: boolean;
 }
@@ -44,15 +45,19 @@
     const connect = buildConnector({ timeout: opts.connectTimeoutMs });
 
     const open = (address: string): Connection => {
+        let current: Socket | undefined;
         const client = new Client(`http://${address}`, {
             pipelining: 1,
             connect: (connectOpts, onConnected) => {
                 opened += 1;
                 connect(connectOpts, (...result) => {
                     const [, socket] = result;
+                    // What happened to an earlier socket says nothing about answers on this one.
+                    current = socket ?? undefined;
+                    connection.isBroken = false;
                     const noteError = (error: NodeJS.ErrnoException | null | undefined): void => {
-                        // undici ends connections with an error of this code when it needs them no more.
-                        if (error && error.code !== "UND_ERR_INFO") connection.isBroken = true;
+                        // undici ends sockets with an error of this code when it needs them no more.
+                        if (error && error.code !== "UND_ERR_INFO" && current === socket) connection.isBroken = true;
                     };
                     // undici takes an answer without a length for complete when its connection is reset.
                     socket?.on("error", noteError);
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -82,7 +82,8 @@
 
     const finish = (): void => {
         if (ended) return;
-        if (connection.isBroken) return breakOff("the connection was reset");
+        // An answer with a length is whole when all of it has arrived, whatever happens to its connection.
+        if (!hasLength && connection.isBroken) return breakOff("the connection was reset");
         const outcome = relay?.finish();
         if (outcome === undefined) return breakOff("the answer has no head");
         if (outcome.result === "broken") return breakOff(outcome.reason ?? "the answer is incomplete");
