Confirm the configuration soon after a change, at times that differ between routers

Change: the watch of the configuration that follows a list or a change is shortened by chance, to between 0.3 s and what is left of its usual wait. Test: followStore.test.ts, two cases.

--- a/packages/fleet-view/src/followStore.ts
+++ b/packages/fleet-view/src/followStore.ts
@@ -32,6 +32,12 @@
     readonly watch: (revision: number, waitMs: number) => Promise<StoreWatchResult<K>>;
     /** Longest wait of one watch; it bounds the time after which a silent connection is noticed. */
     readonly waitMs: number;
+    /**
+     * Whether the age of what is known matters. The first watch after a list or a change is shorter then, by chance: an
+     * answer with changes confirms nothing beyond the time of its question, and routers that were all woken by the same
+     * change must not all be confirmed at the same times, because they confirm for each other.
+     */
+    readonly isAgeChecked?: boolean;
     /** Pause after a change, so that several that come together cost one call; none if missing. */
     readonly settleMs?: number;
     readonly emit: (event: FollowEvent) => void;
@@ -44,6 +50,9 @@
 /** Pause after a failed call; it doubles with each further failure. */
 const firstPauseMs = 50;
 
+/** Shortest watch that follows a change. */
+const leastWaitMs = 300;
+
 /** Longest pause; a store that is back must be noticed within a fraction of the time in which a change takes effect. */
 const maxPauseMs = 400;
 
@@ -61,6 +70,14 @@
     let revision: number | undefined;
     /** Grows when an answer that is still awaited must be ignored. */
     let epoch = 0;
+    let nextWaitMs = opts.waitMs;
+
+    /** Chooses the next wait after what is known was confirmed as of `confirmedAt`. */
+    const shortenWait = (confirmedAt: number): void => {
+        if (opts.isAgeChecked !== true) return;
+        const leftMs = opts.waitMs - (opts.getNow() - confirmedAt);
+        nextWaitMs = Math.round(Math.max(leastWaitMs, leftMs * opts.draw()));
+    };
 
     const fail = async (reason: string): Promise<void> => {
         opts.emit({ type: "viewInterrupted", kind, reason });
@@ -78,12 +95,15 @@
         failures = 0;
         revision = result.list.revision;
         opts.emit({ type: "viewListed", kind, entries: result.list.entries, revision, confirmedAt });
+        shortenWait(confirmedAt);
     };
 
     const watchOnce = async (from: number): Promise<void> => {
         const askedAt = opts.getNow();
         const watchEpoch = epoch;
-        const result = await opts.watch(from, opts.waitMs);
+        const waitMs = nextWaitMs;
+        nextWaitMs = opts.waitMs;
+        const result = await opts.watch(from, waitMs);
         if (stopped || watchEpoch !== epoch) return;
         if (result.type === "unavailable") return fail(result.reason);
         // Revisions only grow, so a lower one is that of another store, or of one that has lost its objects.
@@ -94,9 +114,11 @@
         failures = 0;
         revision = result.revision;
         // An answer without changes was given only after the whole wait.
-        const confirmedAt = result.changes.length === 0 ? Math.min(opts.getNow(), askedAt + opts.waitMs) : askedAt;
+        const confirmedAt = result.changes.length === 0 ? Math.min(opts.getNow(), askedAt + waitMs) : askedAt;
         opts.emit({ type: "viewChanged", kind, changes: result.changes, revision, confirmedAt });
-        if (result.changes.length > 0 && opts.settleMs !== undefined) await opts.sleep(opts.settleMs);
+        if (result.changes.length === 0) return;
+        if (opts.settleMs !== undefined) await opts.sleep(opts.settleMs);
+        shortenWait(askedAt);
     };
 
     const run = async (): Promise<void> => {
--- a/packages/fleet-view/test/followStore.test.ts
+++ b/packages/fleet-view/test/followStore.test.ts
@@ -2,16 +2,21 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { followStore } from "../src/followStore.js";
-import type { StoreListResult, StoreWatchResult } from "../src/followStore.js";
+import type { FollowOptions, StoreListResult, StoreWatchResult } from "../src/followStore.js";
 
 type Answer = StoreListResult<"closedDomains"> | StoreWatchResult<"closedDomains">;
 
+interface FollowCase {
+    /** Time that each call takes. */
+    readonly elapsedMs?: number;
+    readonly opts?: Partial<FollowOptions<"closedDomains">>;
+    /** Receives the wait of each watch. */
+    readonly waits?: number[];
+}
+
 /** Follows a store that gives these answers in order, and returns what happened as lines. */
-async function follow(
-    answers: readonly Answer[],
-    elapsedMs = 10,
-    settleMs?: number,
-): Promise<string[]> {
+async function follow(answers: readonly Answer[], more: FollowCase = {}): Promise<string[]> {
+    const { elapsedMs = 10 } = more;
     const lines: string[] = [];
     let now = 0;
     let given = 0;
@@ -30,9 +35,11 @@
     const follower = followStore<"closedDomains">({
         kind: "closedDomains",
         waitMs: 2_500,
-        settleMs,
         list: () => next("list") as Promise<StoreListResult<"closedDomains">>,
-        watch: revision => next(`watch ${revision}`) as Promise<StoreWatchResult<"closedDomains">>,
+        watch: (revision, waitMs) => {
+            more.waits?.push(waitMs);
+            return next(`watch ${revision}`) as Promise<StoreWatchResult<"closedDomains">>;
+        },
         emit: event => {
             if (event.type === "viewInterrupted") lines.push(`interrupted: ${event.reason}`);
             else {
@@ -47,6 +54,7 @@
             return Promise.resolve();
         },
         draw: () => 0.5,
+        ...more.opts,
     });
     await finished;
     follower.stop();
@@ -72,7 +80,8 @@
 
 // Patterns: `config_storm`, and `herd_kill`, after which every router announces itself to every other one.
 test("after a change the follower waits for others that come with it, and not after a quiet watch", async () => {
-    assert.equal(await follow([listed, changed, { ...quiet, revision: 8 }, { ...changed, revision: 9 }], 10, 300), [
+    const answers = [listed, changed, { ...quiet, revision: 8 }, { ...changed, revision: 9 }];
+    assert.equal(await follow(answers, { opts: { settleMs: 300 } }), [
         "list",
         "viewListed 1 confirmed at 0",
         "watch 5",
@@ -86,8 +95,29 @@
     ]);
 });
 
+// Pattern: `platform_down` on trouble-3 of kaurimbi-press: a change before the outage had woken the watches of all routers
+// at once, so all were last confirmed 2.1 s before the store went down, and none could confirm another.
+test("what must not grow old is confirmed soon after a change, at times that differ by chance", async () => {
+    const answers = [listed, changed, { ...quiet, revision: 8 }, { ...quiet, revision: 8 }];
+    const waitsOf = async (drawn: number): Promise<number[]> => {
+        const waits: number[] = [];
+        await follow(answers, { elapsedMs: 500, waits, opts: { isAgeChecked: true, draw: () => drawn } });
+        return waits;
+    };
+    assert.equal(await waitsOf(0.5), [1_000, 1_000, 2_500, 2_500]);
+    assert.equal(await waitsOf(0.9), [1_800, 1_800, 2_500, 2_500]);
+    assert.equal(await waitsOf(0), [300, 300, 2_500, 2_500]);
+});
+
+// A watch that is woken late in its wait confirms as of its start; without a shorter one after it, the age would reach 5 s.
+test("a change late in a wait does not double the age", async () => {
+    const waits: number[] = [];
+    await follow([listed, changed, quiet], { elapsedMs: 2_400, waits, opts: { isAgeChecked: true, draw: () => 1 } });
+    assert.equal(waits, [300, 300]);
+});
+
 test("an answer without changes confirms up to the end of its wait", async () => {
-    const lines = await follow([listed, quiet], 2_600);
+    const lines = await follow([listed, quiet], { elapsedMs: 2_600 });
     assert.is(lines.at(-1), "viewChanged 0 confirmed at 5100");
 });
 
