Let routers without a coordinator start only their part of what engines can read

Change: a router that places alone has an allowance, its part of the pool's reading rate; beyond it a request is asked for again until half of its latency target has passed. The coordinator is told at once of what was placed alone. A router serves only once it has read the list of routers, because its part depends on it. Test: createPlacementEntry.test.ts, three cases with the pattern kill_all, which failed before.

--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -246,6 +246,6 @@
         getColdLeftMs: targets.getColdLeftMs,
         listRouters: () => [...routers.values()],
         getAgeMs: (kind, now) => now - kinds[kind].confirmedAt,
-        isComplete: () => kinds.configuration.known && kinds.targets.known && kinds.closedDomains.known,
+        isComplete: () => viewKinds.every(kind => kinds[kind].known),
     };
 }
--- a/packages/fleet-view/test/createFleetView.test.ts
+++ b/packages/fleet-view/test/createFleetView.test.ts
@@ -1,5 +1,6 @@
 /** What a router may still do, by what it has lost and for how long. All times are on a fake clock. */
 import type { FleetConfiguration, TargetEntry, ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
+import { viewKinds } from "@rhubarbwheel/types/fleet";
 import type { PlacementEvent } from "@rhubarbwheel/types/placement-events";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -67,6 +68,7 @@
     ready.list("configuration", [configuration], 0);
     ready.list("targets", [createTarget("t1"), createTarget("t2", { failureDomain: "b" })], 0);
     ready.list("closedDomains", [], 0);
+    ready.list("routers", [], 0);
     return ready;
 }
 
@@ -212,6 +214,16 @@
     assert.not.ok(view.isComplete());
 });
 
+// A router that does not know how many others there are would take the whole capacity of a pool for its own.
+for (const missing of viewKinds) {
+    test(`a router that has not read ${missing} is not complete`, () => {
+        const { view, list } = createTestView();
+        if (missing !== "configuration") list("configuration", [configuration], 0);
+        for (const kind of ["targets", "closedDomains", "routers"] as const) if (kind !== missing) list(kind, [], 0);
+        assert.not.ok(view.isComplete());
+    });
+}
+
 test("a router is complete once it has read all that it needs", () => {
     const { view } = createReadyView();
     assert.ok(view.isComplete());
--- /dev/null
+++ b/packages/placement/src/createLocalAllowance.ts
@@ -0,0 +1,33 @@
+/**
+ * Bounds what a router starts at the engines of a pool while no coordinator answers: its own part of what the pool can
+ * read. The parts of all routers add up to the whole, so that routers that do not know of each other's requests do not
+ * queue seconds of work at the engines.
+ */
+
+export interface LocalAllowance {
+    /** Takes `tokens` if anything is left; a large request may overdraw, and later ones wait until that is made up for. */
+    readonly tryTake: (tokens: number, now: number) => boolean;
+}
+
+export interface LocalAllowanceOptions {
+    /** Tokens a millisecond that this router may start. */
+    readonly getRate: () => number;
+    /** Time whose tokens may be started at once. */
+    readonly getBurstMs: () => number;
+}
+
+export function createLocalAllowance(opts: LocalAllowanceOptions): LocalAllowance {
+    let tokensLeft = Infinity;
+    let updatedAt = 0;
+
+    return {
+        tryTake: (tokens, now) => {
+            const rate = opts.getRate();
+            tokensLeft = Math.min(rate * opts.getBurstMs(), tokensLeft + rate * (now - updatedAt));
+            updatedAt = now;
+            if (tokensLeft <= 0) return false;
+            tokensLeft -= tokens;
+            return true;
+        },
+    };
+}
--- a/packages/placement/src/createPlacementEntry.ts
+++ b/packages/placement/src/createPlacementEntry.ts
@@ -1,12 +1,12 @@
 /** Slice of the entry router: follows each request from its arrival through its attempts to its end. */
-import type { Holding } from "@rhubarbwheel/types/placement";
 import type { PlacementEvent, PlacementSlice, RequestRoutedEvent } from "@rhubarbwheel/types/placement-events";
 import { createCoordinatorChoice } from "./createCoordinatorChoice.js";
 import { createSendLimit } from "./createSendLimit.js";
 import { endOverdue, handleAttemptFinished, handleAttemptStarted, handleCallerGone } from "./endEntryAttempt.js";
 import { type EntryContext, type EntryOptions, type EntryRequest, failRequest, logEntryEvent } from "./entryState.js";
-import { drainAcceptMs, holdingsIntervalMs, maxHoldingsPerMessage, retryElsewhereMs } from "./placementSettings.js";
+import { drainAcceptMs, holdingsIntervalMs, retryElsewhereMs } from "./placementSettings.js";
 import { checkQuestion, handleReply, obtainPool, placeRequest } from "./placeRequest.js";
+import { reportHoldings } from "./reportHoldings.js";
 
 export interface PlacementEntry extends PlacementSlice {
     readonly countRequests: () => number;
@@ -32,48 +32,15 @@
     placeRequest(context, entry);
 }
 
-function describeHolding(context: EntryContext, { request, attempt }: EntryRequest): Holding | undefined {
-    if (attempt === undefined || attempt.cancelled) return undefined;
-    return {
-        requestId: request.requestId,
-        target: attempt.target,
-        workspace: request.workspace,
-        promptTokens: request.prompt?.promptTokens ?? 0,
-        outputTokens: request.prompt?.outputTokens ?? 0,
-        newTokens: attempt.newTokens,
-        ageMs: context.now - attempt.sentAt,
-        started: attempt.startedAt !== undefined,
-    };
-}
-
-/** Tells each coordinator of the attempts that go on in its pool. */
-function reportHoldings(context: EntryContext): void {
-    const byService = new Map<string, Holding[]>();
-    for (const entry of context.requests.values()) {
-        const holding = describeHolding(context, entry);
-        if (holding === undefined) continue;
-        const { service } = entry.request;
-        byService.set(service, [...(byService.get(service) ?? []), holding]);
-    }
-    for (const [service, holdings] of byService) {
-        const coordinator = context.coordinators.find(service, context.now);
-        if (coordinator === undefined) continue;
-        const { router, address } = coordinator;
-        for (let start = 0; start < holdings.length; start += maxHoldingsPerMessage) {
-            const part = holdings.slice(start, start + maxHoldingsPerMessage);
-            const message = { type: "holdings", service, holdings: part } as const;
-            context.effects.push({ type: "sendToRouter", router, address, message });
-        }
-    }
-}
-
 function handleEvent(context: EntryContext, event: PlacementEvent): void {
     if (event.type === "requestRouted") handleRequest(context, event);
     else if (event.type === "attemptStarted") handleAttemptStarted(context, event);
     else if (event.type === "attemptFinished") handleAttemptFinished(context, event);
     else if (event.type === "callerGone") handleCallerGone(context, event.requestId);
-    else if (event.type === "routerMessage" && event.message.type === "placementReply")
-        handleReply(context, event.from, event.message);
+    else if (event.type === "routerMessage") {
+        context.coordinators.recordAnswer(event.from);
+        if (event.message.type === "placementReply") handleReply(context, event.from, event.message);
+    }
     else if (event.type === "drainRequested" && context.drainingSince === undefined) {
         context.drainingSince = event.now;
         logEntryEvent(context, "entryDrainStarted", { requests: context.requests.size });
@@ -121,7 +88,7 @@
             handleEvent(context, event);
             if (event.now >= dueAt) handleDue();
             if (event.now >= reportAt) {
-                reportHoldings(context);
+                reportHoldings(context, context.requests.values());
                 reportAt = event.now + holdingsIntervalMs;
             }
             updateTimers();
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -4,6 +4,7 @@
 import type { PlacementReplyMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
 import type { PlacementEffect, RoutedRequest } from "@rhubarbwheel/types/placement-events";
 import type { CoordinatorChoice } from "./createCoordinatorChoice.js";
+import type { LocalAllowance } from "./createLocalAllowance.js";
 import type { PoolModel } from "./createPoolModel.js";
 import type { RetryBudget, RetryPolicy } from "./createRetryBudget.js";
 import type { SendLimit } from "./createSendLimit.js";
@@ -73,6 +74,8 @@
     /** This router's own attempts. */
     readonly model: PoolModel;
     readonly budget: RetryBudget;
+    /** What this router may start by itself; plain services have none. */
+    readonly allowance?: LocalAllowance;
 }
 
 export interface EntryContext extends EntryOptions {
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -2,6 +2,7 @@
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementReplyMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
 import { computeAdmissionWait, computePriorRate, computeRetryAfter, countCost, fullClaim } from "./admission.js";
+import { createLocalAllowance } from "./createLocalAllowance.js";
 import { createPoolModel } from "./createPoolModel.js";
 import { createRetryBudget } from "./createRetryBudget.js";
 import {
@@ -14,7 +15,8 @@
     logEntryEvent,
     type Placement,
 } from "./entryState.js";
-import { askRepeatMs, askTimeoutMs, retryElsewhereMs } from "./placementSettings.js";
+import { askAgainRatio, askRepeatMs, askTimeoutMs, retryElsewhereMs } from "./placementSettings.js";
+import { reportHoldings } from "./reportHoldings.js";
 
 /** Refusals that end a request; a router that cannot find a target now may find one soon. */
 const refusalCodes = { overloaded: "OVERLOADED", shareUsed: "SHARE_USED", noTarget: "NO_TARGET" } as const;
@@ -27,13 +29,19 @@
     if (known !== undefined) return known;
     const spec = context.view.getPool(service);
     if (spec === undefined) return undefined;
+    const { view } = context;
+    const countRouters = (): number => Math.max(1, view.listRouters().length);
     const pool: EntryPool = {
         service,
         model: createPoolModel({ spec, priorRate: computePriorRate(context.view, service) }),
         budget: createRetryBudget(() => {
             const policy = context.getRetryPolicy();
             // Each router takes its part of the reserve, so that the sum holds while routers cannot reach each other.
-            return { ...policy, reserve: policy.reserve / Math.max(1, context.view.listRouters().length) };
+            return { ...policy, reserve: policy.reserve / countRouters() };
+        }),
+        allowance: spec.engine === undefined ? undefined : createLocalAllowance({
+            getRate: () => computePriorRate(view, service) * view.listUsableTargets(service).length / countRouters(),
+            getBurstMs: () => computeAdmissionWait(view, service, fullClaim),
         }),
     };
     context.pools.set(service, pool);
@@ -86,7 +94,7 @@
 export function placeRequest(context: EntryContext, entry: EntryRequest): void {
     const request = describePlacementRequest(context, entry);
     const coordinator = context.coordinators.find(request.service, context.now);
-    if (coordinator === undefined) return placeLocally(context, entry, request, "no coordinator");
+    if (coordinator === undefined) return placeWithoutCoordinator(context, entry, request, "no coordinator");
     const { now } = context;
     entry.coordinator = coordinator.router;
     entry.question = {
@@ -108,7 +116,7 @@
         entry.question = undefined;
         if (context.coordinators.recordMiss(coordinator, context.now))
             logEntryEvent(context, "coordinatorSuspected", { service: request.service, router: coordinator });
-        placeLocally(context, entry, request, `${coordinator} is silent`);
+        placeWithoutCoordinator(context, entry, request, `${coordinator} is silent`);
     }
     else if (context.now >= question.repeatAt) {
         question.repeatAt = Infinity;
@@ -117,7 +125,18 @@
     }
 }
 
-function placeLocally(context: EntryContext, entry: EntryRequest, request: PlacementRequest, reason: string): void {
+/** Whether there is a coordinator to ask, and time before the latency target is out of reach. */
+function mayAskAgain(context: EntryContext, { request, arrivedAt }: EntryRequest): boolean {
+    return context.coordinators.find(request.service, context.now) !== undefined
+        && context.now - arrivedAt < request.latencyTargetMs * askAgainRatio;
+}
+
+function placeWithoutCoordinator(
+    context: EntryContext,
+    entry: EntryRequest,
+    request: PlacementRequest,
+    reason: string,
+): void {
     const pool = obtainPool(context, request.service);
     const usable = context.view.listUsableTargets(request.service, request.regions);
     const candidates = usable.filter(target => !request.excluded.includes(target.target) && maySendTo(context, target));
@@ -127,18 +146,23 @@
         maxWaitMs: computeAdmissionWait(context.view, request.service, fullClaim),
         loadFactor: Math.min(assumedPeers, Math.max(1, context.view.listRouters().length)),
     });
+    const isAllowed = choice === undefined || pool?.allowance === undefined
+        || pool.allowance.tryTake(choice.newTokens, context.now);
+    if (!isAllowed && mayAskAgain(context, entry)) return placeRequest(context, entry);
     logEntryEvent(context, "placedLocally", {
         ...describeRequest(entry),
         reason,
-        target: choice?.target,
+        target: isAllowed ? choice?.target : undefined,
         targetsAgeMs: Math.round(context.view.getAgeMs("targets", context.now)),
     });
     const refusal = usable.length === 0 ? "noTarget" : "overloaded";
-    applyPlacement(context, entry, choice ?? { refusal, retryAfterMs: computeRetryAfter(request.timeLeftMs) });
+    const refused = { refusal, retryAfterMs: computeRetryAfter(request.timeLeftMs) } as const;
+    applyPlacement(context, entry, isAllowed ? choice ?? refused : refused);
+    // The coordinator may only be slow: it must not count on the time that this request takes.
+    if (entry.attempt !== undefined) reportHoldings(context, [entry]);
 }
 
 export function handleReply(context: EntryContext, from: string, reply: PlacementReplyMessage): void {
-    context.coordinators.recordAnswer(from);
     const entry = context.requests.get(reply.requestId);
     if (entry?.question === undefined || entry.question.coordinator !== from) return;
     entry.question = undefined;
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -6,9 +6,18 @@
 /** Time after which an entry router places a request by itself; a tenth of the shortest latency target of the users. */
 export const askTimeoutMs = 75;
 
+/**
+ * Part of the latency target up to which a router that may start nothing by itself asks again. After a start of the whole
+ * fleet coordinators are slow for some hundred milliseconds, and a request that is refused then comes back late.
+ */
+export const askAgainRatio = 0.5;
+
 /** Unanswered questions in a row after which a coordinator is passed over; one may be a lost datagram. */
 export const missesBeforeSuspicion = 2;
 
+/** Time without any message after which a coordinator is passed over; one that has just started is slow for as long. */
+export const silenceMs = 250;
+
 /** Time for which a silent coordinator is passed over; a restarted process needs about as long to serve again. */
 export const suspicionMs = 2_000;
 
--- a/packages/placement/test/createPlacementEntry.test.ts
+++ b/packages/placement/test/createPlacementEntry.test.ts
@@ -1,11 +1,11 @@
 /** What an entry router does when attempts fail, callers leave and time runs out: nothing runs twice that must not. */
-import type { TargetEntry } from "@rhubarbwheel/types/fleet";
+import type { RouterEntry, TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { AttemptResult } from "@rhubarbwheel/types/placement";
 import type { AttemptFinishedEvent, RoutedRequest } from "@rhubarbwheel/types/placement-events";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createEntryHarness, createRoutedRequest, findAttempt, summarizeEffects } from "./entryHarness.js";
-import { createTargets, plainPool } from "./placementFixtures.js";
+import { createTargets, enginePool, plainPool } from "./placementFixtures.js";
 
 const targets = createTargets(2, { service: "orders", slots: 6 });
 
@@ -13,6 +13,15 @@
     return createEntryHarness({ pool: plainPool, targets, ...more });
 }
 
+function describeRouters(count: number): RouterEntry[] {
+    return Array.from({ length: count }, (_, index) => ({
+        router: `r${index + 1}`,
+        incarnation: 1,
+        address: `10.0.0.${index + 1}:7400`,
+        failureDomain: "a",
+    }));
+}
+
 interface RepeatCase {
     readonly result: AttemptResult;
     readonly request: Partial<RoutedRequest>;
@@ -109,12 +118,7 @@
 
 // Pattern: `cold_return` while routers cannot reach each other: their parts add up to the limit.
 test("routers without a coordinator send no more to a cold target than their part", () => {
-    const routers = ["r1", "r2", "r3"].map(router => ({
-        router,
-        incarnation: 1,
-        address: "10.0.0.1:7400",
-        failureDomain: "a",
-    }));
+    const routers = describeRouters(3);
     const cold = createTargets(1, { service: "orders", coldForMs: 10_000 });
     const pool = { ...plainPool, coldRequestsPerSecond: 4 };
     const harness = createEntryHarness({ pool, targets: cold, routers });
@@ -132,6 +136,69 @@
     assert.ok(sent >= 1);
 });
 
+/** A router of nineteen, whose coordinator is another one that does not answer. */
+function createSilentHarness() {
+    const engines = createTargets(8);
+    return createEntryHarness({
+        pool: enginePool,
+        targets: engines,
+        routers: describeRouters(19),
+        tokensPerSecond: 800_000,
+    });
+}
+
+const engineRequest = {
+    service: "assistant",
+    kind: "stream",
+    latencyTargetMs: 600,
+    timeLimitMs: 15_000,
+    prompt: { promptTokens: 8_000, outputTokens: 300, parts: [] },
+} as const;
+
+// Pattern: `kill_all` at the end of trouble-3 of kaurimbi-press: 19 routers that had just started each took the engines for
+// idle, placed 277 requests within 0.75 s, and all of them waited for 1.5 s.
+test("without a coordinator a router starts its part of what the engines can read", () => {
+    const harness = createSilentHarness();
+    let started = 0;
+    for (let now = 0; now < 2_000; now += 5) {
+        const effects = [
+            ...(now % 50 === 0 ? harness.route(createRoutedRequest(engineRequest), now) : []),
+            ...harness.reduce({ type: "wake", now }),
+        ];
+        started += effects.filter(effect => effect.type === "startAttempt").length;
+    }
+    // 800 tokens a millisecond over 19 routers in 2 s are 84,000 tokens, and the last request may overdraw.
+    assert.ok(started >= 8 && started <= 12, `${started} requests`);
+});
+
+test("a request that may not be placed alone is asked for again, and refused while it can still come back in time", () => {
+    const harness = createSilentHarness();
+    const refusedAt: number[] = [];
+    let asks = 0;
+    for (let now = 0; now < 1_000; now += 5) {
+        const effects = [
+            ...(now < 20 ? harness.route(createRoutedRequest(engineRequest), now) : []),
+            ...harness.reduce({ type: "wake", now }),
+        ];
+        for (const effect of effects) {
+            if (effect.type === "failRequest") refusedAt.push(now);
+            if (effect.type === "sendToRouter" && effect.message.type === "placementAsk") asks += 1;
+        }
+    }
+    assert.ok(refusedAt.length > 0);
+    assert.ok(refusedAt.every(at => at >= 300 && at <= 400), `${refusedAt.join()}`);
+    assert.ok(asks > 8, `${asks} questions`);
+});
+
+test("the coordinator is told at once of what a router has placed alone", () => {
+    const harness = createSilentHarness();
+    harness.route(createRoutedRequest(engineRequest), 0);
+    harness.reduce({ type: "wake", now: 30 });
+    const effects = harness.reduce({ type: "wake", now: 80 });
+    assert.ok(findAttempt(effects));
+    assert.ok(effects.some(effect => effect.type === "sendToRouter" && effect.message.type === "holdings"));
+});
+
 // Pattern: `evacuate` and `release`: the coordinator's list may be older than this router's own.
 test("a target that is leaving, or whose failure domain is evacuated, gets nothing", () => {
     const harness = createHarness();
