--- a/packages/cli/src/cliError.ts
+++ b/packages/cli/src/cliError.ts
@@ -1,7 +1,7 @@
 /** Errors of the command line tool, with the exit code that scripts rely on. */
 import { getErrorKind } from "@rhubarbwheel/error/routerError";
 
-/** Documented in `docs/operations.md`. */
+/** Documented in `docs/OPERATIONS.md`. */
 export const exitCodes = { ok: 0, refused: 1, usage: 2, conflict: 3, notRun: 4, unknown: 5 } as const;
 
 export type ExitCode = (typeof exitCodes)[keyof typeof exitCodes];
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -62,6 +62,8 @@
         newTokens: optional(double),
         prefixSource: optional(text),
         waitMs: optional(double),
+        maxWaitMs: optional(double),
+        usedRatio: optional(double),
         refusal: optional(choice(["overloaded", "shareUsed", "noTarget"])),
         retryAfterMs: optional(double),
     }),
--- a/packages/peer-protocol/test/placementCodec.test.ts
+++ b/packages/peer-protocol/test/placementCodec.test.ts
@@ -33,7 +33,16 @@
         prefixSource: "u",
         waitMs: 0.5,
     },
-    { type: "placementReply", requestId: "a", service: "s", refusal: "shareUsed", retryAfterMs: 4_500 },
+    {
+        type: "placementReply",
+        requestId: "a",
+        service: "s",
+        refusal: "shareUsed",
+        waitMs: 80,
+        maxWaitMs: 48.75,
+        usedRatio: 1.25,
+        retryAfterMs: 4_500,
+    },
     { type: "attemptNotice", requestId: "a", service: "s", target: "t", latencyMs: 3.5 },
     {
         type: "attemptNotice",
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -38,6 +38,9 @@
     readonly ledger: ShareLedger;
 }
 
+/** Why a request is not placed, and what decided that. */
+type Refusal = Pick<PlacementReplyMessage, "waitMs" | "maxWaitMs" | "usedRatio"> & { readonly refusal: RefusalReason; };
+
 const expiryIntervalMs = 250;
 
 export function createPlacementCoordinator(opts: PlacementCoordinatorOptions): PlacementSlice {
@@ -77,10 +80,10 @@
         return limit === 0 || coldSends.hasRoom(entry.target, limit, now);
     };
 
-    const place = (pool: CoordinatedPool, request: PlacementRequest, now: number): Choice | RefusalReason => {
+    const place = (pool: CoordinatedPool, request: PlacementRequest, now: number): Choice | Refusal => {
         const usable = view.listUsableTargets(pool.service, request.regions);
         const candidates = usable.filter(entry => !request.excluded.includes(entry.target) && maySendTo(entry, now));
-        if (usable.length === 0) return "noTarget";
+        if (usable.length === 0) return { refusal: "noTarget" };
         const cost = countCost(request.prompt);
         const { workspace } = request;
         const usedRatio = workspace === undefined ? 0 : pool.ledger.getUsedRatio(workspace, now);
@@ -90,7 +93,8 @@
         const choice = pool.model.choose(request, { candidates, now, maxWaitMs });
         if (choice === undefined) {
             returns.recordRefusal(request, now);
-            return usedRatio > 1 ? "shareUsed" : "overloaded";
+            const waitMs = candidates.length === 0 ? undefined : pool.model.findLeastWaitMs(candidates, now);
+            return { refusal: usedRatio > 1 ? "shareUsed" : "overloaded", waitMs, maxWaitMs, usedRatio };
         }
         returns.forget(request);
         if (workspace !== undefined) pool.ledger.recordAdmitted(workspace, cost, now);
@@ -131,8 +135,7 @@
             return reply(event, { requestId, service, target, newTokens, waitMs: 0 });
         }
         const placed = place(pool, request, event.now);
-        if (typeof placed === "string")
-            return reply(event, { requestId, service, refusal: placed, retryAfterMs });
+        if ("refusal" in placed) return reply(event, { requestId, service, ...placed, retryAfterMs });
         assign(pool, request, placed, event.now);
         reply(event, { requestId, service, ...placed });
     };
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -175,6 +175,9 @@
     return {
         assign,
         choose,
+        /** Shortest time until a request would begin at any of the candidates. */
+        findLeastWaitMs: (candidates: readonly TargetEntry[], now: number): number =>
+            Math.min(...candidates.map(entry => obtainModel(entry).estimateWaitMs(now))),
         end,
         start: (requestId: string, now: number) => getModel(requestId)?.start(requestId, now),
         /** Adds prompt parts that a target says it keeps. */
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -187,6 +187,10 @@
     return context.coldSends.tryTake(target.target, computeOwnColdLimit(context, target), context.now);
 }
 
+function roundOptional(value: number | undefined, digits: number): number | undefined {
+    return value === undefined ? undefined : Number(value.toFixed(digits));
+}
+
 function refuseRequest(context: EntryContext, entry: EntryRequest, placement: Placement): void {
     const refusal = placement.refusal ?? "noTarget";
     logEntryEvent(context, "requestRefused", {
@@ -194,6 +198,9 @@
         reason: refusal,
         coordinator: entry.coordinator,
         cost: countCost(entry.request.prompt),
+        waitMs: roundOptional(placement.waitMs, 0),
+        maxWaitMs: roundOptional(placement.maxWaitMs, 0),
+        usedRatio: roundOptional(placement.usedRatio, 2),
         targetsAgeMs: Math.round(context.view.getAgeMs("targets", context.now)),
     });
     // What may have run must not be reported as not run.
@@ -241,7 +248,7 @@
         target: target.target,
         attempt: entry.attempts,
         coordinator: entry.coordinator,
-        waitMs: placement.waitMs === undefined ? undefined : Math.round(placement.waitMs),
+        waitMs: roundOptional(placement.waitMs, 0),
         cost: countCost(prompt),
         newTokens,
         prefixSource,
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -25,7 +25,16 @@
         name: "requestRefused",
         level: "info",
         message: "No target can begin the request in time, or its workspace has used its share.",
-        fields: [...requestFields, "reason", "coordinator", "cost", "targetsAgeMs"],
+        fields: [
+            ...requestFields,
+            "reason",
+            "coordinator",
+            "cost",
+            "waitMs",
+            "maxWaitMs",
+            "usedRatio",
+            "targetsAgeMs",
+        ],
     },
     1702: {
         name: "attemptFailed",
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -54,8 +54,12 @@
     readonly newTokens?: number;
     /** Another target from which the first one copies the parts of the prompt that it does not keep. */
     readonly prefixSource?: string;
-    /** Time that the request is expected to wait at the target. */
+    /** Time that the request is expected to wait at the target; the shortest wait at any target if it is refused. */
     readonly waitMs?: number;
+    /** Longest wait up to which the request would have been placed; only if it is refused. */
+    readonly maxWaitMs?: number;
+    /** Part of its share that the workspace had used; only if it is refused. */
+    readonly usedRatio?: number;
     readonly refusal?: RefusalReason;
     /** When a refused caller should come back. */
     readonly retryAfterMs?: number;
