Try a silent coordinator less often the longer it is silent

Cause: the announcement of a host that is gone for good stays in the store. If it ranks first for a pool, every router tried it again every 2 s, and its requests waited 250 ms and more each time. Change: a router is passed over for 2, 4 and then 8 s; a message of it, or a new start, ends that at once.

--- a/packages/placement/src/createCoordinatorChoice.ts
+++ b/packages/placement/src/createCoordinatorChoice.ts
@@ -1,7 +1,7 @@
 /** Chooses the coordinator of each pool: the first router by rendezvous hashing that has not been silent lately. */
 import { rankByRendezvous } from "@rhubarbwheel/membership/chooseByRendezvous";
 import type { RouterEntry } from "@rhubarbwheel/types/fleet";
-import { missesBeforeSuspicion, silenceMs, suspicionMs } from "./placementSettings.js";
+import { firstSuspicionMs, maxSuspicionMs, missesBeforeSuspicion, silenceMs } from "./placementSettings.js";
 
 export interface CoordinatorChoice {
     /** `undefined` while no router is listed. Routers that differ in their choice know less of each other's requests. */
@@ -18,32 +18,56 @@
     readonly listRouters: () => readonly RouterEntry[];
 }
 
+/** What is known of a router that has left questions unanswered, until a message of it arrives. */
+interface Silence {
+    /** Start of the router that was silent; a later start is given a new chance. */
+    readonly incarnation: number;
+    misses: number;
+    since: number;
+    suspectedUntil: number;
+    suspicionMs: number;
+}
+
 export function createCoordinatorChoice(opts: CoordinatorChoiceOptions): CoordinatorChoice {
-    const misses = new Map<string, { count: number; readonly since: number; }>();
-    const suspectedUntil = new Map<string, number>();
+    const silences = new Map<string, Silence>();
+
+    const isSuspected = ({ router, incarnation }: RouterEntry, now: number): boolean => {
+        const silence = silences.get(router);
+        return router !== opts.router && silence?.incarnation === incarnation && silence.suspectedUntil > now;
+    };
 
-    const isSuspected = (router: string, now: number): boolean =>
-        router !== opts.router && (suspectedUntil.get(router) ?? -Infinity) > now;
+    const obtainSilence = ({ router, incarnation }: RouterEntry, now: number): Silence => {
+        const known = silences.get(router);
+        if (known?.incarnation === incarnation) return known;
+        const silence = {
+            incarnation,
+            misses: 0,
+            since: now,
+            suspectedUntil: -Infinity,
+            suspicionMs: firstSuspicionMs,
+        };
+        silences.set(router, silence);
+        return silence;
+    };
 
     return {
         find: (service, now) => {
             const routers = new Map(opts.listRouters().map(entry => [entry.router, entry]));
-            const ranked = rankByRendezvous(service, [...routers.keys()]);
-            const chosen = ranked.find(router => !isSuspected(router, now)) ?? ranked[0];
-            return chosen === undefined ? undefined : routers.get(chosen);
-        },
-        recordAnswer: router => {
-            misses.delete(router);
-            suspectedUntil.delete(router);
+            const ranked = rankByRendezvous(service, [...routers.keys()]).map(router => routers.get(router)!);
+            return ranked.find(entry => !isSuspected(entry, now)) ?? ranked[0];
         },
+        recordAnswer: router => void silences.delete(router),
         recordMiss: (router, now) => {
-            const missed = misses.get(router) ?? { count: 0, since: now };
-            missed.count += 1;
-            misses.set(router, missed);
-            const isSilent = missed.count >= missesBeforeSuspicion && now - missed.since >= silenceMs;
-            if (!isSilent || isSuspected(router, now)) return false;
-            suspectedUntil.set(router, now + suspicionMs);
-            misses.delete(router);
+            const entry = opts.listRouters().find(listed => listed.router === router);
+            if (entry === undefined) return false;
+            const silence = obtainSilence(entry, now);
+            if (silence.misses === 0) silence.since = now;
+            silence.misses += 1;
+            const isSilent = silence.misses >= missesBeforeSuspicion && now - silence.since >= silenceMs;
+            if (!isSilent || isSuspected(entry, now)) return false;
+            silence.suspectedUntil = now + silence.suspicionMs;
+            silence.suspicionMs = Math.min(maxSuspicionMs, silence.suspicionMs * 2);
+            silence.misses = 0;
             return true;
         },
     };
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -19,7 +19,10 @@
 export const silenceMs = 250;
 
 /** Time for which a silent coordinator is passed over; a restarted process needs about as long to serve again. */
-export const suspicionMs = 2_000;
+export const firstSuspicionMs = 2_000;
+
+/** Longest time for which it is passed over; each try in vain delays requests, and hosts may be gone for good. */
+export const maxSuspicionMs = 8_000;
 
 /** Interval of the reports by which a coordinator learns of attempts whose notices were lost. */
 export const holdingsIntervalMs = 500;
