--- a/packages/fleet-view/src/createConfirmer.ts
+++ b/packages/fleet-view/src/createConfirmer.ts
@@ -32,7 +32,7 @@
 /** Rounds whose questions are remembered; a later reply confirms nothing that a newer one does not confirm better. */
 const rememberedQuestions = 2 * askedPerRound;
 
-function drawSome<T>(items: readonly T[], count: number, draw: () => number): readonly T[] {
+function selectSome<T>(items: readonly T[], count: number, draw: () => number): readonly T[] {
     const left = [...items];
     const drawn: T[] = [];
     while (drawn.length < count && left.length > 0) drawn.push(...left.splice(Math.floor(draw() * left.length), 1));
@@ -54,7 +54,7 @@
 
     const askOthers = (now: number): void => {
         const others = view.listRouters().filter(entry => entry.router !== opts.router);
-        for (const other of drawSome(others, askedPerRound, opts.draw)) {
+        for (const other of selectSome(others, askedPerRound, opts.draw)) {
             sequence += 1;
             askedAt.set(sequence, now);
             send(other, { type: "confirmationAsk", sequence });
--- a/packages/fleet-view/src/followStore.ts
+++ b/packages/fleet-view/src/followStore.ts
@@ -73,7 +73,7 @@
     let nextWaitMs = opts.waitMs;
 
     /** Chooses the next wait after what is known was confirmed as of `confirmedAt`. */
-    const shortenWait = (confirmedAt: number): void => {
+    const chooseNextWait = (confirmedAt: number): void => {
         if (opts.isAgeChecked !== true) return;
         const leftMs = opts.waitMs - (opts.getNow() - confirmedAt);
         nextWaitMs = Math.round(Math.max(leastWaitMs, leftMs * opts.draw()));
@@ -95,7 +95,7 @@
         failures = 0;
         revision = result.list.revision;
         opts.emit({ type: "viewListed", kind, entries: result.list.entries, revision, confirmedAt });
-        shortenWait(confirmedAt);
+        chooseNextWait(confirmedAt);
     };
 
     const watchOnce = async (from: number): Promise<void> => {
@@ -118,7 +118,7 @@
         opts.emit({ type: "viewChanged", kind, changes: result.changes, revision, confirmedAt });
         if (result.changes.length === 0) return;
         if (opts.settleMs !== undefined) await opts.sleep(opts.settleMs);
-        shortenWait(askedAt);
+        chooseNextWait(askedAt);
     };
 
     const run = async (): Promise<void> => {
--- a/packages/forwarding/src/createConnections.ts
+++ b/packages/forwarding/src/createConnections.ts
@@ -55,15 +55,15 @@
                     // What happened to an earlier socket says nothing about answers on this one.
                     current = socket ?? undefined;
                     connection.isBroken = false;
-                    const noteError = (error: NodeJS.ErrnoException | null | undefined): void => {
+                    const recordError = (error: NodeJS.ErrnoException | null | undefined): void => {
                         // undici ends sockets with an error of this code when it needs them no more.
                         if (error && error.code !== "UND_ERR_INFO" && current === socket) connection.isBroken = true;
                     };
                     // undici takes an answer without a length for complete when its connection is reset.
-                    socket?.on("error", noteError);
+                    socket?.on("error", recordError);
                     // A reset that arrives with the last bytes looks like an orderly end (libuv reports the end of the
                     // stream when the poll says both); writing nothing fails then, and sends nothing otherwise.
-                    socket?.once("end", () => socket.write("", noteError));
+                    socket?.once("end", () => socket.write("", recordError));
                     onConnected(...result);
                 });
             },
