Ask a slow coordinator no more than twice for a request

The logs show 1706 placedLocally with "front-khomas-d-2 is silent" for two seconds, and almost no 1705: the coordinator lived and answered, too late. Change: the question stays open instead, so that a late answer counts, and is repeated once; only another coordinator is asked anew.

--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -37,7 +37,8 @@
     readonly coordinator: string;
     readonly askedAt: number;
     repeatAt: number;
-    readonly giveUpAt: number;
+    /** Time at which the router places the request alone, if it may. */
+    giveUpAt: number;
 }
 
 /** An attempt that goes on. */
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -15,7 +15,7 @@
     logEntryEvent,
     type Placement,
 } from "./entryState.js";
-import { askAgainRatio, askRepeatMs, askTimeoutMs, retryElsewhereMs } from "./placementSettings.js";
+import { askRepeatMs, askTimeoutMs, awaitRatio, retryElsewhereMs } from "./placementSettings.js";
 import { reportHoldings } from "./reportHoldings.js";
 
 /** Refusals that end a request; a router that cannot find a target now may find one soon. */
@@ -107,13 +107,12 @@
     sendQuestion(context, entry, coordinator.router, coordinator.address);
 }
 
-/** Repeats a question that has not been answered, and decides locally in the end. */
+/** Repeats a question that has not been answered once, and places the request alone if it may. */
 export function checkQuestion(context: EntryContext, entry: EntryRequest): void {
     const { question } = entry;
     if (question === undefined) return;
     const { coordinator, request } = question;
     if (context.now >= question.giveUpAt) {
-        entry.question = undefined;
         if (context.coordinators.recordMiss(coordinator, context.now))
             logEntryEvent(context, "coordinatorSuspected", { service: request.service, router: coordinator });
         placeWithoutCoordinator(context, entry, request, `${coordinator} is silent`);
@@ -125,10 +124,18 @@
     }
 }
 
-/** Whether there is a coordinator to ask, and time before the latency target is out of reach. */
-function mayAskAgain(context: EntryContext, { request, arrivedAt }: EntryRequest): boolean {
-    return context.coordinators.find(request.service, context.now) !== undefined
-        && context.now - arrivedAt < request.latencyTargetMs * askAgainRatio;
+/**
+ * Waits on for an answer while the latency target is within reach; false if there is nobody to wait for. A coordinator that
+ * is slow because it has just started must not be asked the same again and again, but the next one may be asked.
+ */
+function awaitAnswer(context: EntryContext, entry: EntryRequest): boolean {
+    const { question, request } = entry;
+    const coordinator = context.coordinators.find(request.service, context.now);
+    if (question === undefined || coordinator === undefined) return false;
+    if (context.now - entry.arrivedAt >= request.latencyTargetMs * awaitRatio) return false;
+    if (coordinator.router === question.coordinator) question.giveUpAt = context.now + askTimeoutMs;
+    else placeRequest(context, entry);
+    return true;
 }
 
 function placeWithoutCoordinator(
@@ -148,7 +155,8 @@
     });
     const isAllowed = choice === undefined || pool?.allowance === undefined
         || pool.allowance.tryTake(choice.newTokens, context.now);
-    if (!isAllowed && mayAskAgain(context, entry)) return placeRequest(context, entry);
+    if (!isAllowed && awaitAnswer(context, entry)) return;
+    entry.question = undefined;
     logEntryEvent(context, "placedLocally", {
         ...describeRequest(entry),
         reason,
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -7,10 +7,10 @@
 export const askTimeoutMs = 75;
 
 /**
- * Part of the latency target up to which a router that may start nothing by itself asks again. After a start of the whole
- * fleet coordinators are slow for some hundred milliseconds, and a request that is refused then comes back late.
+ * Part of the latency target up to which a router that may start nothing by itself waits for a late answer. After a start of
+ * the whole fleet coordinators are slow for some hundred milliseconds, and a request that is refused then comes back late.
  */
-export const askAgainRatio = 0.5;
+export const awaitRatio = 0.5;
 
 /** Unanswered questions in a row after which a coordinator is passed over; one may be a lost datagram. */
 export const missesBeforeSuspicion = 2;
--- a/packages/placement/test/entryHarness.ts
+++ b/packages/placement/test/entryHarness.ts
@@ -6,6 +6,7 @@
     RoutedRequest,
     StartAttemptEffect,
 } from "@rhubarbwheel/types/placement-events";
+import { createCoordinatorChoice } from "../src/createCoordinatorChoice.js";
 import { createPlacementEntry } from "../src/createPlacementEntry.js";
 import { createViewFixture } from "./viewFixture.js";
 import type { ViewFixtureOptions } from "./viewFixture.js";
@@ -64,6 +65,12 @@
         entry,
         reduce,
         finish,
+        /** The router that is asked first. */
+        findCoordinator: (service: string, now: number) => {
+            const found = createCoordinatorChoice({ router: "r1", listRouters: view.listRouters }).find(service, now);
+            if (found === undefined) throw new Error("There is no coordinator.");
+            return found;
+        },
         route: (request: RoutedRequest, now: number) => reduce({ type: "requestRouted", request, now }),
     };
 }
