Give back places that come too late

Change: an entry router that gets a place for a request that no longer waits for it, and that does not run there, tells the coordinator at once. Test: createPlacementEntry.test.ts, "a place that comes too late is given back at once", "a repeated answer gives back nothing". What is left: the coordinator is silent for 1.5 s after all routers lost power.

--- a/packages/placement/src/createPlacementEntry.ts
+++ b/packages/placement/src/createPlacementEntry.ts
@@ -39,7 +39,7 @@
     else if (event.type === "callerGone") handleCallerGone(context, event.requestId);
     else if (event.type === "routerMessage") {
         context.coordinators.recordAnswer(event.from);
-        if (event.message.type === "placementReply") handleReply(context, event.from, event.message);
+        if (event.message.type === "placementReply") handleReply(context, event, event.message);
     }
     else if (event.type === "drainRequested" && context.drainingSince === undefined) {
         context.drainingSince = event.now;
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -1,6 +1,7 @@
 /** Finds a target for a request: asks the coordinator of the pool, and decides locally if it does not answer in time. */
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementReplyMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
+import type { RouterMessageEvent } from "@rhubarbwheel/types/placement-events";
 import { computeAdmissionWait, computePriorRate, computeRetryAfter, countCost, fullClaim } from "./admission.js";
 import { createLocalAllowance } from "./createLocalAllowance.js";
 import { createPoolModel } from "./createPoolModel.js";
@@ -170,9 +171,22 @@
     if (entry.attempt !== undefined) reportHoldings(context, [entry]);
 }
 
-export function handleReply(context: EntryContext, from: string, reply: PlacementReplyMessage): void {
+/** Gives back a place that came too late, or the coordinator would count on its work until reports end. */
+function returnPlace(context: EntryContext, from: RouterMessageEvent, reply: PlacementReplyMessage): void {
+    const { requestId, service, target } = reply;
+    if (target === undefined || context.requests.get(requestId)?.attempt?.target === target) return;
+    context.effects.push({
+        type: "sendToRouter",
+        router: from.from,
+        address: from.address,
+        message: { type: "attemptNotice", requestId, service, target, result: "cancelled", latencyMs: 0 },
+    });
+}
+
+export function handleReply(context: EntryContext, event: RouterMessageEvent, reply: PlacementReplyMessage): void {
     const entry = context.requests.get(reply.requestId);
-    if (entry?.question === undefined || entry.question.coordinator !== from) return;
+    if (entry?.question === undefined || entry.question.coordinator !== event.from)
+        return returnPlace(context, event, reply);
     entry.question = undefined;
     applyPlacement(context, entry, reply);
 }
--- a/packages/placement/test/createPlacementEntry.test.ts
+++ b/packages/placement/test/createPlacementEntry.test.ts
@@ -223,6 +223,48 @@
     assert.is(findAttempt(effects).target, "target-3");
 });
 
+// Pattern: `power_off_all` of the incident e47c: a coordinator that had answered 300 questions too late counted on the work of
+// all of them for 1.6 s, and refused four of five requests while the engines stood idle.
+test("a place that comes too late is given back at once", () => {
+    const harness = createSilentHarness();
+    const requests = Array.from({ length: 4 }, () => createRoutedRequest(engineRequest));
+    for (const request of requests) harness.route(request, 0);
+    for (let now = 5; now <= 500; now += 5) harness.reduce({ type: "wake", now });
+    const { router, address } = harness.findCoordinator("assistant", 500);
+    const answer = (requestId: string) => {
+        const message = { type: "placementReply", requestId, service: "assistant", target: "target-8" } as const;
+        const effects = harness.reduce({ type: "routerMessage", from: router, address, message, now: 505 });
+        return effects.flatMap(effect => effect.type === "sendToRouter" ? [effect] : []);
+    };
+    for (const { requestId } of requests) {
+        const [notice, ...others] = answer(requestId);
+        assert.equal(others, []);
+        assert.is(notice?.router, router);
+        assert.equal(notice?.message, {
+            type: "attemptNotice",
+            requestId,
+            service: "assistant",
+            target: "target-8",
+            result: "cancelled",
+            latencyMs: 0,
+        });
+    }
+});
+
+test("a repeated answer gives back nothing", () => {
+    const harness = createSilentHarness();
+    const request = createRoutedRequest(engineRequest);
+    const { router, address } = harness.findCoordinator("assistant", 0);
+    harness.route(request, 0);
+    const answer = (now: number) => {
+        const { requestId } = request;
+        const message = { type: "placementReply", requestId, service: "assistant", target: "target-8" } as const;
+        return harness.reduce({ type: "routerMessage", from: router, address, message, now });
+    };
+    assert.is(findAttempt(answer(10)).target, "target-8");
+    assert.is(summarizeEffects(answer(20)), "");
+});
+
 test("the coordinator is told at once of what a router has placed alone", () => {
     const harness = createSilentHarness();
     harness.route(createRoutedRequest(engineRequest), 0);
