Look for callers that have left before a call that was read late is sent on

A router that is busy, as the coordinator is after a start of the fleet, finds a call and the end of its connection in its socket at the same time, and sent the call on before it looked for the end. Change: a call is handed on once the loop has polled again, and dropped if its caller has closed its side by then.

--- a/packages/error/src/routerError.ts
+++ b/packages/error/src/routerError.ts
@@ -73,6 +73,7 @@
         "Send a path that starts with a single / and has no dot segments or control characters.",
     ],
     QUEUE_FULL: [429, "Too many requests of this workspace are waiting.", "Retry after the time in Retry-After."],
+    CALLER_GONE: [408, "The caller closed its connection before its call was read.", "Read the answer before closing."],
     QUEUE_TIMEOUT: [503, "No capacity became free in time.", "Retry after the time in Retry-After."],
     NO_TARGET: [
         503,
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -42,6 +42,17 @@
 /** Errors after which the rest of a call cannot be read as another call. */
 const closingCodes: readonly string[] = ["BODY_TOO_LARGE", "HEADERS_TOO_LARGE", "BODY_TIMEOUT"];
 
+/** Runs `action` once the loop has looked for new input, such as the end of a connection whose last bytes were just read. */
+function runAfterPoll(action: () => void): void {
+    // The first callback comes before the loop polls again, the second one after it.
+    setImmediate(() => setImmediate(action));
+}
+
+/** Whether the caller has closed its connection, or its side of it: nobody would read the answer. */
+function hasCallerLeft({ incoming, response }: OpenCall): boolean {
+    return response.destroyed || incoming.socket.destroyed || incoming.socket.readableEnded;
+}
+
 export function createForwarder(opts: ForwarderOptions) {
     const { dispatch } = opts;
     const memory = createBodyMemory(opts.maxBodyMemoryBytes);
@@ -56,11 +67,17 @@
         if (!incoming.complete) incoming.resume();
     };
 
+    /** A busy router may read a call long after it was sent, together with the end of its connection. */
+    const dropUnread = (call: OpenCall): void => {
+        memory.release(call.body.length);
+        opts.onRefused(call.incoming, { code: "CALLER_GONE" });
+        call.response.destroy();
+    };
+
     const submit = (call: OpenCall, described: DescribedCall, arrivedAt: number): void => {
         const { head, route, service, access, regions } = described;
         const { requestId } = call;
-        // The caller may have gone with the last byte of its call.
-        if (call.response.destroyed) return memory.release(call.body.length);
+        if (hasCallerLeft(call)) return dropUnread(call);
         calls.set(requestId, call);
         call.response.once("close", () => {
             if (!call.response.writableFinished) dispatch({ type: "callerGone", requestId });
@@ -112,20 +129,17 @@
             if (read.type === "stalled") return refuse(incoming, response, { code: "BODY_TIMEOUT" });
             if (read.type === "callerGone") return;
             const { head, route } = described;
-            submit(
-                {
-                    requestId: opts.createRequestId(),
-                    head,
-                    kind: route.kind,
-                    removeCredential: opts.view.getRoutes()?.needsCredentials ?? true,
-                    incoming,
-                    response,
-                    body: read.body,
-                    lastEventId: head.lastEventId,
-                },
-                described,
-                arrivedAt,
-            );
+            const call: OpenCall = {
+                requestId: opts.createRequestId(),
+                head,
+                kind: route.kind,
+                removeCredential: opts.view.getRoutes()?.needsCredentials ?? true,
+                incoming,
+                response,
+                body: read.body,
+                lastEventId: head.lastEventId,
+            };
+            runAfterPoll(() => submit(call, described, arrivedAt));
         });
     };
 
