Name the rest of a cold start in the project's words, and say what a constant counts

Cause: getColdLeftMs repeated a name of the users' pages outside of platform/; a comment said rounds where the constant counts questions. Change: getColdRemainingMs; the comment. No behaviour changes.

--- a/packages/fleet-view/src/createConfirmer.ts
+++ b/packages/fleet-view/src/createConfirmer.ts
@@ -29,7 +29,7 @@
 /** Routers that are asked in one round; one of them may be cut off from the store too. */
 const askedPerRound = 2;
 
-/** Rounds whose questions are remembered; a later reply confirms nothing that a newer one does not confirm better. */
+/** Questions that are remembered, those of two rounds; a later reply confirms nothing that a newer one does not confirm better. */
 const rememberedQuestions = 2 * askedPerRound;
 
 function selectSome<T>(items: readonly T[], count: number, draw: () => number): readonly T[] {
--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -48,7 +48,7 @@
     readonly listUsableTargets: (service: string, regions?: readonly string[]) => readonly TargetEntry[];
     readonly isUsable: (target: string) => boolean;
     readonly getTarget: (target: string) => TargetEntry | undefined;
-    readonly getColdLeftMs: (target: string, now: number) => number;
+    readonly getColdRemainingMs: (target: string, now: number) => number;
     readonly listRouters: () => readonly RouterEntry[];
     /** Age of what is known of a kind; Infinity if nothing is known. */
     readonly getAgeMs: (kind: ViewKind, now: number) => number;
@@ -243,7 +243,7 @@
             return target?.state === "ready" && isOpen(target);
         },
         getTarget: targets.get,
-        getColdLeftMs: targets.getColdLeftMs,
+        getColdRemainingMs: targets.getColdRemainingMs,
         listRouters: () => [...routers.values()],
         getAgeMs: (kind, now) => now - kinds[kind].confirmedAt,
         isComplete: () => viewKinds.every(kind => kinds[kind].known),
--- a/packages/fleet-view/src/createTargetList.ts
+++ b/packages/fleet-view/src/createTargetList.ts
@@ -43,7 +43,7 @@
         return targets.delete(name);
     };
 
-    const getColdLeftMs = (name: string, now: number): number => {
+    const getColdRemainingMs = (name: string, now: number): number => {
         const listed = targets.get(name);
         return listed === undefined ? 0 : Math.max(0, listed.receivedAt + listed.entry.coldForMs - now);
     };
@@ -52,7 +52,7 @@
         put,
         drop,
         rebuildIndex,
-        getColdLeftMs,
+        getColdRemainingMs,
         listNames: () => [...targets.keys()],
         get: (name: string) => targets.get(name)?.entry,
         /** Targets of a service that are ready for work. */
--- a/packages/fleet-view/test/createFleetView.test.ts
+++ b/packages/fleet-view/test/createFleetView.test.ts
@@ -252,8 +252,8 @@
 test("the rest of a cold start counts down from when the entry arrived", () => {
     const fleet = createReadyView();
     fleet.change("targets", "t1", createTarget("t1", { coldForMs: 3_000 }), 1_000);
-    assert.is(fleet.view.getColdLeftMs("t1", 2_000), 2_000);
-    assert.is(fleet.view.getColdLeftMs("t1", 4_500), 0);
+    assert.is(fleet.view.getColdRemainingMs("t1", 2_000), 2_000);
+    assert.is(fleet.view.getColdRemainingMs("t1", 4_500), 0);
 });
 
 test("each loss and return of the store is logged once", () => {
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -75,7 +75,7 @@
     };
 
     const maySendTo = (entry: TargetEntry, now: number): boolean => {
-        if (view.getColdLeftMs(entry.target, now) <= 0) return true;
+        if (view.getColdRemainingMs(entry.target, now) <= 0) return true;
         const limit = (view.getPool(entry.service)?.coldRequestsPerSecond ?? 0) * coldGrantRatio;
         return limit === 0 || coldSends.hasRoom(entry.target, limit, now);
     };
@@ -104,7 +104,7 @@
     const assign = (pool: CoordinatedPool, request: PlacementRequest, choice: Choice, now: number): void => {
         const entry = view.getTarget(choice.target);
         if (entry === undefined) return;
-        if (view.getColdLeftMs(choice.target, now) > 0) coldSends.tryTake(choice.target, Infinity, now);
+        if (view.getColdRemainingMs(choice.target, now) > 0) coldSends.tryTake(choice.target, Infinity, now);
         pool.model.assign(entry, {
             requestId: request.requestId,
             target: choice.target,
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -64,7 +64,7 @@
 }
 
 function maySendTo(context: EntryContext, target: TargetEntry): boolean {
-    if (context.view.getColdLeftMs(target.target, context.now) <= 0) return true;
+    if (context.view.getColdRemainingMs(target.target, context.now) <= 0) return true;
     return context.coldSends.hasRoom(target.target, computeOwnColdLimit(context, target), context.now);
 }
 
@@ -205,7 +205,7 @@
 }
 
 function takeColdSend(context: EntryContext, target: TargetEntry): boolean {
-    if (context.view.getColdLeftMs(target.target, context.now) <= 0) return true;
+    if (context.view.getColdRemainingMs(target.target, context.now) <= 0) return true;
     return context.coldSends.tryTake(target.target, computeOwnColdLimit(context, target), context.now);
 }
 
