--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -10,7 +10,7 @@
 import type { CallDialect } from "./callDialect.js";
 import { sendWhole } from "./createAnswerRelay.js";
 import type { Connections } from "./createConnections.js";
-import { type CallProblem, describeCall, type DescribedCall } from "./describeCall.js";
+import { type CallProblem, describeCall, type DescribedCall, retryElsewhereMs } from "./describeCall.js";
 import { mayRelayStatus, type OpenCall } from "./openCall.js";
 import { createBodyMemory, readCallBody } from "./readCallBody.js";
 import { runAttempt } from "./runAttempt.js";
@@ -36,9 +36,6 @@
     readonly onRefused: (incoming: IncomingMessage, problem: CallProblem) => void;
 }
 
-/** When callers come back whose bodies did not fit into the memory. */
-const retryElsewhereMs = 200;
-
 /** Errors after which the rest of a call cannot be read as another call. */
 const closingCodes: readonly string[] = ["BODY_TOO_LARGE", "HEADERS_TOO_LARGE", "BODY_TIMEOUT"];
 
--- a/packages/forwarding/src/describeCall.ts
+++ b/packages/forwarding/src/describeCall.ts
@@ -28,8 +28,8 @@
     readonly draw: number;
 }
 
-/** When callers come back that a router without a confirmed configuration refused. */
-const retryElsewhereMs = 200;
+/** When callers come back that this router cannot serve now and another one may. */
+export const retryElsewhereMs = 200;
 
 function joinRegions(route: Route, access: WorkspaceAccess | undefined): readonly string[] | undefined {
     if (route.regions === undefined) return access?.regions;
--- a/packages/peer-protocol/src/createDatagramTransport.ts
+++ b/packages/peer-protocol/src/createDatagramTransport.ts
@@ -5,6 +5,7 @@
 import type { PlacementMessage } from "@rhubarbwheel/types/placement";
 import { createSocket } from "node:dgram";
 import { decodePlacementBatch, encodePlacementBatch } from "./placementCodec.js";
+import { splitAddress } from "./splitAddress.js";
 
 export interface DatagramTransportOptions {
     /** Name of this router. */
@@ -27,11 +28,6 @@
 /** Messages in one datagram; asks with long prompts stay below the size at which datagrams are fragmented. */
 const maxMessagesPerDatagram = 4;
 
-function splitAddress(address: string): { readonly host: string; readonly port: number; } {
-    const at = address.lastIndexOf(":");
-    return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
-}
-
 export function createDatagramTransport(opts: DatagramTransportOptions): DatagramTransport {
     const socket = createSocket("udp4");
     const queues = new Map<string, PlacementMessage[]>();
