Count the prompt parts of running requests once, as engines do

Cause: the model of what an engine keeps took the whole prompt of each running request from the memory for kept parts, and counted its parts there once more. What the model had forgotten was sent to another engine, which read it again. Requests that were cancelled while they waited left parts in the model that were never read. Ruled out: evictions that the model does not see (the lists held nearly all that the model named).

Change: parts are held by running requests, count once, and yield only when nobody holds them; parts that were never read vanish with their last holder; generated tokens take a quarter of their limit.

What is still read again is half small parts below the size at which a copy is worth its time, and half parts that yielded while memory was full.

--- a/packages/placement/src/createPromptCache.ts
+++ b/packages/placement/src/createPromptCache.ts
@@ -1,4 +1,4 @@
-/** Model of the prompt parts that an engine keeps: the least recently used ones yield to newer ones. */
+/** Model of the prompt parts that an engine keeps: those that no running request uses yield, the least recently used first. */
 import type { PromptPart } from "@rhubarbwheel/types/placement";
 
 export interface PromptCache {
@@ -9,8 +9,14 @@
     readonly countKept: (parts: readonly PromptPart[]) => number;
     /** Tokens at the start of a prompt that have been read, so that another engine can copy them. */
     readonly countRead: (parts: readonly PromptPart[]) => number;
-    /** Marks all parts as used now, and evicts others beyond `capacityTokens`. */
-    readonly use: (parts: readonly PromptPart[], capacityTokens: number) => void;
+    /** Tokens at the start of a prompt that running requests hold. */
+    readonly countHeld: (parts: readonly PromptPart[]) => number;
+    /** Tokens of all parts that running requests hold; a part that several hold counts once, as in the engine's memory. */
+    readonly getHeldTokens: () => number;
+    /** Holds the parts for a request, and lets others yield beyond `capacityTokens`. */
+    readonly hold: (parts: readonly PromptPart[], capacityTokens: number) => void;
+    /** Ends a hold. Parts that were read stay as the most recently used; others have never been there. */
+    readonly release: (parts: readonly PromptPart[]) => void;
     /** Adds parts that the engine says it keeps, as used longer ago than all others. */
     readonly recall: (parts: readonly PromptPart[]) => void;
     /** Marks the parts as read. */
@@ -19,6 +25,8 @@
 
 interface KeptPart {
     readonly tokens: number;
+    /** Running requests that hold the part. */
+    holders: number;
     isRead: boolean;
 }
 
@@ -26,6 +34,12 @@
     // Insertion order is the order of use, least recent first.
     const kept = new Map<string, KeptPart>();
     let totalTokens = 0;
+    let heldTokens = 0;
+
+    const add = (id: string, part: KeptPart): void => {
+        kept.set(id, part);
+        totalTokens += part.tokens;
+    };
 
     const remove = (id: string): KeptPart | undefined => {
         const part = kept.get(id);
@@ -44,31 +58,48 @@
         return tokens;
     };
 
+    const evict = (capacityTokens: number): void => {
+        for (const [id, part] of kept) {
+            if (totalTokens <= capacityTokens) break;
+            if (part.holders === 0) remove(id);
+        }
+    };
+
     return {
         countKept: parts => countLeading(parts, () => true),
         countRead: parts => countLeading(parts, part => part.isRead),
-        use: (parts, capacityTokens) => {
+        countHeld: parts => countLeading(parts, part => part.holders > 0),
+        getHeldTokens: () => heldTokens,
+        hold: (parts, capacityTokens) => {
             for (const { id, tokens } of parts) {
-                const before = remove(id);
-                kept.set(id, { tokens, isRead: before?.isRead ?? false });
-                totalTokens += tokens;
+                const part = remove(id) ?? { tokens, holders: 0, isRead: false };
+                if (part.holders === 0) heldTokens += part.tokens;
+                part.holders += 1;
+                add(id, part);
             }
-            for (const id of kept.keys()) {
-                if (totalTokens <= capacityTokens) break;
+            evict(capacityTokens);
+        },
+        release: parts => {
+            // The start of a prompt is of use to more requests than its end, so it is kept longest.
+            for (const { id } of [...parts].reverse()) {
+                const part = kept.get(id);
+                if (part === undefined || part.holders === 0) continue;
+                part.holders -= 1;
+                if (part.holders > 0) continue;
+                heldTokens -= part.tokens;
                 remove(id);
+                if (part.isRead) add(id, part);
             }
         },
         recall: parts => {
             const used = [...kept];
             kept.clear();
-            for (const { id, tokens } of parts) {
-                if (!kept.has(id)) totalTokens += tokens;
-                kept.set(id, { tokens, isRead: true });
-            }
+            totalTokens = 0;
+            for (const { id, tokens } of parts) if (!kept.has(id)) add(id, { tokens, holders: 0, isRead: true });
             for (const [id, part] of used) {
-                totalTokens -= kept.get(id)?.tokens ?? 0;
-                kept.delete(id);
-                kept.set(id, part);
+                if (kept.has(id)) part.isRead = true;
+                remove(id);
+                add(id, part);
             }
         },
         markRead: parts => {
--- a/packages/placement/src/createTargetModel.ts
+++ b/packages/placement/src/createTargetModel.ts
@@ -3,7 +3,7 @@
 import type { AttemptResult, PromptPart, PromptSize } from "@rhubarbwheel/types/placement";
 import { createPromptCache } from "./createPromptCache.js";
 import { createRateEstimator } from "./createRateEstimator.js";
-import { batchRatio, firstEventMs, memoryRatio, priorServiceMs } from "./placementSettings.js";
+import { batchRatio, firstEventMs, generatedRatio, memoryRatio, priorServiceMs } from "./placementSettings.js";
 
 /** A request that was sent to a target and has not ended. */
 export interface Assignment {
@@ -86,12 +86,22 @@
     return result !== "complete" && result !== "cancelled";
 }
 
+/** Prompt tokens that the cache does not count as parts. */
+function countUnlisted({ promptTokens, parts = [] }: Pick<Assignment, "promptTokens" | "parts">): number {
+    let listed = 0;
+    for (const { tokens } of parts) listed += tokens;
+    return Math.max(0, promptTokens - listed);
+}
+
 export function createTargetModel(opts: TargetModelOptions): TargetModel {
     const { engine } = opts;
     const assignments = new Map<string, Assignment>();
     const cache = createPromptCache();
     const rate = createRateEstimator(opts.priorRate);
-    let usedTokens = 0;
+    /** Prompt tokens of running requests whose parts are not known. */
+    let unlistedTokens = 0;
+    /** Most tokens that running requests may generate. */
+    let outputTokens = 0;
     /** Time since which the engine has been reading the prompt of the oldest request without a first event. */
     let readingSince = -Infinity;
     let serviceMs = priorServiceMs;
@@ -105,7 +115,8 @@
         const assignment = assignments.get(requestId);
         if (assignment === undefined) return undefined;
         assignments.delete(requestId);
-        usedTokens -= assignment.promptTokens + assignment.outputTokens;
+        unlistedTokens -= countUnlisted(assignment);
+        outputTokens -= assignment.outputTokens;
         return assignment;
     };
 
@@ -164,9 +175,10 @@
             if (assignments.has(assignment.requestId)) return;
             if (findOldestUnstarted() === undefined) readingSince = assignment.assignedAt;
             assignments.set(assignment.requestId, assignment);
-            usedTokens += assignment.promptTokens + assignment.outputTokens;
-            if (engine !== undefined && assignment.parts !== undefined)
-                cache.use(assignment.parts, engine.memoryTokens - usedTokens);
+            unlistedTokens += countUnlisted(assignment);
+            outputTokens += assignment.outputTokens;
+            if (engine === undefined) return;
+            cache.hold(assignment.parts ?? [], engine.memoryTokens - unlistedTokens - outputTokens * generatedRatio);
         },
         start: (requestId, now) => {
             const assignment = assignments.get(requestId);
@@ -179,7 +191,10 @@
         },
         end: (requestId, result, latencyMs, now) => {
             const assignment = remove(requestId);
-            if (assignment === undefined || result === "cancelled") return;
+            if (assignment === undefined) return;
+            if (result === "complete") cache.markRead(assignment.parts ?? []);
+            cache.release(assignment.parts ?? []);
+            if (result === "cancelled") return;
             if (engine === undefined && result !== "unsent") {
                 serviceMs = getServiceMs(now) + latencyWeight * (latencyMs - serviceMs);
                 servedAt = now;
@@ -204,8 +219,9 @@
         hasRoom: prompt => {
             if (engine === undefined || prompt === undefined) return true;
             if (assignments.size >= engine.batchSize * batchRatio) return false;
-            const needed = prompt.promptTokens + prompt.outputTokens;
-            return assignments.size === 0 || usedTokens + needed <= engine.memoryTokens * memoryRatio;
+            const taken = cache.getHeldTokens() + unlistedTokens + outputTokens;
+            const needed = prompt.promptTokens + prompt.outputTokens - cache.countHeld(prompt.parts);
+            return assignments.size === 0 || taken + needed <= engine.memoryTokens * memoryRatio;
         },
         getFailureRatio: fadeFailures,
     };
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -63,6 +63,12 @@
 /** Part of an engine's memory that running requests may take; above it the engine preempts requests. */
 export const memoryRatio = 0.8;
 
+/**
+ * Part of the most tokens that running requests may generate which takes memory at any moment: answers are about half as
+ * long as their limit, and half done on average.
+ */
+export const generatedRatio = 0.25;
+
 /** Part of an engine's batch that is used; the last places make all tokens late. */
 export const batchRatio = 0.9;
 
