Start routers that lose their coordinator as if midway in paying for a long prompt

A long prompt is three times the burst of one router, and a large request may overdraw, so they started 359,000 tokens in 250 ms at six engines that read about 105,000 in that time. First events then took 720 ms, and the coordinator, once it answered, rightly refused for 1.5 s. Ruled out as the main cause: the slow coordinator alone; it refused because of the queue that was there.

Change: an allowance that is full (unused) starts at a random point of the payment for the request that asks, so that all routers together start no more than their burst. limits.test.ts (pattern kill_all) failed first.

--- a/packages/placement/src/createLocalAllowance.ts
+++ b/packages/placement/src/createLocalAllowance.ts
@@ -14,6 +14,8 @@
     readonly getRate: () => number;
     /** Time whose tokens may be started at once. */
     readonly getBurstMs: () => number;
+    /** Random number in [0, 1). */
+    readonly draw: () => number;
 }
 
 export function createLocalAllowance(opts: LocalAllowanceOptions): LocalAllowance {
@@ -23,7 +25,11 @@
     return {
         tryTake: (tokens, now) => {
             const rate = opts.getRate();
-            tokensLeft = Math.min(rate * opts.getBurstMs(), tokensLeft + rate * (now - updatedAt));
+            const burst = rate * opts.getBurstMs();
+            const refilled = tokensLeft + rate * (now - updatedAt);
+            // Routers lose their coordinator together. A large request is more than the part of one router, so each of them
+            // starts as if it were midway in paying for one, and together they start no more than their burst.
+            tokensLeft = refilled < burst ? refilled : burst - opts.draw() * tokens;
             updatedAt = now;
             if (tokensLeft <= 0) return false;
             tokensLeft -= tokens;
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -29,6 +29,8 @@
     readonly getRetryPolicy: () => RetryPolicy;
     /** Requests a second to a cold target, over all routers, given what the target bears. */
     readonly computeColdLimit: (coldRequestsPerSecond: number) => number;
+    /** Random number in [0, 1). */
+    readonly draw: () => number;
 }
 
 /** A question to a coordinator that has not been answered. */
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -43,6 +43,7 @@
         allowance: spec.engine === undefined ? undefined : createLocalAllowance({
             getRate: () => computePriorRate(view, service) * view.listUsableTargets(service).length / countRouters(),
             getBurstMs: () => computeAdmissionWait(view, service, fullClaim),
+            draw: context.draw,
         }),
     };
     context.pools.set(service, pool);
--- a/packages/placement/test/entryHarness.ts
+++ b/packages/placement/test/entryHarness.ts
@@ -38,6 +38,7 @@
         view,
         getRetryPolicy: () => ({ ratio: 0.2, reserve: opts.reserve ?? 100, windowMs: 10_000 }),
         computeColdLimit: perSecond => perSecond * 1.5 + 5,
+        draw: () => 0,
     });
     const reduce = (event: PlacementEvent): readonly PlacementEffect[] => {
         view.reduce(event);
--- a/packages/placement/test/limits.test.ts
+++ b/packages/placement/test/limits.test.ts
@@ -1,4 +1,6 @@
 /** Limits over time: repeats, sends to cold targets, what a router starts alone, and shares of workspaces. */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createLocalAllowance } from "../src/createLocalAllowance.js";
@@ -38,7 +40,7 @@
 });
 
 test("an allowance starts with a burst, lets one large request overdraw, and refills at its rate", () => {
-    const allowance = createLocalAllowance({ getRate: () => 40, getBurstMs: () => 200 });
+    const allowance = createLocalAllowance({ getRate: () => 40, getBurstMs: () => 200, draw: () => 0 });
     assert.ok(allowance.tryTake(12_000, 0));
     assert.not.ok(allowance.tryTake(100, 50));
     // 4,000 tokens overdrawn at 40 a millisecond.
@@ -47,12 +49,33 @@
 });
 
 test("an unused allowance does not grow beyond its burst", () => {
-    const allowance = createLocalAllowance({ getRate: () => 40, getBurstMs: () => 200 });
+    const allowance = createLocalAllowance({ getRate: () => 40, getBurstMs: () => 200, draw: () => 0 });
     let taken = 0;
     while (allowance.tryTake(1_000, 60_000)) taken += 1_000;
     assert.is(taken, 8_000);
 });
 
+// Pattern: `kill_all` at the end of trouble-3 of kaurimbi-press: 19 routers started 359,000 tokens within 250 ms at six
+// engines that read 105,000 in that time, and first events took 720 ms for the next second.
+test("routers that lose their coordinator together start what their engines can read", () => {
+    const rate = 420 / 19;
+    const generator = xoroshiro128plus(7);
+    const draw = (): number => uniformFloat64(generator);
+    const allowances = Array.from(
+        { length: 19 },
+        () => createLocalAllowance({ getRate: () => rate, getBurstMs: () => 195, draw }),
+    );
+    let early = 0;
+    let taken = 0;
+    for (let now = 0; now < 2_000; now += 10) {
+        for (const allowance of allowances) if (allowance.tryTake(12_000, now)) taken += 12_000;
+        if (now === 240) early = taken;
+    }
+    // The burst and what engines read meanwhile, and half as much more for chance.
+    assert.ok(early <= 1.5 * 420 * (195 + 240), `${early} tokens`);
+    assert.ok(taken >= 0.9 * 420 * 2_000 && taken <= 1.2 * 420 * 2_195, `${taken} tokens`);
+});
+
 const levels: readonly (readonly [asked: readonly number[], capacity: number, level: number])[] = [
     [[10, 20, 30], 100, 30],
     [[10, 100, 100], 100, 45],
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -10,7 +10,7 @@
 
 export interface PlacementReducerOptions {
     readonly view: FleetViewOptions;
-    readonly entry: Omit<EntryOptions, "view">;
+    readonly entry: Omit<EntryOptions, "view" | "draw">;
     /** Random number in [0, 1). */
     readonly draw: () => number;
 }
@@ -26,7 +26,7 @@
     const view = createFleetView(opts.view);
     const confirmer = createConfirmer({ router, view, draw: opts.draw });
     const coordinator = createPlacementCoordinator({ router, view });
-    const entry = createPlacementEntry({ ...opts.entry, view });
+    const entry = createPlacementEntry({ ...opts.entry, view, draw: opts.draw });
     const slices: readonly PlacementSlice[] = [view, confirmer, coordinator, entry];
 
     return {
