Rank routers and judge field names once, not for every message and log line

Cause: each message to a coordinator ranked all routers by rendezvous hashing again (19 hashes and a sort, about four times a request), and each log line split the name of each of its fields by a regular expression. After a start, when nothing is compiled yet, this is a good part of the time that a router has.

Change: the order is kept for each service until the list of routers changes; the view hands out the same list while no router has changed; whether a field is secret is remembered by its name.

--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -49,6 +49,7 @@
     readonly isUsable: (target: string) => boolean;
     readonly getTarget: (target: string) => TargetEntry | undefined;
     readonly getColdRemainingMs: (target: string, now: number) => number;
+    /** The same array as before while no router has changed. */
     readonly listRouters: () => readonly RouterEntry[];
     /** Age of what is known of a kind; Infinity if nothing is known. */
     readonly getAgeMs: (kind: ViewKind, now: number) => number;
@@ -89,6 +90,7 @@
     }])) as unknown as Readonly<Record<ViewKind, KindState>>;
     const targets = createTargetList(opts);
     const routers = new Map<string, RouterEntry>();
+    let routerList: readonly RouterEntry[] = [];
     const closedDomains = new Set<string>();
     let configuration: FleetConfiguration | undefined;
     let routes: RouteTable | undefined;
@@ -205,6 +207,7 @@
             if (event.type === "viewListed") applyList(event);
             else for (const change of event.changes) applyChange(event.kind, change, event);
             if (event.kind === "targets") targets.rebuildIndex();
+            if (event.kind === "routers") routerList = [...routers.values()];
             confirm(event);
         }
         else if (event.type === "configurationConfirmed") confirmByRouter(event);
@@ -244,7 +247,7 @@
         },
         getTarget: targets.get,
         getColdRemainingMs: targets.getColdRemainingMs,
-        listRouters: () => [...routers.values()],
+        listRouters: () => routerList,
         getAgeMs: (kind, now) => now - kinds[kind].confirmedAt,
         isComplete: () => viewKinds.every(kind => kinds[kind].known),
     };
--- a/packages/placement/src/createCoordinatorChoice.ts
+++ b/packages/placement/src/createCoordinatorChoice.ts
@@ -15,6 +15,7 @@
 export interface CoordinatorChoiceOptions {
     /** Name of this router, which never suspects itself. */
     readonly router: string;
+    /** The same array as before while no router has changed. */
     readonly listRouters: () => readonly RouterEntry[];
 }
 
@@ -30,6 +31,21 @@
 
 export function createCoordinatorChoice(opts: CoordinatorChoiceOptions): CoordinatorChoice {
     const silences = new Map<string, Silence>();
+    /** Order of the routers for each service. Every message needs it, and it changes with the list of routers only. */
+    const rankings = new Map<string, readonly RouterEntry[]>();
+    let rankedRouters: readonly RouterEntry[] = [];
+
+    const rank = (service: string): readonly RouterEntry[] => {
+        const listed = opts.listRouters();
+        if (listed !== rankedRouters) rankings.clear();
+        rankedRouters = listed;
+        const known = rankings.get(service);
+        if (known !== undefined) return known;
+        const routers = new Map(listed.map(entry => [entry.router, entry]));
+        const ranked = rankByRendezvous(service, [...routers.keys()]).map(router => routers.get(router)!);
+        rankings.set(service, ranked);
+        return ranked;
+    };
 
     const isSuspected = ({ router, incarnation }: RouterEntry, now: number): boolean => {
         const silence = silences.get(router);
@@ -52,8 +68,7 @@
 
     return {
         find: (service, now) => {
-            const routers = new Map(opts.listRouters().map(entry => [entry.router, entry]));
-            const ranked = rankByRendezvous(service, [...routers.keys()]).map(router => routers.get(router)!);
+            const ranked = rank(service);
             return ranked.find(entry => !isSuspected(entry, now)) ?? ranked[0];
         },
         recordAnswer: router => void silences.delete(router),
--- a/packages/telemetry/src/createLogger.ts
+++ b/packages/telemetry/src/createLogger.ts
@@ -53,13 +53,23 @@
     return { name: `event-${event}`, level: "info", message: "An event that is not in the catalogue.", fields: [] };
 }
 
+/** Whether fields are secret, by name. The names are those of the catalogue, so they are few. */
+const secretNames = new Map<string, boolean>();
+
+function isSecretName(name: string): boolean {
+    const known = secretNames.get(name);
+    if (known !== undefined) return known;
+    const words = name.split(/[^A-Za-z]+|(?=[A-Z])/).map(word => word.toLowerCase());
+    const isSecret = words.some(word => secretWords.has(word)) || secretWords.has(name.toLowerCase());
+    secretNames.set(name, isSecret);
+    return isSecret;
+}
+
 /** Replaces values of fields such as `operatorToken`, and bearer credentials within other values. */
 function redactFields(fields: LogFields): LogFields {
     return Object.fromEntries(
         Object.entries(fields).map(([name, value]) => {
-            const words = name.split(/[^A-Za-z]+|(?=[A-Z])/).map(word => word.toLowerCase());
-            const isSecret = words.some(word => secretWords.has(word)) || secretWords.has(name.toLowerCase());
-            if (isSecret && value !== undefined) return [name, hidden];
+            if (value !== undefined && isSecretName(name)) return [name, hidden];
             return [name, typeof value === "string" ? value.replace(/\bBearer\s+\S+/gi, `Bearer ${hidden}`) : value];
         }),
     );
