--- a/packages/placement/src/createCoordinatorChoice.ts
+++ b/packages/placement/src/createCoordinatorChoice.ts
@@ -1,13 +1,24 @@
 /** Chooses the coordinator of each pool: the first router by rendezvous hashing that has not been silent lately. */
 import { rankByRendezvous } from "@rhubarbwheel/membership/chooseByRendezvous";
 import type { RouterEntry } from "@rhubarbwheel/types/fleet";
-import { firstSuspicionMs, maxSuspicionMs, missesBeforeSuspicion, silenceMs } from "./placementSettings.js";
+import {
+    askTimeoutMs,
+    firstSuspicionMs,
+    maxSuspicionMs,
+    missesBeforeSuspicion,
+    silenceMs,
+} from "./placementSettings.js";
 
 export interface CoordinatorChoice {
     /** `undefined` while no router is listed. Routers that differ in their choice know less of each other's requests. */
     readonly find: (service: string, now: number) => RouterEntry | undefined;
     /** Records that a message of the router has arrived. */
-    readonly recordAnswer: (router: string) => void;
+    readonly recordAnswer: (router: string, now: number) => void;
+    /**
+     * Whether a question that the router has not answered is to be sent again. One that was lost is; a router that answers
+     * nobody is slow or gone, and gets only one repeat in the time for an answer.
+     */
+    readonly takeRepeat: (router: string, askedAt: number, now: number) => boolean;
     /** Records an unanswered question; true if the router is now passed over. */
     readonly recordMiss: (router: string, now: number) => boolean;
 }
@@ -31,6 +42,8 @@
 
 export function createCoordinatorChoice(opts: CoordinatorChoiceOptions): CoordinatorChoice {
     const silences = new Map<string, Silence>();
+    const heardAt = new Map<string, number>();
+    const repeatedAt = new Map<string, number>();
     /** Order of the routers for each service. Every message needs it, and it changes with the list of routers only. */
     const rankings = new Map<string, readonly RouterEntry[]>();
     let rankedRouters: readonly RouterEntry[] = [];
@@ -71,7 +84,16 @@
             const ranked = rank(service);
             return ranked.find(entry => !isSuspected(entry, now)) ?? ranked[0];
         },
-        recordAnswer: router => void silences.delete(router),
+        recordAnswer: (router, now) => {
+            silences.delete(router);
+            heardAt.set(router, now);
+        },
+        takeRepeat: (router, askedAt, now) => {
+            const hasAnsweredOthers = (heardAt.get(router) ?? -Infinity) >= askedAt;
+            if (!hasAnsweredOthers && now - (repeatedAt.get(router) ?? -Infinity) < askTimeoutMs) return false;
+            repeatedAt.set(router, now);
+            return true;
+        },
         recordMiss: (router, now) => {
             const entry = opts.listRouters().find(listed => listed.router === router);
             if (entry === undefined) return false;
--- a/packages/placement/src/createPlacementEntry.ts
+++ b/packages/placement/src/createPlacementEntry.ts
@@ -38,7 +38,7 @@
     else if (event.type === "attemptFinished") handleAttemptFinished(context, event);
     else if (event.type === "callerGone") handleCallerGone(context, event.requestId);
     else if (event.type === "routerMessage") {
-        context.coordinators.recordAnswer(event.from);
+        context.coordinators.recordAnswer(event.from, event.now);
         if (event.message.type === "placementReply") handleReply(context, event, event.message);
     }
     else if (event.type === "drainRequested" && context.drainingSince === undefined) {
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -121,6 +121,7 @@
     }
     else if (context.now >= question.repeatAt) {
         question.repeatAt = Infinity;
+        if (!context.coordinators.takeRepeat(coordinator, question.askedAt, context.now)) return;
         const known = context.view.listRouters().find(router => router.router === coordinator);
         if (known !== undefined) sendQuestion(context, entry, known.router, known.address);
     }
--- a/packages/placement/test/createCoordinatorChoice.test.ts
+++ b/packages/placement/test/createCoordinatorChoice.test.ts
@@ -45,10 +45,28 @@
     const choice = createChoice(self);
     assert.is(choice.missUntilSuspected(first, 0), 250);
     assert.is.not(choice.find(260), first);
-    choice.recordAnswer(first);
+    choice.recordAnswer(first, 260);
     assert.is(choice.find(270), first);
 });
 
+// Pattern: `lossy`: the answer to a later question shows that this one was lost.
+test("questions are repeated while the coordinator answers others", () => {
+    const choice = createChoice(self);
+    for (const askedAt of [0, 5, 10]) {
+        choice.recordAnswer(first, askedAt + 20);
+        assert.ok(choice.takeRepeat(first, askedAt, askedAt + 30));
+    }
+});
+
+// Pattern: `kill_all`: repeats of questions that are only late doubled the work of a coordinator that had just started.
+test("a coordinator that answers nobody gets one repeat in 75 ms", () => {
+    const choice = createChoice(self);
+    choice.recordAnswer(first, 0);
+    const repeats: number[] = [];
+    for (let now = 30; now < 300; now += 10) if (choice.takeRepeat(first, now - 29, now)) repeats.push(now);
+    assert.equal(repeats, [30, 110, 190, 270]);
+});
+
 // Pattern: a host that is gone for good; its announcement stays in the store.
 test("a router that stays silent is tried less and less often, every 8 s in the end", () => {
     const choice = createChoice(self);
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -93,4 +93,10 @@
         message: "A target did not tell this coordinator which prompt parts it keeps; requests teach it with time.",
         fields: ["service", "target", "problem"],
     },
+    1710: {
+        name: "questionsDropped",
+        level: "warn",
+        message: "This coordinator gets more questions than it can answer; the routers that asked these wait no more.",
+        fields: ["count", "oldestMs"],
+    },
 };
