Remove routers from the store that have been silent for 30 s, and announce again what has vanished

The other way round, a removal that the store does late (platform_lost) could hit the entry of the next process on the host, which then counted for nobody else.

Change: each router asks the next one by name for a sign of life every 5 s, and has its entry removed after 30 s of silence if it hears others; the removal is conditional on the entry being of the same start. A router whose own entry vanishes announces itself again. Cost: one datagram each way in 5 s a router, at any size of the fleet.

--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -2,6 +2,7 @@
 import { createConfirmer } from "@rhubarbwheel/fleet-view/createConfirmer";
 import { createFleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import type { FleetViewOptions } from "@rhubarbwheel/fleet-view/createFleetView";
+import { createRouterWatch } from "@rhubarbwheel/fleet-view/createRouterWatch";
 import { createPlacementCoordinator } from "@rhubarbwheel/placement/createPlacementCoordinator";
 import { createPlacementEntry } from "@rhubarbwheel/placement/createPlacementEntry";
 import type { EntryOptions } from "@rhubarbwheel/placement/entryState";
@@ -25,9 +26,10 @@
     const { router } = opts.entry;
     const view = createFleetView(opts.view);
     const confirmer = createConfirmer({ router, view, draw: opts.draw });
+    const routerWatch = createRouterWatch({ router, view });
     const coordinator = createPlacementCoordinator({ router, view });
     const entry = createPlacementEntry({ ...opts.entry, view, draw: opts.draw });
-    const slices: readonly PlacementSlice[] = [view, confirmer, coordinator, entry];
+    const slices: readonly PlacementSlice[] = [view, confirmer, routerWatch, coordinator, entry];
 
     return {
         reduce: (event: PlacementEvent): readonly PlacementEffect[] =>
--- a/packages/telemetry/src/events/fleetViewEvents.ts
+++ b/packages/telemetry/src/events/fleetViewEvents.ts
@@ -74,4 +74,17 @@
         message: "The store does not answer this router; another router confirms that its configuration is the newest.",
         fields: ["router", "version", "ageMs"],
     },
+    1612: {
+        name: "routerRetired",
+        level: "warn",
+        message:
+            "A router has been silent for long; its entry in the store is removed, so that limits are not kept for it.",
+        fields: ["router", "incarnation", "silentMs"],
+    },
+    1613: {
+        name: "announcedAgain",
+        level: "warn",
+        message: "The entry of this router has vanished from the store; the router announces itself again.",
+        fields: ["router"],
+    },
 };
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -189,6 +189,18 @@
     readonly address: string;
 }
 
+/** Lists this router in the store again. */
+export interface AnnounceRouterEffect {
+    readonly type: "announceRouter";
+}
+
+/** Removes a router from the store if it is still the same start of it. */
+export interface RetireRouterEffect {
+    readonly type: "retireRouter";
+    readonly router: string;
+    readonly incarnation: number;
+}
+
 export interface SendToRouterEffect {
     readonly type: "sendToRouter";
     readonly router: string;
@@ -204,6 +216,8 @@
     | BreakAnswerEffect
     | SendToRouterEffect
     | ReadKeptPartsEffect
+    | AnnounceRouterEffect
+    | RetireRouterEffect
     | LogEffect
     | RaiseEffect<PlacementEvent>
     | StopEffect;
