Keep in one place when refused callers come back

Cause: the time for coming back elsewhere stood in placement and in forwarding. No change of behaviour.

--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -1,5 +1,6 @@
 /** Serves callers: reads calls, hands them to the reducer, and carries out what it decides. */
 import type { FleetView } from "@rhubarbwheel/fleet-view/createFleetView";
+import { retryElsewhereMs } from "@rhubarbwheel/routing/computeRetryAfter";
 import type {
     CancelAttemptEffect,
     FailRequestEffect,
@@ -10,7 +11,7 @@
 import type { CallDialect } from "./callDialect.js";
 import { sendWhole } from "./createAnswerRelay.js";
 import type { Connections } from "./createConnections.js";
-import { type CallProblem, describeCall, type DescribedCall, retryElsewhereMs } from "./describeCall.js";
+import { type CallProblem, describeCall, type DescribedCall } from "./describeCall.js";
 import { mayRelayStatus, type OpenCall } from "./openCall.js";
 import { createBodyMemory, readCallBody } from "./readCallBody.js";
 import { runAttempt } from "./runAttempt.js";
--- a/packages/forwarding/src/describeCall.ts
+++ b/packages/forwarding/src/describeCall.ts
@@ -1,5 +1,6 @@
 /** Decides where a call goes: its route, its workspace and its service, or why it is refused. */
 import type { FleetView } from "@rhubarbwheel/fleet-view/createFleetView";
+import { retryElsewhereMs } from "@rhubarbwheel/routing/computeRetryAfter";
 import { chooseService } from "@rhubarbwheel/routing/createRouteTable";
 import type { Route, WorkspaceAccess } from "@rhubarbwheel/types/fleet";
 import type { IncomingMessage } from "node:http";
@@ -28,9 +29,6 @@
     readonly draw: number;
 }
 
-/** When callers come back that this router cannot serve now and another one may. */
-export const retryElsewhereMs = 200;
-
 function joinRegions(route: Route, access: WorkspaceAccess | undefined): readonly string[] | undefined {
     if (route.regions === undefined) return access?.regions;
     if (access?.regions === undefined) return route.regions;
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -8,9 +8,7 @@
     firstEventMs,
     fullShareRatio,
     lateRatio,
-    leastRetryAfterMs,
     overShareRatio,
-    retryAfterRatio,
     waitRatio,
 } from "./placementSettings.js";
 
@@ -83,8 +81,3 @@
     const waitMs = usedRatio > 1 ? overShareMs : longestMs - usedRatio * (longestMs - fullShareMs);
     return waitMs * (isLate ? lateRatio : 1);
 }
-
-/** When a refused caller with this time left comes back. */
-export function computeRetryAfter(timeLeftMs: number): number {
-    return Math.max(leastRetryAfterMs, timeLeftMs * retryAfterRatio);
-}
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -3,6 +3,7 @@
  * attempt from its own replies, from notices and from reports, and admits a request only if a target will begin it soon.
  */
 import type { FleetView } from "@rhubarbwheel/fleet-view/createFleetView";
+import { computeRetryAfter } from "@rhubarbwheel/routing/computeRetryAfter";
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type {
     AttemptNoticeMessage,
@@ -18,7 +19,7 @@
     PlacementSlice,
     RouterMessageEvent,
 } from "@rhubarbwheel/types/placement-events";
-import { computeAdmissionWait, computePriorRate, computeRetryAfter, countCost } from "./admission.js";
+import { computeAdmissionWait, computePriorRate, countCost } from "./admission.js";
 import { createPoolModel } from "./createPoolModel.js";
 import type { Choice, PoolModel } from "./createPoolModel.js";
 import { createReturnMemory } from "./createReturnMemory.js";
--- a/packages/placement/src/createPlacementEntry.ts
+++ b/packages/placement/src/createPlacementEntry.ts
@@ -1,10 +1,11 @@
 /** Slice of the entry router: follows each request from its arrival through its attempts to its end. */
+import { retryElsewhereMs } from "@rhubarbwheel/routing/computeRetryAfter";
 import type { PlacementEvent, PlacementSlice, RequestRoutedEvent } from "@rhubarbwheel/types/placement-events";
 import { createCoordinatorChoice } from "./createCoordinatorChoice.js";
 import { createSendLimit } from "./createSendLimit.js";
 import { endOverdue, handleAttemptFinished, handleAttemptStarted, handleCallerGone } from "./endEntryAttempt.js";
 import { type EntryContext, type EntryOptions, type EntryRequest, failRequest, logEntryEvent } from "./entryState.js";
-import { drainAcceptMs, holdingsIntervalMs, retryElsewhereMs } from "./placementSettings.js";
+import { drainAcceptMs, holdingsIntervalMs } from "./placementSettings.js";
 import { checkQuestion, handleReply, obtainPool, placeRequest } from "./placeRequest.js";
 import { reportHoldings } from "./reportHoldings.js";
 
--- a/packages/placement/src/endEntryAttempt.ts
+++ b/packages/placement/src/endEntryAttempt.ts
@@ -1,4 +1,5 @@
 /** What follows when an attempt starts to answer, ends, or runs out of time. */
+import { retryElsewhereMs } from "@rhubarbwheel/routing/computeRetryAfter";
 import type { AttemptResult, ReportedLoad } from "@rhubarbwheel/types/placement";
 import type { AttemptFinishedEvent, AttemptStartedEvent } from "@rhubarbwheel/types/placement-events";
 import {
@@ -11,7 +12,6 @@
     logEntryEvent,
     type OpenAttempt,
 } from "./entryState.js";
-import { retryElsewhereMs } from "./placementSettings.js";
 import { obtainPool, placeRequest } from "./placeRequest.js";
 
 /** Time that a repeat needs at least to be of use to the caller. */
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -1,8 +1,9 @@
 /** Finds a target for a request: asks the coordinator of the pool, and decides locally if it does not answer in time. */
+import { computeRetryAfter, retryElsewhereMs } from "@rhubarbwheel/routing/computeRetryAfter";
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementReplyMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
 import type { RouterMessageEvent } from "@rhubarbwheel/types/placement-events";
-import { computeAdmissionWait, computePriorRate, computeRetryAfter, countCost, fullClaim } from "./admission.js";
+import { computeAdmissionWait, computePriorRate, countCost, fullClaim } from "./admission.js";
 import { createLocalAllowance } from "./createLocalAllowance.js";
 import { createPoolModel } from "./createPoolModel.js";
 import { createRetryBudget } from "./createRetryBudget.js";
@@ -16,7 +17,7 @@
     logEntryEvent,
     type Placement,
 } from "./entryState.js";
-import { askRepeatMs, askTimeoutMs, awaitRatio, retryElsewhereMs } from "./placementSettings.js";
+import { askRepeatMs, askTimeoutMs, awaitRatio } from "./placementSettings.js";
 import { reportHoldings } from "./reportHoldings.js";
 
 /** Refusals that end a request; a router that cannot find a target now may find one soon. */
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -93,14 +93,5 @@
 /** Part of the cold rate that a coordinator grants; the rest is for routers that place requests by themselves. */
 export const coldGrantRatio = 0.8;
 
-/** Part of its time left after which a refused caller comes back; the users' callers wait a third at most. */
-export const retryAfterRatio = 0.3;
-
-/** Shortest time after which a refused caller comes back. */
-export const leastRetryAfterMs = 200;
-
-/** When callers come back that a router without configuration or targets refused. */
-export const retryElsewhereMs = 200;
-
 /** Time after the start of a drain during which requests on open connections are still served. */
 export const drainAcceptMs = 1_500;
