Look for a store that is away with one follower, and let the others wait for its answer

At 2,400 routers it would be 24,000 calls a second at a store that answers 2,000, which would then turn away those that come first.

Change: the followers of one router share their pauses. The configuration is tried as before; the other kinds pause four times as long, and go on as soon as the store has answered any call.

--- a/packages/fleet-view/src/followStore.ts
+++ b/packages/fleet-view/src/followStore.ts
@@ -43,6 +43,12 @@
     readonly emit: (event: FollowEvent) => void;
     readonly getNow: () => number;
     readonly sleep: (ms: number) => Promise<void>;
+    /** Pause after a failed call, which may end early; `sleep` if missing. */
+    readonly pause?: (ms: number) => Promise<void>;
+    /** Longest pause after a failed call. */
+    readonly getMaxPauseMs?: () => number;
+    /** Told of each call that the store has answered. */
+    readonly onAnswered?: () => void;
     /** Random number in [0, 1), which keeps routers from asking all at once. */
     readonly draw: () => number;
 }
@@ -54,7 +60,7 @@
 const leastWaitMs = 300;
 
 /** Longest pause; a store that is back must be noticed within a fraction of the time in which a change takes effect. */
-const maxPauseMs = 400;
+export const maxPauseMs = 400;
 
 export interface StoreFollower {
     readonly stop: () => void;
@@ -81,9 +87,14 @@
 
     const fail = async (reason: string): Promise<void> => {
         opts.emit({ type: "viewInterrupted", kind, reason });
-        const pauseMs = Math.min(maxPauseMs, firstPauseMs * 2 ** failures);
+        const pauseMs = Math.min(opts.getMaxPauseMs?.() ?? maxPauseMs, firstPauseMs * 2 ** failures);
         failures += 1;
-        await opts.sleep(pauseMs * (0.5 + opts.draw()));
+        await (opts.pause ?? opts.sleep)(pauseMs * (0.5 + opts.draw()));
+    };
+
+    const recordAnswer = (): void => {
+        failures = 0;
+        opts.onAnswered?.();
     };
 
     const listOnce = async (): Promise<void> => {
@@ -92,7 +103,7 @@
         const result = await opts.list();
         if (stopped || listEpoch !== epoch) return;
         if (result.type === "unavailable") return fail(result.reason);
-        failures = 0;
+        recordAnswer();
         revision = result.list.revision;
         opts.emit({ type: "viewListed", kind, entries: result.list.entries, revision, confirmedAt });
         chooseNextWait(confirmedAt);
@@ -111,7 +122,7 @@
             revision = undefined;
             return;
         }
-        failures = 0;
+        recordAnswer();
         revision = result.revision;
         // An answer without changes was given only after the whole wait.
         const confirmedAt = result.changes.length === 0 ? Math.min(opts.getNow(), askedAt + waitMs) : askedAt;
--- a/packages/fleet-view/test/followStore.test.ts
+++ b/packages/fleet-view/test/followStore.test.ts
@@ -1,6 +1,7 @@
 /** How a view is kept in step with a store that fails, forgets and stays silent. */
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { createSharedPause } from "../src/createSharedPause.js";
 import { followStore } from "../src/followStore.js";
 import type { FollowOptions, StoreListResult, StoreWatchResult } from "../src/followStore.js";
 
@@ -131,6 +132,31 @@
     ]);
 });
 
+// Pattern: `platform_down` on trouble-3 of kaurimbi-press: 19 routers asked for four kinds each while the store was away.
+test("followers that share their pauses go on as soon as one of them has an answer", async () => {
+    const shared = createSharedPause(() => new Promise(() => undefined));
+    const paused = [shared.pause(1_600), shared.pause(1_600)];
+    let ended = 0;
+    for (const pause of paused) void pause.then(() => (ended += 1));
+    await new Promise(resolve => setImmediate(resolve));
+    assert.is(ended, 0);
+    const first = await follow([listed], { opts: { pause: shared.pause, onAnswered: shared.end } });
+    assert.is(first.length, 2);
+    await Promise.all(paused);
+    // A pause that begins later waits for the next answer.
+    void shared.pause(1_600).then(() => (ended += 1));
+    await new Promise(resolve => setImmediate(resolve));
+    assert.is(ended, 2);
+});
+
+test("a follower that waits for another one asks less often", async () => {
+    const lines = await follow([lost, lost, lost, lost, lost, lost, lost, listed], {
+        opts: { getMaxPauseMs: () => 1_600 },
+    });
+    const pauses = lines.filter(line => line.startsWith("sleep"));
+    assert.equal(pauses, [50, 100, 200, 400, 800, 1_600, 1_600].map(ms => `sleep ${ms}`));
+});
+
 test("everything is listed again when the store has started over", async () => {
     assert.equal(await follow([listed, { ...quiet, revision: 2 }, listed]), [
         "list",
