Copy short prompt parts too, and name in a refusal the wait of targets that could have taken it

Cause: parts below 500 tokens were read again rather than copied, because a copy takes 10 ms and reading them 3 to 7 ms. But reading keeps all requests at the engine waiting, a copy only its own. Refusals were logged with a wait of 0 ms: the least over targets that could not be reached.

Now the target that keeps the parts is worth as much as before. The wait of a refusal counts only targets that can be reached and have room. Both tests failed first.

--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -99,7 +99,7 @@
         const choice = pool.model.choose(request, { candidates, now, maxWaitMs });
         if (choice === undefined) {
             returns.recordRefusal(request, now);
-            const waitMs = candidates.length === 0 ? undefined : pool.model.findLeastWaitMs(candidates, now);
+            const waitMs = pool.model.findLeastWaitMs(request.prompt, candidates, now);
             return { refusal: usedRatio > 1 ? "shareUsed" : "overloaded", waitMs, maxWaitMs, usedRatio };
         }
         returns.forget(request);
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -4,7 +4,7 @@
 import type { AttemptResult, PlacementRequest, PromptPart, PromptSize } from "@rhubarbwheel/types/placement";
 import { createTargetModel } from "./createTargetModel.js";
 import type { Assignment, TargetModel } from "./createTargetModel.js";
-import { copySetupMs, crossDomainMs, holdingLifeMs, leastCopiedTokens, readingWeight } from "./placementSettings.js";
+import { copySetupMs, crossDomainMs, holdingLifeMs, readingWeight } from "./placementSettings.js";
 
 export interface PoolModelOptions {
     readonly spec: PoolSpec;
@@ -32,6 +32,7 @@
 
 /** What a target does before the first answer to a request. */
 interface Preparation {
+    /** Time for reading what the target does not keep, or for copying it if that is shorter. */
     readonly ms: number;
     readonly newTokens: number;
     readonly prefixSource?: string;
@@ -122,15 +123,21 @@
         now: number,
     ): Preparation => {
         const keptTokens = model.countKeptTokens(prompt);
+        const newTokens = prompt.promptTokens - keptTokens;
+        const readAll = { ms: model.estimateReadingMs(newTokens, now), newTokens };
         const copiedTokens = (source?.keptTokens ?? 0) - keptTokens;
         const copies = spec.engine?.prefixCopies;
-        if (source === undefined || copies === undefined || copiedTokens < leastCopiedTokens) {
-            const newTokens = prompt.promptTokens - keptTokens;
-            return { ms: model.estimateReadingMs(newTokens, now), newTokens };
-        }
-        const newTokens = prompt.promptTokens - source.keptTokens;
+        if (source === undefined || copies === undefined || copiedTokens <= 0) return readAll;
         const copyMs = copySetupMs + copiedTokens * copies.bytesPerToken / copies.bytesPerMs;
-        return { ms: copyMs + model.estimateReadingMs(newTokens, now), newTokens, prefixSource: source.target };
+        const savedMs = model.estimateReadingMs(copiedTokens, now);
+        // Reading keeps all requests at the engine waiting, a copy only this one. But a copy takes memory from other parts,
+        // so the target that keeps them is worth as much as if short parts were read.
+        if (copyMs >= savedMs * readingWeight) return readAll;
+        return {
+            ms: readAll.ms - savedMs + Math.min(copyMs, savedMs),
+            newTokens: newTokens - copiedTokens,
+            prefixSource: source.target,
+        };
     };
 
     /** Cost of a plain call: the part of the places that are taken, and the time by which the target is slow. */
@@ -175,9 +182,20 @@
     return {
         assign,
         choose,
-        /** Shortest time until a request would begin at any of the candidates. */
-        findLeastWaitMs: (candidates: readonly TargetEntry[], now: number): number =>
-            Math.min(...candidates.map(entry => obtainModel(entry).estimateWaitMs(now))),
+        /** Shortest time until a request would begin at a candidate that can be reached and has room; `undefined` if none. */
+        findLeastWaitMs: (
+            prompt: PromptSize | undefined,
+            candidates: readonly TargetEntry[],
+            now: number,
+        ): number | undefined => {
+            let least: number | undefined;
+            for (const entry of candidates) {
+                const model = obtainModel(entry);
+                if (model.isUnreachable(now) || !model.hasRoom(prompt)) continue;
+                least = Math.min(least ?? Infinity, model.estimateWaitMs(now));
+            }
+            return least;
+        },
         end,
         start: (requestId: string, now: number) => getModel(requestId)?.start(requestId, now),
         /** Adds prompt parts that a target says it keeps. */
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -45,9 +45,6 @@
 /** Time in which two engines begin to copy prompt parts, beside the time on the link. */
 export const copySetupMs = 10;
 
-/** Prompt tokens below which copying from another engine is slower than reading. */
-export const leastCopiedTokens = 500;
-
 /** Part of the shortest latency target that requests may wait at an engine; the rest is for reading their own prompt. */
 export const waitRatio = 0.75;
 
--- a/packages/placement/test/createPoolModel.test.ts
+++ b/packages/placement/test/createPoolModel.test.ts
@@ -60,6 +60,29 @@
     assert.is(copies.length, targets.size - 1);
 });
 
+// Pattern: trouble-2 of cbr-fleet; parts of 100 to 500 tokens were read again 1,245 times, a third of all that was read again.
+// A copy takes 10 ms of one request, reading 200 tokens 3 ms of all requests at the engine.
+test("a short part is copied, unless reading it takes next to no time", () => {
+    for (const [tokens, isCopied] of [[200, true], [40, false]] as const) {
+        const createShort = (own: string): PlacementRequest => {
+            const parts = [{ id: "common", tokens }, { id: own, tokens: 600 }];
+            return createRequest("", { prompt: { promptTokens: tokens + 600, outputTokens: 100, parts } });
+        };
+        const model = createPoolModel({ spec: enginePool, priorRate });
+        const candidates = createTargets(2, { failureDomain: "a" });
+        const [reader, other] = candidates;
+        const first = createShort("first");
+        place(model, first, { candidates: [reader!] });
+        model.start(first.requestId, 50);
+        // A long prompt keeps the reader busy, so that the other one is chosen.
+        place(model, createRequest("long"), { candidates: [reader!], now: 60 });
+        const choice = place(model, createShort("second"), { candidates, now: 61 });
+        assert.is(choice?.target, other!.target);
+        assert.is(choice?.prefixSource, isCopied ? reader!.target : undefined);
+        assert.is(choice?.newTokens, isCopied ? 600 : 640);
+    }
+});
+
 test("parts that are still being read are not copied", () => {
     const model = createPoolModel({ spec: enginePool, priorRate });
     const candidates = createTargets(8);
@@ -98,6 +121,20 @@
     assert.is(model.choose(createRequest("s"), { candidates, now: 1_020, maxWaitMs })?.target, "target-1");
 });
 
+// On trouble-3 of kaurimbi-press refusals were logged with a wait of 0 ms: that of targets that could not be reached.
+test("the wait that a refusal names is that of targets which could have taken the request", () => {
+    const model = createPoolModel({ spec: enginePool, priorRate });
+    const candidates = createTargets(2);
+    const [gone, busy] = candidates;
+    const failed = createRequest("s");
+    place(model, failed, { candidates: [gone!] });
+    model.end(failed.requestId, "unsent", 1, 10);
+    place(model, createRequest("t"), { candidates: [busy!], now: 10 });
+    const { prompt } = createRequest("u");
+    assert.is(Math.round(model.findLeastWaitMs(prompt, candidates, 10)!), 171);
+    assert.is(model.findLeastWaitMs(prompt, [gone!], 10), undefined);
+});
+
 test("the reading rate of a slow target is learned", () => {
     const model = createPoolModel({ spec: enginePool, priorRate });
     const candidates = createTargets(2);
