--- a/packages/fleet-view/src/createRouterWatch.ts
+++ b/packages/fleet-view/src/createRouterWatch.ts
@@ -14,7 +14,7 @@
 }
 
 /** Numbers of the log events of the router watch. */
-export const routerWatchLogEvents = { routerRetired: 1612, announcedAgain: 1613 } as const;
+export const routerWatchLogEvents = { silentRouterRemoved: 1612, announcedAgain: 1613 } as const;
 
 /** Interval at which the next router is asked for a sign of life. */
 const checkIntervalMs = 5_000;
@@ -78,10 +78,10 @@
             effects.push(
                 {
                     type: "log",
-                    event: routerWatchLogEvents.routerRetired,
+                    event: routerWatchLogEvents.silentRouterRemoved,
                     fields: { router: gone, incarnation, silentMs: Math.round(silentMs) },
                 },
-                { type: "retireRouter", router: gone, incarnation },
+                { type: "removeRouter", router: gone, incarnation },
             );
         }
         const message = { type: "confirmationAsk", sequence: checkSequence } as const;
--- a/packages/fleet-view/test/createRouterWatch.test.ts
+++ b/packages/fleet-view/test/createRouterWatch.test.ts
@@ -41,9 +41,9 @@
                 reduce({ type: "wake", now });
             }
         },
-        findRetired: () =>
+        findRemoved: () =>
             seen.flatMap(({ at, effect }) =>
-                effect.type === "retireRouter" ? [`${effect.router}.${effect.incarnation} at ${at}`] : []
+                effect.type === "removeRouter" ? [`${effect.router}.${effect.incarnation} at ${at}`] : []
             ),
         countAnnounced: () => seen.filter(({ effect }) => effect.type === "announceRouter").length,
         listAsked: () => new Set(seen.flatMap(({ effect }) => effect.type === "sendToRouter" ? [effect.router] : [])),
@@ -51,24 +51,24 @@
 }
 
 // Pattern: `node_kill` with hosts that are gone for good; 800 hosts a day are restarted or replaced at the size of two years.
-test("the next router is retired after 30 s of silence, and again while its entry stays", () => {
+test("the next router is removed after 30 s of silence, and again while its entry stays", () => {
     const harness = createHarness();
     harness.run(0, 65_000, ["r3"]);
-    assert.equal(harness.findRetired(), ["r2.1 at 30000", "r2.1 at 60000"]);
+    assert.equal(harness.findRemoved(), ["r2.1 at 30000", "r2.1 at 60000"]);
     assert.equal([...harness.listAsked()], ["r2"]);
 });
 
-test("a router that answers is not retired", () => {
+test("a router that answers is not removed", () => {
     const harness = createHarness();
     harness.run(0, 120_000, ["r2", "r3"]);
-    assert.equal(harness.findRetired(), []);
+    assert.equal(harness.findRemoved(), []);
 });
 
 // Pattern: `node_cut`: the router that hears nobody is the one that is cut off.
-test("a router that hears nobody retires nobody", () => {
+test("a router that hears nobody removes nobody", () => {
     const harness = createHarness();
     harness.run(0, 120_000, []);
-    assert.equal(harness.findRetired(), []);
+    assert.equal(harness.findRemoved(), []);
 });
 
 // Pattern: `node_freeze`.
@@ -77,7 +77,7 @@
     harness.run(0, 25_000, ["r3"]);
     harness.reduce({ type: "clockJumped", byMs: 40_000, now: 26_000 });
     harness.run(27_000, 55_000, ["r3"]);
-    assert.equal(harness.findRetired(), []);
+    assert.equal(harness.findRemoved(), []);
 });
 
 test("a router that has started again is watched anew", () => {
@@ -85,9 +85,9 @@
     harness.run(0, 25_000, ["r3"]);
     harness.list([describeRouter("r1"), describeRouter("r2", 2), describeRouter("r3")], 25_500);
     harness.run(26_000, 54_000, ["r3"]);
-    assert.equal(harness.findRetired(), []);
+    assert.equal(harness.findRemoved(), []);
     harness.run(55_000, 61_000, ["r3"]);
-    assert.equal(harness.findRetired(), ["r2.2 at 60000"]);
+    assert.equal(harness.findRemoved(), ["r2.2 at 60000"]);
 });
 
 // Pattern: `platform_lost` (late): the removal by the process before is done after this one has announced itself.
--- a/packages/telemetry/src/events/fleetViewEvents.ts
+++ b/packages/telemetry/src/events/fleetViewEvents.ts
@@ -75,7 +75,7 @@
         fields: ["router", "version", "ageMs"],
     },
     1612: {
-        name: "routerRetired",
+        name: "silentRouterRemoved",
         level: "warn",
         message:
             "A router has been silent for long; its entry in the store is removed, so that limits are not kept for it.",
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -195,8 +195,8 @@
 }
 
 /** Removes a router from the store if it is still the same start of it. */
-export interface RetireRouterEffect {
-    readonly type: "retireRouter";
+export interface RemoveRouterEffect {
+    readonly type: "removeRouter";
     readonly router: string;
     readonly incarnation: number;
 }
@@ -217,7 +217,7 @@
     | SendToRouterEffect
     | ReadKeptPartsEffect
     | AnnounceRouterEffect
-    | RetireRouterEffect
+    | RemoveRouterEffect
     | LogEffect
     | RaiseEffect<PlacementEvent>
     | StopEffect;
