--- a/packages/daemon/src/createOperatorStore.ts
+++ b/packages/daemon/src/createOperatorStore.ts
@@ -51,6 +51,7 @@
                 const result = await platformClient.watchConfiguration(revision, watchTimeoutMs);
                 if (stopped) return;
                 const list = result.type === "changed" ? result.list : await relist(result.type);
+                if (stopped) return;
                 if (list === undefined) {
                     await new Promise(resolve => setTimeout(resolve, retryDelayMs));
                     continue;
