--- a/packages/placement/src/createFairShareTracker.ts
+++ b/packages/placement/src/createFairShareTracker.ts
@@ -11,6 +11,19 @@
      * others is not met. While the capacity covers all demand, the share is the largest demand.
      */
     readonly getUsedRatio: (workspace: string, now: number) => number;
+    /** Figures behind the ratios, for logs. */
+    readonly getTotals: (now: number) => FairShareTotals;
+}
+
+/** Costs within the window. */
+export interface FairShareTotals {
+    /** Max-min fair share of a workspace. */
+    readonly level: number;
+    readonly capacity: number;
+    readonly admitted: number;
+    readonly demand: number;
+    /** Number of workspaces with demand. */
+    readonly workspaces: number;
 }
 
 export interface FairShareTrackerOptions {
@@ -22,8 +35,8 @@
 /** Number of buckets in the window, which expire one at a time. */
 const bucketCount = 8;
 
-/** Time for which the max-min level is cached; it changes slowly compared with the window. */
-const levelTtlMs = 50;
+/** Time for which the totals are cached; they change slowly compared with the window. */
+const totalsTtlMs = 50;
 
 interface Usage {
     readonly demand: Float64Array;
@@ -55,8 +68,8 @@
     const bucketMs = opts.windowMs / bucketCount;
     const usages = new Map<string, Usage>();
     let newestBucket = -Infinity;
-    let level = Infinity;
-    let levelUpdatedAt = -Infinity;
+    let totals: FairShareTotals = { level: Infinity, capacity: 0, admitted: 0, demand: 0, workspaces: 0 };
+    let updatedAt = -Infinity;
 
     /** Clears expired buckets and returns the index of the current one. */
     const advance = (now: number): number => {
@@ -88,17 +101,21 @@
         buckets[index] = (buckets[index] ?? 0) + cost;
     };
 
-    const getLevel = (now: number): number => {
-        if (now - levelUpdatedAt < levelTtlMs) return level;
+    const updateTotals = (now: number): FairShareTotals => {
+        if (now - updatedAt < totalsTtlMs) return totals;
         let admitted = 0;
+        let demand = 0;
         const demands: number[] = [];
         for (const usage of usages.values()) {
             admitted += computeBucketSum(usage.admitted);
             demands.push(computeBucketSum(usage.demand));
+            demand += demands.at(-1) ?? 0;
         }
-        level = computeMaxMinLevel(demands, Math.max(admitted, opts.getCapacity()));
-        levelUpdatedAt = now;
-        return level;
+        const capacity = Math.max(admitted, opts.getCapacity());
+        const level = computeMaxMinLevel(demands, capacity);
+        totals = { level, capacity, admitted, demand, workspaces: usages.size };
+        updatedAt = now;
+        return totals;
     };
 
     return {
@@ -107,7 +124,11 @@
         getUsedRatio: (workspace, now) => {
             advance(now);
             const usage = usages.get(workspace);
-            return usage === undefined ? 0 : computeBucketSum(usage.admitted) / getLevel(now);
+            return usage === undefined ? 0 : computeBucketSum(usage.admitted) / updateTotals(now).level;
+        },
+        getTotals: now => {
+            advance(now);
+            return updateTotals(now);
         },
     };
 }
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -40,8 +40,16 @@
     readonly priorPrefillRate: number;
     readonly model: PoolModel;
     readonly fairShares: FairShareTracker;
+    /** Time at which the totals of `fairShares` are logged next if a request is refused. */
+    logTotalsAt: number;
 }
 
+/** Numbers of the coordinator's log events. */
+export const coordinatorLogEvents = { sharesContended: 1713 } as const;
+
+/** Minimum interval between two log events with the totals of a pool. */
+const totalsLogIntervalMs = 1_000;
+
 /** Reason for a refusal, and the figures behind it. */
 type Refusal = Pick<PlacementReplyMessage, "waitMs" | "maxWaitMs" | "usedRatio"> & { readonly refusal: RefusalReason; };
 
@@ -70,6 +78,7 @@
                 windowMs: shareWindowMs,
                 getCapacity: () => (view.getConfiguration()?.tokensPerSecond ?? 0) * shareWindowMs / 1_000,
             }),
+            logTotalsAt: -Infinity,
         };
         pools.set(service, pool);
         // The prefix caches of engines may hold parts that a previous coordinator placed.
@@ -86,6 +95,21 @@
         return limit === 0 || coldRateLimiter.hasCapacity(entry.target, limit, now);
     };
 
+    const logTotals = (pool: CoordinatedPool, now: number): void => {
+        if (now < pool.logTotalsAt) return;
+        pool.logTotalsAt = now + totalsLogIntervalMs;
+        const { level, capacity, admitted, demand, workspaces } = pool.fairShares.getTotals(now);
+        const fields = {
+            service: pool.service,
+            level: Math.round(level),
+            capacity: Math.round(capacity),
+            admitted: Math.round(admitted),
+            demand: Math.round(demand),
+            workspaces,
+        };
+        effects.push({ type: "log", event: coordinatorLogEvents.sharesContended, fields });
+    };
+
     const choosePlacement = (pool: CoordinatedPool, request: PlacementRequest, now: number): Choice | Refusal => {
         const usableTargets = view.listUsableTargets(pool.service, request.regions);
         const candidates = usableTargets.filter(entry =>
@@ -102,6 +126,7 @@
         const choice = pool.model.choose(request, { candidates, now, maxWaitMs });
         if (choice === undefined) {
             refusalHistory.recordRefusal(request, now);
+            logTotals(pool, now);
             const waitMs = pool.model.findMinWaitMs(request.prompt, candidates, now);
             return { refusal: usedRatio > 1 ? "shareUsed" : "overloaded", waitMs, maxWaitMs, usedRatio };
         }
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -99,4 +99,23 @@
         message: "The coordinator is overloaded and dropped placement requests whose senders no longer wait.",
         fields: ["count", "oldestMs"],
     },
+    1711: {
+        name: "overloadStarted",
+        level: "warn",
+        message: "The event loop is too slow for the load of this router; calls wait unread.",
+        fields: ["delayMs", "connections", "requests"],
+    },
+    1712: {
+        name: "overloadEnded",
+        level: "info",
+        message: "The event loop is fast enough again.",
+        fields: ["delayMs", "connections", "requests"],
+    },
+    1713: {
+        name: "sharesContended",
+        level: "info",
+        message:
+            "A pool cannot admit all requests. Workspaces beyond the level are admitted with a shorter queue only.",
+        fields: ["service", "level", "capacity", "admitted", "demand", "workspaces"],
+    },
 };
