--- a/packages/forwarding/src/createOverloadDetector.ts
+++ b/packages/forwarding/src/createOverloadDetector.ts
@@ -1,63 +1,55 @@
 /**
- * Detects that the event loop of this process is too slow for its load. Calls then wait unread for as long as one pass
- * of the event loop takes, and callers disconnect before their calls are read.
+ * Detects that this process has no processor time left: its event loop is never idle. Calls then wait unread in the
+ * queue of new connections, although each pass of the event loop is short and timers fire in time.
  */
 
 export interface OverloadDetector {
-    /** Records that a timer fired `delayMs` late at `now`. Returns the new state if it has changed. */
-    readonly recordDelay: (delayMs: number, now: number) => OverloadState | undefined;
+    /** Records the fraction of the time since the last record in which the event loop was not idle. */
+    readonly recordUtilization: (utilization: number, now: number) => OverloadState | undefined;
     readonly isOverloaded: () => boolean;
-    /** The last recorded delay, in milliseconds. */
-    readonly getDelayMs: () => number;
+    /** The last recorded utilization, 0 to 1. */
+    readonly getUtilization: () => number;
 }
 
 export type OverloadState = "overloaded" | "normal";
 
-/** Delay of a timer from which the event loop counts as slow: a fraction of the callers' shortest latency targets. */
-export const slowDelayMs = 100;
+/** Utilization from which the event loop counts as busy. */
+export const busyUtilization = 0.97;
 
-/** Duration for which every timer must be slow. A single long pass, such as a garbage collection, is no overload. */
-export const overloadAfterMs = 500;
+/** Utilization below which the event loop has processor time to spare. */
+export const spareUtilization = 0.85;
 
-/** Minimum number of slow timers in a row. */
-const minSlowSamples = 3;
+/** Duration for which the event loop must be busy. A shorter one, such as a garbage collection, is no overload. */
+export const overloadAfterMs = 600;
 
 /**
- * Hysteresis: duration for which no timer may be slow before the overload has ended. It outlasts the two failed health
- * checks, one second apart, after which the load balancer sends new connections elsewhere.
+ * Hysteresis: duration for which the event loop must have time to spare before the overload has ended. It outlasts the
+ * two failed health checks, one second apart, after which the load balancer sends new connections elsewhere.
  */
 export const normalAfterMs = 2_000;
 
 export function createOverloadDetector(): OverloadDetector {
     let state: OverloadState = "normal";
-    let delayMs = 0;
-    let slowSamples = 0;
-    let slowSince = Infinity;
-    let lastSlowAt = -Infinity;
+    let utilization = 0;
+    let lastNotBusyAt: number | undefined;
+    let lastNotSpareAt = 0;
 
     const computeState = (now: number): OverloadState => {
-        if (state === "overloaded") return now - lastSlowAt >= normalAfterMs ? "normal" : "overloaded";
-        return slowSamples >= minSlowSamples && now - slowSince >= overloadAfterMs ? "overloaded" : "normal";
+        if (state === "overloaded") return now - lastNotSpareAt >= normalAfterMs ? "normal" : "overloaded";
+        return now - (lastNotBusyAt ?? now) >= overloadAfterMs ? "overloaded" : "normal";
     };
 
     return {
-        recordDelay: (newDelayMs, now) => {
-            delayMs = newDelayMs;
-            if (delayMs < slowDelayMs) {
-                slowSamples = 0;
-                slowSince = Infinity;
-            }
-            else {
-                slowSamples += 1;
-                slowSince = Math.min(slowSince, now - delayMs);
-                lastSlowAt = now;
-            }
+        recordUtilization: (newUtilization, now) => {
+            utilization = newUtilization;
+            if (utilization < busyUtilization || lastNotBusyAt === undefined) lastNotBusyAt = now;
+            if (utilization >= spareUtilization) lastNotSpareAt = now;
             const newState = computeState(now);
             if (newState === state) return undefined;
             state = newState;
             return state;
         },
         isOverloaded: () => state === "overloaded",
-        getDelayMs: () => delayMs,
+        getUtilization: () => utilization,
     };
 }
--- a/packages/forwarding/src/monitorEventLoop.ts
+++ b/packages/forwarding/src/monitorEventLoop.ts
@@ -1,35 +1,33 @@
-/** Measures at intervals how late timers fire, and reports when the event loop becomes too slow or fast enough again. */
+/** Measures the utilization of the event loop at intervals, and reports the start and the end of an overload. */
+import { performance } from "node:perf_hooks";
 import { createOverloadDetector } from "./createOverloadDetector.js";
 import type { OverloadState } from "./createOverloadDetector.js";
 
 export interface EventLoopMonitorOptions {
     readonly getNow: () => number;
-    readonly onChange: (state: OverloadState, delayMs: number) => void;
+    readonly onChange: (state: OverloadState, utilization: number) => void;
 }
 
 /** Interval between two measurements. */
-const intervalMs = 100;
+const intervalMs = 200;
 
 export function monitorEventLoop(opts: EventLoopMonitorOptions) {
     const detector = createOverloadDetector();
-    let timer: NodeJS.Timeout | undefined;
+    let previous = performance.eventLoopUtilization();
 
-    const schedule = (): void => {
-        const dueAt = opts.getNow() + intervalMs;
-        timer = setTimeout(() => {
-            const now = opts.getNow();
-            const delayMs = Math.max(0, now - dueAt);
-            const changed = detector.recordDelay(delayMs, now);
-            if (changed !== undefined) opts.onChange(changed, delayMs);
-            schedule();
-        }, intervalMs).unref();
+    const measure = (): void => {
+        const current = performance.eventLoopUtilization();
+        const { utilization } = performance.eventLoopUtilization(current, previous);
+        previous = current;
+        const changed = detector.recordUtilization(utilization, opts.getNow());
+        if (changed !== undefined) opts.onChange(changed, utilization);
     };
 
-    schedule();
+    const timer = setInterval(measure, intervalMs).unref();
     return {
         isOverloaded: detector.isOverloaded,
-        getDelayMs: detector.getDelayMs,
-        stop: () => clearTimeout(timer),
+        getUtilization: detector.getUtilization,
+        stop: () => clearInterval(timer),
     };
 }
 
--- a/packages/forwarding/test/createOverloadDetector.test.ts
+++ b/packages/forwarding/test/createOverloadDetector.test.ts
@@ -1,35 +1,48 @@
-/** Detection of an event loop that is too slow for its load. */
+/** Detection of a process without processor time to spare. */
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { createOverloadDetector, normalAfterMs, overloadAfterMs, slowDelayMs } from "../src/createOverloadDetector.js";
+import {
+    busyUtilization,
+    createOverloadDetector,
+    normalAfterMs,
+    overloadAfterMs,
+    spareUtilization,
+} from "../src/createOverloadDetector.js";
 
-/** Records these delays one after the other; returns the changes of state with their times. */
-function recordDelays(delays: readonly number[]): string[] {
+const intervalMs = 200;
+
+/** Records these utilizations at intervals; returns the changes of state with their times. */
+function recordUtilizations(utilizations: readonly number[]): string[] {
     const detector = createOverloadDetector();
-    let now = 0;
-    return delays.flatMap(delayMs => {
-        now += 100 + delayMs;
-        const changed = detector.recordDelay(delayMs, now);
-        return changed === undefined ? [] : [`${now}: ${changed}`];
+    return utilizations.flatMap((utilization, index) => {
+        const changed = detector.recordUtilization(utilization, index * intervalMs);
+        return changed === undefined ? [] : [`${index * intervalMs}: ${changed}`];
     });
 }
 
-const slow = slowDelayMs * 2;
+function repeat(utilization: number, durationMs: number): number[] {
+    return Array.from({ length: durationMs / intervalMs }, () => utilization);
+}
+
+test("an event loop that is busy for long enough is overloaded", () => {
+    const utilizations = [0.5, ...repeat(busyUtilization, overloadAfterMs + intervalMs)];
+    assert.equal(recordUtilizations(utilizations), ["600: overloaded"]);
+});
 
-test("timers that are late for long enough are an overload", () => {
-    const count = Math.ceil(overloadAfterMs / (100 + slow)) + 1;
-    assert.equal(recordDelays(Array.from({ length: count }, () => slow)), ["900: overloaded"]);
+test("a short busy period is no overload", () => {
+    const busy = repeat(1, overloadAfterMs - intervalMs);
+    assert.equal(recordUtilizations([0.5, ...busy, 0.9, ...busy, 0.9]), []);
 });
 
-test("a single long pass of the event loop is no overload", () => {
-    assert.equal(recordDelays([0, 0, overloadAfterMs * 4, 0, 0, slow, slow, 0, slow]), []);
+test("a process that is busy from its start is overloaded", () => {
+    assert.equal(recordUtilizations(repeat(1, overloadAfterMs + intervalMs)), ["600: overloaded"]);
 });
 
-test("an overload ends when no timer has been late for some time", () => {
-    const punctual = Array.from({ length: normalAfterMs / 100 }, () => 0);
-    const interrupted = [...punctual.slice(1), slow];
-    const delays = [slow, slow, slow, ...interrupted, ...punctual];
-    assert.equal(recordDelays(delays), ["900: overloaded", "5100: normal"]);
+test("an overload ends when the event loop has had time to spare for long enough", () => {
+    const busy = repeat(1, overloadAfterMs + intervalMs);
+    const spare = repeat(spareUtilization - 0.01, normalAfterMs);
+    const interrupted = [...spare.slice(1), 0.9];
+    assert.equal(recordUtilizations([...busy, ...interrupted, ...spare]), ["600: overloaded", "4600: normal"]);
 });
 
 test.run();
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -102,14 +102,14 @@
     1711: {
         name: "overloadStarted",
         level: "warn",
-        message: "The event loop is too slow for the load of this router; calls wait unread.",
-        fields: ["delayMs", "connections", "requests"],
+        message: "This router has no processor time left; calls wait unread.",
+        fields: ["utilization", "connections", "requests"],
     },
     1712: {
         name: "overloadEnded",
         level: "info",
-        message: "The event loop is fast enough again.",
-        fields: ["delayMs", "connections", "requests"],
+        message: "This router has processor time to spare again.",
+        fields: ["utilization", "connections", "requests"],
     },
     1713: {
         name: "sharesContended",
