--- a/packages/placement/src/createFairShareTracker.ts
+++ b/packages/placement/src/createFairShareTracker.ts
@@ -8,7 +8,7 @@
     readonly recordAdmitted: (workspace: string, cost: number, now: number) => void;
     /**
      * Admitted cost of the workspace as a fraction of its share: above 1 if it exceeds its share while the demand of
-     * others is not met. While the capacity covers all demand, the share is the largest demand.
+     * others is not met. While all demand is admitted, the share is the largest demand.
      */
     readonly getUsedRatio: (workspace: string, now: number) => number;
     /** Figures behind the ratios, for logs. */
@@ -19,7 +19,6 @@
 export interface FairShareTotals {
     /** Max-min fair share of a workspace. */
     readonly level: number;
-    readonly capacity: number;
     readonly admitted: number;
     readonly demand: number;
     /** Number of workspaces with demand. */
@@ -28,8 +27,6 @@
 
 export interface FairShareTrackerOptions {
     readonly windowMs: number;
-    /** Cost that the pool can run in a window; 0 if unknown. */
-    readonly getCapacity: () => number;
 }
 
 /** Number of buckets in the window, which expire one at a time. */
@@ -68,7 +65,7 @@
     const bucketMs = opts.windowMs / bucketCount;
     const usages = new Map<string, Usage>();
     let newestBucket = -Infinity;
-    let totals: FairShareTotals = { level: Infinity, capacity: 0, admitted: 0, demand: 0, workspaces: 0 };
+    let totals: FairShareTotals = { level: Infinity, admitted: 0, demand: 0, workspaces: 0 };
     let updatedAt = -Infinity;
 
     /** Clears expired buckets and returns the index of the current one. */
@@ -111,9 +108,10 @@
             demands.push(computeBucketSum(usage.demand));
             demand += demands.at(-1) ?? 0;
         }
-        const capacity = Math.max(admitted, opts.getCapacity());
-        const level = computeMaxMinLevel(demands, capacity);
-        totals = { level, capacity, admitted, demand, workspaces: usages.size };
+        // What a pool can run depends on its prompts, caches and failures, so the admitted cost is its capacity: if
+        // some demand was not admitted, the pool had no more.
+        const level = computeMaxMinLevel(demands, admitted);
+        totals = { level, admitted, demand, workspaces: usages.size };
         updatedAt = now;
         return totals;
     };
@@ -124,7 +122,8 @@
         getUsedRatio: (workspace, now) => {
             advance(now);
             const usage = usages.get(workspace);
-            return usage === undefined ? 0 : computeBucketSum(usage.admitted) / updateTotals(now).level;
+            const admitted = usage === undefined ? 0 : computeBucketSum(usage.admitted);
+            return admitted === 0 ? 0 : admitted / updateTotals(now).level;
         },
         getTotals: now => {
             advance(now);
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -74,10 +74,7 @@
             service,
             priorPrefillRate,
             model: createPoolModel({ spec, priorPrefillRate }),
-            fairShares: createFairShareTracker({
-                windowMs: shareWindowMs,
-                getCapacity: () => (view.getConfiguration()?.tokensPerSecond ?? 0) * shareWindowMs / 1_000,
-            }),
+            fairShares: createFairShareTracker({ windowMs: shareWindowMs }),
             logTotalsAt: -Infinity,
         };
         pools.set(service, pool);
@@ -98,11 +95,10 @@
     const logTotals = (pool: CoordinatedPool, now: number): void => {
         if (now < pool.logTotalsAt) return;
         pool.logTotalsAt = now + totalsLogIntervalMs;
-        const { level, capacity, admitted, demand, workspaces } = pool.fairShares.getTotals(now);
+        const { level, admitted, demand, workspaces } = pool.fairShares.getTotals(now);
         const fields = {
             service: pool.service,
             level: Math.round(level),
-            capacity: Math.round(capacity),
             admitted: Math.round(admitted),
             demand: Math.round(demand),
             workspaces,
--- a/packages/placement/test/admission.test.ts
+++ b/packages/placement/test/admission.test.ts
@@ -7,9 +7,12 @@
 
 const targets = createTargets(8, { failureDomain: "a" });
 
-/** Engines with a prefill rate of 70 tokens per millisecond each: 560 requests without shared prompt parts in 12 s. */
-function createLoadHarness() {
-    const harness = createCoordinatorHarness({ pool: enginePool, targets, tokensPerSecond: 560_000 });
+/**
+ * Engines with a prefill rate of 70 tokens per millisecond each: 560 requests without shared prompt parts in 12 s. The
+ * default of `tokensPerSecond` in the configuration corresponds to that rate.
+ */
+function createLoadHarness(tokensPerSecond = 560_000) {
+    const harness = createCoordinatorHarness({ pool: enginePool, targets, tokensPerSecond });
     const replies: PlacementReplyMessage[] = [];
     let requestCount = 0;
 
@@ -50,6 +53,23 @@
     assert.ok(placed.heavy < requested.heavy / 2, `${placed.heavy} of ${requested.heavy}`);
 });
 
+// Guards against a workspace that gets far less than its share: the share was computed from a configured throughput that
+// the engines did not reach, so that the workspace that demanded most was never beyond it.
+test("the share of a workspace is kept while engines are slower than configured", () => {
+    const { requestPlacement } = createLoadHarness(2_800_000);
+    const placed = { heavy: 0, usual: 0 };
+    const requested = { heavy: 0, usual: 0 };
+    for (let now = 0; now < 12_000; now += 5) {
+        // The engines can run one request every 22 ms, and the demand of `usual` is a third of that.
+        const workspace = now % 65 === 0 ? "usual" : "heavy";
+        const isCounted = now >= 4_000;
+        if (isCounted) requested[workspace] += 1;
+        if (requestPlacement(workspace, now).reply.target !== undefined && isCounted) placed[workspace] += 1;
+    }
+    assert.ok(placed.usual >= 0.9 * requested.usual, `usual ${placed.usual} of ${requested.usual}`);
+    assert.ok(placed.heavy < 0.5 * requested.heavy, `heavy ${placed.heavy} of ${requested.heavy}`);
+});
+
 test("a workspace beyond its share is refused with a reason and a retry delay", () => {
     const { requestPlacement } = createLoadHarness();
     const refusals = new Set<string>();
--- a/packages/placement/test/limits.test.ts
+++ b/packages/placement/test/limits.test.ts
@@ -93,7 +93,7 @@
 // Guards against unfairness while one workspace sends many times its usual load and the demand of another one is not
 // met.
 test("a workspace with more than an equal share is beyond its share while the demand of another one is not met", () => {
-    const tracker = createFairShareTracker({ windowMs: 4_000, getCapacity: () => 4_500 });
+    const tracker = createFairShareTracker({ windowMs: 4_000 });
     for (let now = 0; now < 4_000; now += 10) {
         tracker.recordDemand("heavy", 30, now);
         tracker.recordAdmitted("heavy", 10, now);
@@ -106,7 +106,7 @@
 });
 
 test("a workspace that uses the capacity left by others is not beyond its share", () => {
-    const tracker = createFairShareTracker({ windowMs: 4_000, getCapacity: () => 4_000 });
+    const tracker = createFairShareTracker({ windowMs: 4_000 });
     for (let now = 0; now < 4_000; now += 10) {
         tracker.recordDemand("heavy", 30, now);
         tracker.recordAdmitted("heavy", 8, now);
@@ -116,8 +116,14 @@
     assert.ok(tracker.getUsedRatio("heavy", 3_990) <= 1);
 });
 
+test("a workspace of which nothing was admitted has used nothing", () => {
+    const tracker = createFairShareTracker({ windowMs: 4_000 });
+    tracker.recordDemand("ada", 500, 0);
+    assert.is(tracker.getUsedRatio("ada", 100), 0);
+});
+
 test("usage of a workspace expires after the window", () => {
-    const tracker = createFairShareTracker({ windowMs: 4_000, getCapacity: () => 100 });
+    const tracker = createFairShareTracker({ windowMs: 4_000 });
     tracker.recordDemand("ada", 500, 0);
     tracker.recordAdmitted("ada", 90, 0);
     assert.ok(tracker.getUsedRatio("ada", 100) > 0);
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -116,6 +116,6 @@
         level: "info",
         message:
             "A pool cannot admit all requests. Workspaces beyond the level are admitted with a shorter queue only.",
-        fields: ["service", "level", "capacity", "admitted", "demand", "workspaces"],
+        fields: ["service", "level", "admitted", "demand", "workspaces"],
     },
 };
