--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -22,7 +22,7 @@
 const defaultLatencyTargetMs = 500;
 
 /** Cost of a request: prompt tokens plus twice the output tokens, or 1 for a plain call. */
-export function computeCost(prompt: PromptSize | undefined): number {
+export function computeCost(prompt: Pick<PromptSize, "promptTokens" | "outputTokens"> | undefined): number {
     return prompt === undefined ? 1 : prompt.promptTokens + outputTokenCost * prompt.outputTokens;
 }
 
--- a/packages/placement/src/createFairShareTracker.ts
+++ b/packages/placement/src/createFairShareTracker.ts
@@ -6,6 +6,8 @@
 export interface FairShareTracker {
     readonly recordDemand: (workspace: string, cost: number, now: number) => void;
     readonly recordAdmitted: (workspace: string, cost: number, now: number) => void;
+    /** Takes back the demand and the admitted cost of a request that was admitted at `admittedAt` and not sent. */
+    readonly withdraw: (workspace: string, cost: number, admittedAt: number, now: number) => void;
     /**
      * Admitted cost of the workspace as a fraction of its share: above 1 if it exceeds its share while the demand of
      * others is not met. While all demand is admitted, the share is the largest demand.
@@ -98,6 +100,16 @@
         buckets[index] = (buckets[index] ?? 0) + cost;
     };
 
+    const withdraw = (workspace: string, cost: number, admittedAt: number, now: number): void => {
+        advance(now);
+        const bucket = Math.floor(admittedAt / bucketMs);
+        const usage = usages.get(workspace);
+        if (usage === undefined || bucket <= newestBucket - bucketCount) return;
+        const index = bucket % bucketCount;
+        usage.demand[index] = Math.max(0, (usage.demand[index] ?? 0) - cost);
+        usage.admitted[index] = Math.max(0, (usage.admitted[index] ?? 0) - cost);
+    };
+
     const updateTotals = (now: number): FairShareTotals => {
         if (now - updatedAt < totalsTtlMs) return totals;
         let admitted = 0;
@@ -119,6 +131,7 @@
     return {
         recordDemand: (workspace, cost, now) => record("demand", workspace, cost, now),
         recordAdmitted: (workspace, cost, now) => record("admitted", workspace, cost, now),
+        withdraw,
         getUsedRatio: (workspace, now) => {
             advance(now);
             const usage = usages.get(workspace);
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -55,6 +55,11 @@
 
 const expiryIntervalMs = 250;
 
+/** Cost of a request of which only the sizes are known; a plain call has none. */
+function computeAttemptCost(sizes: Pick<InFlightAttempt, "promptTokens" | "outputTokens">): number {
+    return computeCost(sizes.promptTokens === 0 ? undefined : sizes);
+}
+
 export function createPlacementCoordinator(opts: PlacementCoordinatorOptions): PlacementSlice {
     const { view } = opts;
     const pools = new Map<string, CoordinatedPool>();
@@ -171,10 +176,15 @@
     };
 
     const handleAttemptNotice = (notice: AttemptNoticeMessage, now: number): void => {
-        const model = getOrCreatePool(notice.service)?.model;
-        if (model?.getAssignment(notice.requestId)?.target !== notice.target) return;
-        if (notice.result === undefined) model.start(notice.requestId, now);
-        else model.end(notice.requestId, notice.result, notice.latencyMs, now);
+        const pool = getOrCreatePool(notice.service);
+        const assignment = pool?.model.getAssignment(notice.requestId);
+        if (pool === undefined || assignment?.target !== notice.target) return;
+        const { requestId, result, latencyMs } = notice;
+        if (result === undefined) return pool.model.start(requestId, now);
+        const isUnused = result === "cancelled" && latencyMs === 0;
+        if (isUnused && assignment.workspace !== undefined)
+            pool.fairShares.withdraw(assignment.workspace, computeAttemptCost(assignment), assignment.assignedAt, now);
+        pool.model.end(requestId, result, latencyMs, now);
     };
 
     const addReportedAttempt = (pool: CoordinatedPool, attempt: InFlightAttempt, now: number): void => {
@@ -184,7 +194,14 @@
         const assignedAt = now - ageMs;
         const startedAt = started ? now : undefined;
         const expiresAt = now + inFlightExpiryMs;
+        const isCharged = pool.model.getAssignment(requestId) !== undefined || ageMs > shareWindowMs;
         pool.model.assign(entry, { requestId, target, ...sizes, assignedAt, startedAt, expiresAt });
+        const { workspace } = attempt;
+        if (isCharged || workspace === undefined) return;
+        // Its entry router placed it locally, or another router was the coordinator.
+        const cost = computeAttemptCost(attempt);
+        pool.fairShares.recordDemand(workspace, cost, now);
+        pool.fairShares.recordAdmitted(workspace, cost, now);
     };
 
     const handleInFlightReport = (message: InFlightAttemptsMessage, now: number): void => {
--- a/packages/placement/test/admission.test.ts
+++ b/packages/placement/test/admission.test.ts
@@ -141,6 +141,45 @@
     assert.is(harness.requestPlacement(createRequest("s"), 1_701).target, "target-1");
 });
 
+/** In-flight attempts that occupy all targets for a second. */
+function createReportedAttempts(workspace: string) {
+    return targets.map(({ target }, index) => ({
+        requestId: `reported-${index}`,
+        target,
+        workspace,
+        promptTokens: 70_000,
+        outputTokens: 400,
+        newTokens: 70_000,
+        ageMs: 5,
+        started: false,
+    }));
+}
+
+// Guards against a workspace that gets most of a pool through local placement: the coordinator did not charge it for
+// requests that it had not placed itself.
+test("a workspace is charged for requests that were placed locally", () => {
+    const harness = createCoordinatorHarness({ pool: enginePool, targets, tokensPerSecond: 560_000 });
+    const holdings = createReportedAttempts("heavy");
+    for (const now of [0, 500]) harness.send({ type: "holdings", service: "assistant", holdings }, now);
+    assert.is(harness.requestPlacement(createRequest("s1", { workspace: "usual" }), 501).refusal, "overloaded");
+    const reply = harness.requestPlacement(createRequest("s2", { workspace: "heavy" }), 600);
+    assert.is(reply.refusal, "shareUsed");
+    // The share of `heavy` is what was admitted, less the demand of `usual`; repeated reports do not change it.
+    const admitted = holdings.length * 70_800;
+    assert.ok(Math.abs((reply.usedRatio ?? 0) - admitted / (admitted - 12_760)) < 0.001, `${reply.usedRatio}`);
+});
+
+test("a workspace is not charged for a placement that its entry router did not use", () => {
+    const harness = createCoordinatorHarness({ pool: enginePool, targets, tokensPerSecond: 560_000 });
+    const unused = createRequest("s1", { workspace: "heavy" });
+    const { target = "" } = harness.requestPlacement(unused, 0);
+    const { requestId, service } = unused;
+    harness.send({ type: "attemptNotice", requestId, service, target, result: "cancelled", latencyMs: 0 }, 90);
+    const holdings = createReportedAttempts("usual");
+    harness.send({ type: "holdings", service: "assistant", holdings }, 100);
+    assert.is(harness.requestPlacement(createRequest("s2", { workspace: "heavy" }), 101).usedRatio, 0);
+});
+
 // Guards against overload of a cold target: the limit applies to all routers together.
 test("a cold target gets no more requests than its rate limit", () => {
     const cold = createTargets(1, { coldForMs: 10_000 });
