--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -10,9 +10,10 @@
     failRequest,
     logEntryEvent,
 } from "./entryState.js";
+import { getOrCreatePool } from "./getOrCreatePool.js";
 import { endTimedOut, handleAttemptFinished, handleAttemptStarted, handleCallerGone } from "./handleAttemptEvents.js";
 import { drainAcceptMs, inFlightReportIntervalMs } from "./placementSettings.js";
-import { checkPendingPlacement, getOrCreatePool, handleReply, placeRequest } from "./placeRequest.js";
+import { checkPendingPlacement, handleReply, placeRequest } from "./placeRequest.js";
 import { reportInFlightAttempts } from "./reportInFlightAttempts.js";
 
 export interface EntryRouter extends PlacementSlice {
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -50,6 +50,9 @@
 /** Minimum interval between two log events with the totals of a pool. */
 const totalsLogIntervalMs = 1_000;
 
+/** A choice, and the fraction of its share that the workspace had used. */
+type AdmittedChoice = Choice & Pick<PlacementReplyMessage, "usedRatio">;
+
 /** Reason for a refusal, and the figures behind it. */
 type Refusal = Pick<PlacementReplyMessage, "waitMs" | "maxWaitMs" | "usedRatio"> & { readonly refusal: RefusalReason; };
 
@@ -111,7 +114,11 @@
         effects.push({ type: "log", event: coordinatorLogEvents.sharesContended, fields });
     };
 
-    const choosePlacement = (pool: CoordinatedPool, request: PlacementRequest, now: number): Choice | Refusal => {
+    const choosePlacement = (
+        pool: CoordinatedPool,
+        request: PlacementRequest,
+        now: number,
+    ): AdmittedChoice | Refusal => {
         const usableTargets = view.listUsableTargets(pool.service, request.regions);
         const candidates = usableTargets.filter(entry =>
             !request.excluded.includes(entry.target) && maySendTo(entry, now)
@@ -133,7 +140,7 @@
         }
         refusalHistory.remove(request);
         if (workspace !== undefined) pool.fairShares.recordAdmitted(workspace, cost, now);
-        return choice;
+        return { ...choice, usedRatio };
     };
 
     const assign = (pool: CoordinatedPool, request: PlacementRequest, choice: Choice, now: number): void => {
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -6,6 +6,7 @@
 import type { CoordinatorSelector } from "./createCoordinatorSelector.js";
 import type { LocalTokenBucket } from "./createLocalTokenBucket.js";
 import type { PoolModel } from "./createPoolModel.js";
+import type { ReportedUsage } from "./createReportedUsage.js";
 import type { RetryBudget, RetryPolicy } from "./createRetryBudget.js";
 import type { SendRateLimiter } from "./createSendRateLimiter.js";
 
@@ -78,6 +79,7 @@
     /** Model of the load from this router's own attempts. */
     readonly model: PoolModel;
     readonly retryBudget: RetryBudget;
+    readonly reportedUsage: ReportedUsage;
     /** Rate limit of local placement; omitted for plain services. */
     readonly localTokenBucket?: LocalTokenBucket;
 }
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -12,7 +12,8 @@
     type InFlightEntryAttempt,
     logEntryEvent,
 } from "./entryState.js";
-import { getOrCreatePool, placeRequest } from "./placeRequest.js";
+import { getOrCreatePool } from "./getOrCreatePool.js";
+import { placeRequest } from "./placeRequest.js";
 
 /** Minimum time left for a retry; with less, the response would come too late for the caller. */
 const minRetryTimeLeftMs = 50;
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -3,20 +3,17 @@
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementReplyMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
 import type { RouterMessageEvent } from "@rhubarbwheel/types/placement-events";
-import { computeCost, computeMaxWaitMs, computePriorPrefillRate, defaultAdmissionInput } from "./admission.js";
-import { createLocalTokenBucket } from "./createLocalTokenBucket.js";
-import { createPoolModel } from "./createPoolModel.js";
-import { createRetryBudget } from "./createRetryBudget.js";
+import { computeCost, computeMaxWaitMs, defaultAdmissionInput } from "./admission.js";
 import {
     computeTimeLeftMs,
     createRequestFields,
     type EntryContext,
-    type EntryPool,
     type EntryRequest,
     failRequest,
     logEntryEvent,
     type Placement,
 } from "./entryState.js";
+import { getOrCreatePool } from "./getOrCreatePool.js";
 import { lateReplyWaitRatio, placementRetryMs, placementTimeoutMs } from "./placementSettings.js";
 import { reportInFlightAttempts } from "./reportInFlightAttempts.js";
 
@@ -26,32 +23,6 @@
 /** Maximum number of routers that are assumed to add as much load as this one during local placement. */
 const maxAssumedRouters = 4;
 
-export function getOrCreatePool(context: EntryContext, service: string): EntryPool | undefined {
-    const existing = context.pools.get(service);
-    if (existing !== undefined) return existing;
-    const spec = context.view.getPool(service);
-    if (spec === undefined) return undefined;
-    const { view } = context;
-    const countRouters = (): number => Math.max(1, view.listRouters().length);
-    const pool: EntryPool = {
-        service,
-        model: createPoolModel({ spec, priorPrefillRate: computePriorPrefillRate(context.view, service) }),
-        retryBudget: createRetryBudget(() => {
-            const policy = context.getRetryPolicy();
-            // Each router uses its share of the reserve, so the total is kept while routers cannot reach each other.
-            return { ...policy, reserve: policy.reserve / countRouters() };
-        }),
-        localTokenBucket: spec.engine === undefined ? undefined : createLocalTokenBucket({
-            getRate: () =>
-                computePriorPrefillRate(view, service) * view.listUsableTargets(service).length / countRouters(),
-            getBurstMs: () => computeMaxWaitMs(view, service, defaultAdmissionInput),
-            random: context.random,
-        }),
-    };
-    context.pools.set(service, pool);
-    return pool;
-}
-
 /**
  * This router's share of the rate limit of a cold target. The shares of all routers add up to the limit, so that it
  * holds while routers cannot reach each other.
@@ -163,8 +134,11 @@
         maxWaitMs: computeMaxWaitMs(context.view, request.service, defaultAdmissionInput),
         loadFactor: Math.min(maxAssumedRouters, Math.max(1, context.view.listRouters().length)),
     });
+    // The coordinator may only be slow. A workspace beyond its share must not evade it by local placement.
+    const isShareUsed = pool?.localTokenBucket !== undefined
+        && pool.reportedUsage.isShareUsed(request.workspace ?? "", context.now);
     const isAllowed = choice === undefined || pool?.localTokenBucket === undefined
-        || pool.localTokenBucket.tryTake(choice.newTokens, context.now);
+        || (!isShareUsed && pool.localTokenBucket.tryTake(choice.newTokens, context.now));
     if (!isAllowed && tryWaitForLateReply(context, entry)) return;
     entry.pendingPlacement = undefined;
     logEntryEvent(context, "placedLocally", {
@@ -173,7 +147,7 @@
         target: isAllowed ? choice?.target : undefined,
         targetsAgeMs: Math.round(context.view.getAgeMs("targets", context.now)),
     });
-    const refusal = usableTargets.length === 0 ? "noTarget" : "overloaded";
+    const refusal = usableTargets.length === 0 ? "noTarget" : isShareUsed ? "shareUsed" : "overloaded";
     const refusedPlacement = { refusal, retryAfterMs: computeRetryAfterMs(request.timeLeftMs) } as const;
     applyPlacement(context, entry, isAllowed ? choice ?? refusedPlacement : refusedPlacement);
     // The coordinator may only be slow, and must account for this attempt.
@@ -194,6 +168,9 @@
 
 export function handleReply(context: EntryContext, event: RouterMessageEvent, reply: PlacementReplyMessage): void {
     const entry = context.requests.get(reply.requestId);
+    const workspace = entry?.request.workspace;
+    if (workspace !== undefined && reply.usedRatio !== undefined)
+        getOrCreatePool(context, reply.service)?.reportedUsage.record(workspace, reply.usedRatio, context.now);
     if (entry?.pendingPlacement === undefined || entry.pendingPlacement.coordinator !== event.from)
         return cancelLatePlacement(context, event, reply);
     entry.pendingPlacement = undefined;
--- a/packages/placement/test/placementFixtures.ts
+++ b/packages/placement/test/placementFixtures.ts
@@ -1,5 +1,5 @@
 /** Pools, targets and requests of typical sizes. */
-import type { PoolSpec, TargetEntry } from "@rhubarbwheel/types/fleet";
+import type { PoolSpec, RouterEntry, TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementRequest, PromptPart } from "@rhubarbwheel/types/placement";
 
 export const enginePool: PoolSpec = {
@@ -28,6 +28,15 @@
     }));
 }
 
+export function createRouterEntries(count: number): RouterEntry[] {
+    return Array.from({ length: count }, (_, index) => ({
+        router: `r${index + 1}`,
+        incarnation: 1,
+        address: `10.0.0.${index + 1}:7400`,
+        failureDomain: "a",
+    }));
+}
+
 let lastRequestNumber = 0;
 
 /** A request whose prompt consists of a common part, the part `sharedPartId`, and a part of its own. */
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -58,7 +58,7 @@
     readonly waitMs?: number;
     /** Queueing time up to which the request would have been admitted; only in refusals. */
     readonly maxWaitMs?: number;
-    /** Fraction of its share that the workspace had used; only in refusals. */
+    /** Fraction of its share that the workspace had used. */
     readonly usedRatio?: number;
     readonly refusal?: RefusalReason;
     /** Time after which a refused caller should retry. */
