--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -1,5 +1,5 @@
 /** Model of the load of all targets of one service, and the choice of a target for a request. */
-import { rankByRendezvous } from "@rhubarbwheel/membership/chooseByRendezvous";
+import { createRendezvousChooser } from "@rhubarbwheel/membership/createRendezvousChooser";
 import type { PoolSpec, TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacedAttemptResult, PlacementRequest, PromptPart, PromptSize } from "@rhubarbwheel/types/placement";
 import { createTargetModel } from "./createTargetModel.js";
@@ -67,6 +67,7 @@
     const { spec, priorPrefillRate } = opts;
     const models = new Map<string, { readonly model: TargetModel; readonly startedAt?: number; }>();
     const targetByRequest = new Map<string, string>();
+    const rendezvous = createRendezvousChooser();
 
     const getOrCreateModel = (entry: TargetEntry): TargetModel => {
         const existing = models.get(entry.target);
@@ -162,7 +163,7 @@
         const sharedPartId = getSharedPartId(prompt?.parts ?? []);
         const preferredTarget = sharedPartId === undefined
             ? undefined
-            : rankByRendezvous(sharedPartId, candidates.map(candidate => candidate.target))[0];
+            : rendezvous.choose(sharedPartId, candidates.map(candidate => candidate.target));
         const minServiceTimeMs = findMinServiceTimeMs(candidates, now);
         let best: Choice | undefined;
         let minCost = Infinity;
