--- a/packages/fleet-view/src/createTargetList.ts
+++ b/packages/fleet-view/src/createTargetList.ts
@@ -15,6 +15,8 @@
 
 export function createTargetList(opts: TargetListOptions) {
     const targets = new Map<string, ListedTarget>();
+    /** Lower bound: the target whose removal was due may have been listed again. */
+    let nextRemovalAt = Infinity;
     let byService = new Map<string, readonly TargetEntry[]>();
 
     const rebuildIndex = (): void => {
@@ -28,6 +30,11 @@
         byService = index;
     };
 
+    const updateNextRemoval = (): void => {
+        nextRemovalAt = Infinity;
+        for (const { removeAt } of targets.values()) nextRemovalAt = Math.min(nextRemovalAt, removeAt ?? Infinity);
+    };
+
     const put = (entry: TargetEntry, now: number): void => {
         targets.set(entry.target, { entry, receivedAt: now });
     };
@@ -38,6 +45,7 @@
         if (listed === undefined) return false;
         if (wasStoreUnavailable && listed.entry.state === "ready") {
             listed.removeAt ??= now + opts.removalGraceMs;
+            nextRemovalAt = Math.min(nextRemovalAt, listed.removeAt);
             return false;
         }
         return targets.delete(name);
@@ -60,16 +68,15 @@
         listServices: () => [...byService.keys()],
         /** Removes targets whose grace period has ended, and returns their names. */
         removeExpired: (now: number): readonly string[] => {
+            if (now < nextRemovalAt) return [];
             const expired = [...targets].filter(([, { removeAt }]) => removeAt !== undefined && removeAt <= now);
             for (const [name] of expired) targets.delete(name);
+            updateNextRemoval();
             if (expired.length > 0) rebuildIndex();
             return expired.map(([name]) => name);
         },
-        getNextRemovalAt: (): number => {
-            let next = Infinity;
-            for (const { removeAt } of targets.values()) next = Math.min(next, removeAt ?? Infinity);
-            return next;
-        },
+        /** Time of the next removal, or an earlier one at which there is none. */
+        getNextRemovalAt: (): number => nextRemovalAt,
     };
 }
 
