--- a/packages/forwarding/src/createCallerServer.ts
+++ b/packages/forwarding/src/createCallerServer.ts
@@ -17,6 +17,13 @@
 /** Parser limit for the header size. The configured limit is checked for each call. */
 const maxHeaderBytes = 128 * 1024;
 
+/**
+ * Maximum number of connections that wait to be accepted. Node accepts one per pass of its event loop, in order of
+ * arrival, and a pass of a busy router takes about 20 ms. In a longer queue all callers, which wait for one second, would
+ * have left before their calls are read, and the router would answer none of them.
+ */
+const maxQueuedConnections = 50;
+
 /** Interval at which connections are checked for header timeouts. */
 const checkIntervalMs = 250;
 
@@ -83,7 +90,7 @@
         listen: (host: string, port: number): Promise<number> =>
             new Promise((resolve, reject) => {
                 server.once("error", reject);
-                server.listen({ host, port, backlog: 1024 }, () => {
+                server.listen({ host, port, backlog: maxQueuedConnections }, () => {
                     server.off("error", reject);
                     resolve((server.address() as AddressInfo).port);
                 });
