--- a/packages/error/src/routerError.ts
+++ b/packages/error/src/routerError.ts
@@ -66,6 +66,11 @@
         "The workspace has used its share of a pool that has no free capacity.",
         "Retry after the time in Retry-After, or ask the operators for more capacity.",
     ],
+    PROMPT_QUARANTINED: [
+        503,
+        "Engines crashed on a part of this prompt, so the call did not run.",
+        "Change the prompt, or ask the operators (log event 1714).",
+    ],
     HEADER_INVALID: [400, "A header is not valid.", "Correct or remove the header that the message names."],
     PATH_INVALID: [
         400,
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -11,6 +11,8 @@
     PlacementRequestMessage,
     PromptPart,
     PromptSize,
+    QuarantinedPart,
+    QuarantineNoticeMessage,
     ReportedLoad,
 } from "@rhubarbwheel/types/placement";
 import { decodeWith, encodeWith, formatError } from "./peerCodec.js";
@@ -29,6 +31,14 @@
 
 type WithoutType<T> = Omit<T, "type">;
 
+const quarantinedPart = struct<QuarantinedPart>({
+    id: string,
+    generation: integer,
+    isReleased: boolean,
+    probeInMs: double,
+    probeIntervalMs: double,
+});
+
 const promptSize = struct<PromptSize>({
     promptTokens: integer,
     outputTokens: integer,
@@ -46,6 +56,7 @@
     regions: optional(wrappedList(string)),
     failureDomain: string,
     excluded: list(string),
+    quarantinedParts: optional(wrappedList(quarantinedPart)),
 });
 
 const attemptResult = stringEnum(["complete", "rejected", "failed", "broken", "unsent", "cancelled", "misdirected"]);
@@ -64,8 +75,9 @@
         waitMs: optional(double),
         maxWaitMs: optional(double),
         usedRatio: optional(double),
-        refusal: optional(stringEnum(["overloaded", "shareUsed", "noTarget"])),
+        refusal: optional(stringEnum(["overloaded", "shareUsed", "noTarget", "partQuarantined"])),
         retryAfterMs: optional(double),
+        quarantinedParts: optional(wrappedList(quarantinedPart)),
     }),
     attemptNotice: struct<WithoutType<AttemptNoticeMessage>>({
         requestId: string,
@@ -74,7 +86,9 @@
         result: optional(attemptResult),
         latencyMs: double,
         load: optional(struct<ReportedLoad>({ running: integer, waiting: integer })),
+        partIds: optional(wrappedList(string)),
     }),
+    quarantineNotice: struct<WithoutType<QuarantineNoticeMessage>>({ parts: list(quarantinedPart) }),
     confirmationAsk: struct<WithoutType<ConfirmationRequestMessage>>({ sequence: integer }),
     confirmationReply: struct<WithoutType<ConfirmationReplyMessage>>({
         sequence: integer,
--- a/packages/peer-protocol/test/placementCodec.test.ts
+++ b/packages/peer-protocol/test/placementCodec.test.ts
@@ -18,6 +18,8 @@
     excluded: ["t1", "t2"],
 };
 
+const quarantinedPart = { id: "b2", generation: 3, isReleased: false, probeInMs: 1.5, probeIntervalMs: 40_000 };
+
 const messages: readonly PlacementMessage[] = [
     { type: "placementAsk", request },
     {
@@ -67,6 +69,27 @@
             started: true,
         }],
     },
+    {
+        type: "placementAsk",
+        request: { ...request, quarantinedParts: [{ ...quarantinedPart, isReleased: true }] },
+    },
+    {
+        type: "placementReply",
+        requestId: "a",
+        service: "s",
+        refusal: "partQuarantined",
+        quarantinedParts: [quarantinedPart],
+    },
+    {
+        type: "attemptNotice",
+        requestId: "a",
+        service: "s",
+        target: "t",
+        result: "broken",
+        latencyMs: 3.5,
+        partIds: ["5c1e07a2", "b2"],
+    },
+    { type: "quarantineNotice", parts: [quarantinedPart] },
     { type: "confirmationAsk", sequence: 12 },
     { type: "confirmationReply", sequence: 12, configurationVersion: 170, ageMs: 250.5 },
 ];
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -23,6 +23,8 @@
 import { computeCost, computeMaxWaitMs, computePriorPrefillRate } from "./admission.js";
 import { createFairShareTracker } from "./createFairShareTracker.js";
 import type { FairShareTracker } from "./createFairShareTracker.js";
+import { listSharedPartIds } from "./createPartQuarantine.js";
+import type { PartQuarantine } from "./createPartQuarantine.js";
 import { createPoolModel } from "./createPoolModel.js";
 import type { Choice, PoolModel } from "./createPoolModel.js";
 import { createRefusalHistory } from "./createRefusalHistory.js";
@@ -32,6 +34,12 @@
 export interface PlacementCoordinatorOptions {
     readonly router: string;
     readonly view: FleetView;
+    readonly quarantine: PartQuarantine;
+}
+
+export interface PlacementCoordinator extends PlacementSlice {
+    /** Number of attempts that were assigned to the target before `assignedBefore` and have not ended. */
+    readonly countAssigned: (service: string, target: string, assignedBefore: number) => number;
 }
 
 interface CoordinatedPool {
@@ -63,8 +71,8 @@
     return computeCost(sizes.promptTokens === 0 ? undefined : sizes);
 }
 
-export function createPlacementCoordinator(opts: PlacementCoordinatorOptions): PlacementSlice {
-    const { view } = opts;
+export function createPlacementCoordinator(opts: PlacementCoordinatorOptions): PlacementCoordinator {
+    const { view, quarantine } = opts;
     const pools = new Map<string, CoordinatedPool>();
     const coldRateLimiter = createSendRateLimiter();
     const refusalHistory = createRefusalHistory();
@@ -176,10 +184,20 @@
             const { target, newTokens } = assigned;
             return sendReply(event, { requestId, service, target, newTokens, waitMs: 0 });
         }
+        const partIds = listSharedPartIds(request.prompt);
+        quarantine.merge(request.quarantinedParts ?? [], event.now);
+        const mustRefuse = quarantine.mustRefuse(partIds, event.now);
+        const states = quarantine.list(partIds, event.now);
+        const quarantinedParts = states.length === 0 ? undefined : states;
+        if (mustRefuse) {
+            const refusal = "partQuarantined";
+            return sendReply(event, { requestId, service, refusal, retryAfterMs, quarantinedParts });
+        }
         const placement = choosePlacement(pool, request, event.now);
-        if ("refusal" in placement) return sendReply(event, { requestId, service, ...placement, retryAfterMs });
+        if ("refusal" in placement)
+            return sendReply(event, { requestId, service, ...placement, retryAfterMs, quarantinedParts });
         assign(pool, request, placement, event.now);
-        sendReply(event, { requestId, service, ...placement });
+        sendReply(event, { requestId, service, ...placement, quarantinedParts });
     };
 
     const handleAttemptNotice = (notice: AttemptNoticeMessage, now: number): void => {
@@ -251,5 +269,7 @@
             return effects;
         },
         getWakeAt: () => expireAt,
+        countAssigned: (service, target, assignedBefore) =>
+            pools.get(service)?.model.countAssigned(target, assignedBefore) ?? 0,
     };
 }
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -207,6 +207,13 @@
         },
         end,
         start: (requestId: string, now: number) => getModel(requestId)?.start(requestId, now),
+        /** Number of attempts that were assigned to the target before `assignedBefore` and have not ended. */
+        countAssigned: (target: string, assignedBefore: number): number => {
+            let count = 0;
+            for (const { assignedAt } of models.get(target)?.model.list() ?? [])
+                if (assignedAt < assignedBefore) count += 1;
+            return count;
+        },
         /** Adds prompt parts that a target reports as cached. */
         addCachedParts: (entry: TargetEntry, parts: readonly PromptPart[]) =>
             getOrCreateModel(entry).addCachedParts(parts),
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -5,6 +5,7 @@
 import type { PlacementEffect, RoutedRequest } from "@rhubarbwheel/types/placement-events";
 import type { CoordinatorSelector } from "./createCoordinatorSelector.js";
 import type { LocalTokenBucket } from "./createLocalTokenBucket.js";
+import type { PartQuarantine } from "./createPartQuarantine.js";
 import type { PoolModel } from "./createPoolModel.js";
 import type { ReportedUsage } from "./createReportedUsage.js";
 import type { RetryBudget, RetryPolicy } from "./createRetryBudget.js";
@@ -32,6 +33,7 @@
     readonly computeColdLimit: (coldRequestsPerSecond: number) => number;
     /** Random number in [0, 1). */
     readonly random: () => number;
+    readonly quarantine: PartQuarantine;
 }
 
 /** A placement request that awaits the reply of its coordinator. */
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -2,6 +2,7 @@
 import { otherRouterRetryAfterMs } from "@rhubarbwheel/routing/computeRetryAfterMs";
 import type { PlacedAttemptResult, ReportedLoad } from "@rhubarbwheel/types/placement";
 import type { AttemptFinishedEvent, AttemptStartedEvent } from "@rhubarbwheel/types/placement-events";
+import { listSharedPartIds } from "./createPartQuarantine.js";
 import {
     closeRequest,
     computeTimeLeftMs,
@@ -21,6 +22,7 @@
 interface NoticeDetails {
     readonly result?: PlacedAttemptResult;
     readonly load?: ReportedLoad;
+    readonly partIds?: readonly string[];
 }
 
 function sendAttemptNotice(
@@ -60,7 +62,8 @@
     attempt.startedAt = context.now;
     entry.responseStarted ||= entry.request.kind === "stream";
     context.pools.get(entry.request.service)?.model.start(event.requestId, context.now);
-    sendAttemptNotice(context, entry, attempt, { load: event.load });
+    const partIds = listSharedPartIds(entry.request.prompt);
+    sendAttemptNotice(context, entry, attempt, { load: event.load, partIds });
 }
 
 /** Whether the call may be retried after `result`. */
@@ -113,7 +116,11 @@
     const { result, load } = event;
     const latencyMs = (attempt.startedAt ?? context.now) - attempt.sentAt;
     context.pools.get(entry.request.service)?.model.end(event.requestId, result, latencyMs, context.now);
-    sendAttemptNotice(context, entry, attempt, { result, load });
+    // The attempts that had not started are those that may have crashed the target.
+    const partIds = result === "broken" && attempt.startedAt === undefined
+        ? listSharedPartIds(entry.request.prompt)
+        : undefined;
+    sendAttemptNotice(context, entry, attempt, { result, load, partIds });
     entry.responseStarted ||= event.responseStarted;
     if (result !== "unsent" && result !== "misdirected") entry.countedAttempts += 1;
     if (result === "failed" || result === "broken") entry.mayHaveRun = true;
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -4,6 +4,7 @@
 import type { PlacementReplyMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
 import type { RouterMessageEvent } from "@rhubarbwheel/types/placement-events";
 import { computeCost, computeMaxWaitMs, defaultAdmissionInput } from "./admission.js";
+import { listSharedPartIds } from "./createPartQuarantine.js";
 import {
     computeTimeLeftMs,
     createRequestFields,
@@ -18,7 +19,12 @@
 import { reportInFlightAttempts } from "./reportInFlightAttempts.js";
 
 /** Error codes of refused requests. All are retryable: a target may become available soon. */
-const refusalCodes = { overloaded: "OVERLOADED", shareUsed: "SHARE_USED", noTarget: "NO_TARGET" } as const;
+const refusalCodes = {
+    overloaded: "OVERLOADED",
+    shareUsed: "SHARE_USED",
+    noTarget: "NO_TARGET",
+    partQuarantined: "PROMPT_QUARANTINED",
+} as const;
 
 /** Maximum number of routers that are assumed to add as much load as this one during local placement. */
 const maxAssumedRouters = 4;
@@ -44,6 +50,7 @@
 
 function createPlacementRequest(context: EntryContext, entry: EntryRequest): PlacementRequest {
     const { requestId, service, workspace, prompt, latencyTargetMs, regions } = entry.request;
+    const quarantinedParts = context.quarantine.list(listSharedPartIds(prompt), context.now);
     return {
         requestId,
         service,
@@ -55,6 +62,7 @@
         regions,
         failureDomain: context.failureDomain,
         excluded: [...entry.excluded],
+        quarantinedParts: quarantinedParts.length === 0 ? undefined : quarantinedParts,
     };
 }
 
@@ -137,9 +145,10 @@
     // The coordinator may only be slow. A workspace beyond its share must not evade it by local placement.
     const isShareUsed = pool?.localTokenBucket !== undefined
         && pool.reportedUsage.isShareUsed(request.workspace ?? "", context.now);
-    const isAllowed = choice === undefined || pool?.localTokenBucket === undefined
-        || (!isShareUsed && pool.localTokenBucket.tryTake(choice.newTokens, context.now));
-    if (!isAllowed && tryWaitForLateReply(context, entry)) return;
+    const isPartQuarantined = context.quarantine.hasQuarantined(listSharedPartIds(request.prompt));
+    const isAllowed = !isPartQuarantined && (choice === undefined || pool?.localTokenBucket === undefined
+        || (!isShareUsed && pool.localTokenBucket.tryTake(choice.newTokens, context.now)));
+    if (!isAllowed && !isPartQuarantined && tryWaitForLateReply(context, entry)) return;
     entry.pendingPlacement = undefined;
     logEntryEvent(context, "placedLocally", {
         ...createRequestFields(entry),
@@ -147,7 +156,13 @@
         target: isAllowed ? choice?.target : undefined,
         targetsAgeMs: Math.round(context.view.getAgeMs("targets", context.now)),
     });
-    const refusal = usableTargets.length === 0 ? "noTarget" : isShareUsed ? "shareUsed" : "overloaded";
+    const refusal = isPartQuarantined
+        ? "partQuarantined"
+        : usableTargets.length === 0
+        ? "noTarget"
+        : isShareUsed
+        ? "shareUsed"
+        : "overloaded";
     const refusedPlacement = { refusal, retryAfterMs: computeRetryAfterMs(request.timeLeftMs) } as const;
     applyPlacement(context, entry, isAllowed ? choice ?? refusedPlacement : refusedPlacement);
     // The coordinator may only be slow, and must account for this attempt.
@@ -167,6 +182,7 @@
 }
 
 export function handleReply(context: EntryContext, event: RouterMessageEvent, reply: PlacementReplyMessage): void {
+    context.quarantine.merge(reply.quarantinedParts ?? [], context.now);
     const entry = context.requests.get(reply.requestId);
     const workspace = entry?.request.workspace;
     if (workspace !== undefined && reply.usedRatio !== undefined)
--- a/packages/placement/test/coordinatorHarness.ts
+++ b/packages/placement/test/coordinatorHarness.ts
@@ -1,13 +1,14 @@
 /** Placement coordinator with a fleet view, on a fake clock. */
 import type { PlacementMessage, PlacementReplyMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
 import type { PlacementEffect, PlacementEvent } from "@rhubarbwheel/types/placement-events";
+import { createPartQuarantine } from "../src/createPartQuarantine.js";
 import { createPlacementCoordinator } from "../src/createPlacementCoordinator.js";
 import { createViewFixture } from "./viewFixture.js";
 import type { ViewFixtureOptions } from "./viewFixture.js";
 
 export function createCoordinatorHarness(opts: ViewFixtureOptions) {
     const { view, loadAll } = createViewFixture(opts);
-    const coordinator = createPlacementCoordinator({ router: "r1", view });
+    const coordinator = createPlacementCoordinator({ router: "r1", view, quarantine: createPartQuarantine() });
     const reduce = (event: PlacementEvent): readonly PlacementEffect[] => {
         view.reduce(event);
         return coordinator.reduce(event);
--- /dev/null
+++ b/packages/placement/test/createPartQuarantine.test.ts
@@ -0,0 +1,95 @@
+/** Decisions on prompt parts that crash engines. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+    crashesBeforeQuarantine,
+    crashesOfStartedPart,
+    crashGroupMs,
+    createPartQuarantine,
+    minProbeIntervalMs,
+} from "../src/createPartQuarantine.js";
+
+const groupMs = crashGroupMs + 1;
+
+/** Records as many crashes in different groups; returns the parts that each one quarantined. */
+function recordCrashes(quarantine: ReturnType<typeof createPartQuarantine>, partIds: readonly string[], count: number) {
+    return Array.from({ length: count }, (_, index) => quarantine.recordCrash(partIds, index * groupMs));
+}
+
+// Guards against requests that crash one engine after the other.
+test("a part that waited at several engines that crashed is quarantined", () => {
+    const quarantine = createPartQuarantine();
+    assert.equal(recordCrashes(quarantine, ["bad"], crashesBeforeQuarantine), [[], [], ["bad"]]);
+    assert.ok(quarantine.mustRefuse(["common", "bad"], 3_000));
+    assert.not(quarantine.mustRefuse(["common", "other"], 3_000));
+});
+
+test("a part that has started since the first crash is not quarantined", () => {
+    const quarantine = createPartQuarantine();
+    recordCrashes(quarantine, ["common"], crashesBeforeQuarantine - 1);
+    quarantine.recordStart(["common"]);
+    assert.equal(quarantine.recordCrash(["common"], 5_000), []);
+    assert.not(quarantine.hasQuarantined(["common"]));
+});
+
+test("a part that has started before needs more crashes", () => {
+    const quarantine = createPartQuarantine();
+    quarantine.recordStart(["common"]);
+    const added = recordCrashes(quarantine, ["common"], crashesOfStartedPart);
+    assert.equal(added.findIndex(parts => parts.length > 0), crashesOfStartedPart - 1);
+});
+
+// Guards against a quarantine of the parts that all requests share after a power failure of many engines.
+test("engines that crash at the same time count once", () => {
+    const quarantine = createPartQuarantine();
+    for (let now = 0; now < crashGroupMs; now += 10) assert.equal(quarantine.recordCrash(["common"], now), []);
+    assert.not(quarantine.hasQuarantined(["common"]));
+});
+
+test("one request with a quarantined part runs after each probe interval, which doubles", () => {
+    const quarantine = createPartQuarantine();
+    recordCrashes(quarantine, ["bad"], crashesBeforeQuarantine);
+    const grantedAt: number[] = [];
+    for (let now = 2_000; now < 200_000; now += 1_000) if (!quarantine.mustRefuse(["bad"], now)) grantedAt.push(now);
+    assert.equal(grantedAt, [22_000, 42_000, 82_000, 162_000]);
+});
+
+test("a probe that starts releases the part", () => {
+    const quarantine = createPartQuarantine();
+    recordCrashes(quarantine, ["bad"], crashesBeforeQuarantine);
+    assert.not(quarantine.mustRefuse(["bad"], 2 * groupMs + minProbeIntervalMs));
+    assert.equal(quarantine.recordStart(["bad"]), ["bad"]);
+    assert.not(quarantine.hasQuarantined(["bad"]));
+    assert.equal(quarantine.recordStart(["bad"]), []);
+});
+
+test("of several parts that the same crashes quarantine, requests with a single one show which is at fault", () => {
+    const quarantine = createPartQuarantine();
+    const added = recordCrashes(quarantine, ["session", "bad"], crashesBeforeQuarantine).at(-1);
+    assert.equal(added, ["session", "bad"]);
+    assert.ok(quarantine.mustRefuse(["session", "bad"], 2_000));
+    assert.not(quarantine.mustRefuse(["session"], 2_000));
+    quarantine.recordStart(["session"]);
+    assert.not(quarantine.mustRefuse(["session"], 2_001));
+    assert.not(quarantine.mustRefuse(["session", "bad"], 2_001), "the probe of the other part");
+    assert.ok(quarantine.mustRefuse(["session", "bad"], 2_002));
+});
+
+test("newer states of other routers replace older ones", () => {
+    const first = createPartQuarantine();
+    const second = createPartQuarantine();
+    recordCrashes(first, ["bad"], crashesBeforeQuarantine);
+    const quarantined = first.list(["bad"], 2_000);
+    second.merge(quarantined, 500_000);
+    assert.ok(second.mustRefuse(["bad"], 500_001));
+    second.recordStart(["bad"]);
+    second.merge(quarantined, 500_002);
+    assert.not(second.hasQuarantined(["bad"]), "an older state has no effect");
+    first.merge(second.list(["bad"], 500_003), 2_001);
+    assert.not(first.hasQuarantined(["bad"]));
+    recordCrashes(first, ["bad"], crashesOfStartedPart);
+    second.merge(first.list(["bad"], 6_000), 500_004);
+    assert.ok(second.hasQuarantined(["bad"]));
+});
+
+test.run();
--- a/packages/placement/test/entryHarness.ts
+++ b/packages/placement/test/entryHarness.ts
@@ -8,6 +8,7 @@
 } from "@rhubarbwheel/types/placement-events";
 import { createCoordinatorSelector } from "../src/createCoordinatorSelector.js";
 import { createEntryRouter } from "../src/createEntryRouter.js";
+import { createPartQuarantine } from "../src/createPartQuarantine.js";
 import { createViewFixture } from "./viewFixture.js";
 import type { ViewFixtureOptions } from "./viewFixture.js";
 
@@ -39,6 +40,7 @@
         getRetryPolicy: () => ({ ratio: 0.2, reserve: opts.reserve ?? 100, windowMs: 10_000 }),
         computeColdLimit: perSecond => perSecond * 1.5 + 5,
         random: () => 0,
+        quarantine: createPartQuarantine(),
     });
     const reduce = (event: PlacementEvent): readonly PlacementEffect[] => {
         view.reduce(event);
--- a/packages/placement/test/localPlacement.test.ts
+++ b/packages/placement/test/localPlacement.test.ts
@@ -167,6 +167,62 @@
     assert.is(routeUnanswered(8_100, "ada"), "start", "the report is too old");
 });
 
+const badPrompt = {
+    promptTokens: 8_000,
+    outputTokens: 300,
+    parts: [{ id: "common", tokens: 500 }, { id: "bad", tokens: 20 }, { id: "own", tokens: 7_480 }],
+};
+
+// Guards against requests that crash engines one after the other while the coordinator is slow.
+test("a request with a quarantined part is not placed locally", () => {
+    const harness = createUnresponsiveHarness();
+    const { router, address } = harness.findCoordinator("assistant", 0);
+    const part = { id: "bad", generation: 1, isReleased: false, probeInMs: 20_000, probeIntervalMs: 20_000 };
+    const answered = createRoutedRequest({ ...engineRequest, prompt: badPrompt });
+    harness.route(answered, 0);
+    const message = {
+        type: "placementReply",
+        requestId: answered.requestId,
+        service: "assistant",
+        refusal: "partQuarantined",
+        quarantinedParts: [part],
+    } as const;
+    const refused = harness.reduce({ type: "routerMessage", from: router, address, message, now: 10 });
+    assert.is(formatEffects(refused), "fail PROMPT_QUARANTINED");
+    harness.route(createRoutedRequest({ ...engineRequest, prompt: badPrompt }), 20);
+    harness.reduce({ type: "wake", now: 50 });
+    assert.is(formatEffects(harness.reduce({ type: "wake", now: 95 })), "fail PROMPT_QUARANTINED");
+});
+
+test("the coordinator learns which shared parts of a prompt started or broke before their start", () => {
+    const harness = createUnresponsiveHarness();
+    const { router, address } = harness.findCoordinator("assistant", 0);
+    const listPartIds = (effects: ReturnType<typeof harness.reduce>) =>
+        effects.flatMap(effect =>
+            effect.type === "sendToRouter" && effect.message.type === "attemptNotice"
+                ? [effect.message.partIds]
+                : []
+        );
+    const place = () => {
+        const request = createRoutedRequest({ ...engineRequest, maxAttempts: 1, prompt: badPrompt });
+        harness.route(request, 0);
+        const message = {
+            type: "placementReply",
+            requestId: request.requestId,
+            service: "assistant",
+            target: "target-1",
+        } as const;
+        return findAttempt(harness.reduce({ type: "routerMessage", from: router, address, message, now: 10 }));
+    };
+    const broken = place();
+    assert.equal(listPartIds(harness.finish(broken, 20, { result: "broken" })), [["common", "bad"]]);
+    const { requestId, attempt, ...started } = place();
+    const effects = harness.reduce({ type: "attemptStarted", requestId, attempt, now: 20 });
+    assert.equal(listPartIds(effects), [["common", "bad"]]);
+    const ended = harness.finish({ requestId, attempt, ...started }, 30, { result: "broken", responseStarted: true });
+    assert.equal(listPartIds(ended), [undefined]);
+});
+
 test("a local placement is reported to the coordinator at once", () => {
     const harness = createUnresponsiveHarness();
     harness.route(createRoutedRequest(engineRequest), 0);
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -4,14 +4,16 @@
 import type { FleetViewOptions } from "@rhubarbwheel/fleet-view/createFleetView";
 import { createRouterFailureDetector } from "@rhubarbwheel/fleet-view/createRouterFailureDetector";
 import { createEntryRouter } from "@rhubarbwheel/placement/createEntryRouter";
+import { createPartQuarantine } from "@rhubarbwheel/placement/createPartQuarantine";
 import { createPlacementCoordinator } from "@rhubarbwheel/placement/createPlacementCoordinator";
+import { createQuarantineTracker } from "@rhubarbwheel/placement/createQuarantineTracker";
 import type { EntryRouterOptions } from "@rhubarbwheel/placement/entryState";
 import type { PlacementEffect, PlacementEvent, PlacementSlice } from "@rhubarbwheel/types/placement-events";
 import { reduceOverSlices } from "./reduceOverSlices.js";
 
 export interface PlacementReducerOptions {
     readonly view: FleetViewOptions;
-    readonly entry: Omit<EntryRouterOptions, "view" | "random">;
+    readonly entry: Omit<EntryRouterOptions, "view" | "random" | "quarantine">;
     /** Random number in [0, 1). */
     readonly random: () => number;
 }
@@ -27,9 +29,20 @@
     const view = createFleetView(opts.view);
     const confirmer = createConfigurationConfirmer({ router, view, random: opts.random });
     const failureDetector = createRouterFailureDetector({ router, view });
-    const coordinator = createPlacementCoordinator({ router, view });
-    const entry = createEntryRouter({ ...opts.entry, view, random: opts.random });
-    const slices: readonly PlacementSlice[] = [view, confirmer, failureDetector, coordinator, entry];
+    const quarantine = createPartQuarantine();
+    const coordinator = createPlacementCoordinator({ router, view, quarantine });
+    const { countAssigned } = coordinator;
+    const quarantineTracker = createQuarantineTracker({ router, view, quarantine, countAssigned });
+    const entry = createEntryRouter({ ...opts.entry, view, quarantine, random: opts.random });
+    const slices: readonly PlacementSlice[] = [
+        view,
+        confirmer,
+        failureDetector,
+        coordinator,
+        // Follows the coordinator, which has then removed the attempts that have ended.
+        quarantineTracker,
+        entry,
+    ];
 
     return {
         reduce: (event: PlacementEvent): readonly PlacementEffect[] =>
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -118,4 +118,16 @@
             "A pool cannot admit all requests. Workspaces beyond the level are admitted with a shorter queue only.",
         fields: ["service", "level", "admitted", "demand", "workspaces"],
     },
+    1714: {
+        name: "partQuarantined",
+        level: "warn",
+        message: "Engines crashed while requests with this prompt part waited to start; such requests are refused.",
+        fields: ["service", "part", "target"],
+    },
+    1715: {
+        name: "partReleased",
+        level: "info",
+        message: "A request with a quarantined prompt part has started; such requests are admitted again.",
+        fields: ["service", "part"],
+    },
 };
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -16,6 +16,19 @@
     readonly parts: readonly PromptPart[];
 }
 
+/** State of a prompt part that crashes engines. */
+export interface QuarantinedPart {
+    readonly id: string;
+    /** Increases with each quarantine and each probe, so that routers can tell which of two states is newer. */
+    readonly generation: number;
+    /** Whether a request with the part has started since. */
+    readonly isReleased: boolean;
+    /** Time until one request with the part may run, to find out whether the part still crashes engines. */
+    readonly probeInMs: number;
+    /** Time between that probe and the next one. */
+    readonly probeIntervalMs: number;
+}
+
 /** Input of a coordinator's placement decision. */
 export interface PlacementRequest {
     readonly requestId: string;
@@ -33,6 +46,8 @@
     readonly failureDomain: string;
     /** Targets at which this request has failed. */
     readonly excluded: readonly string[];
+    /** Parts of the prompt that are or were quarantined, as known to the entry router. */
+    readonly quarantinedParts?: readonly QuarantinedPart[];
 }
 
 /** Entry router to coordinator: requests a target. */
@@ -41,7 +56,7 @@
     readonly request: PlacementRequest;
 }
 
-export type RefusalReason = "overloaded" | "shareUsed" | "noTarget";
+export type RefusalReason = "overloaded" | "shareUsed" | "noTarget" | "partQuarantined";
 
 /** Coordinator to entry router: the chosen target, or a refusal. */
 export interface PlacementReplyMessage {
@@ -63,6 +78,8 @@
     readonly refusal?: RefusalReason;
     /** Time after which a refused caller should retry. */
     readonly retryAfterMs?: number;
+    /** Parts of the prompt that are or were quarantined, as known to the coordinator. */
+    readonly quarantinedParts?: readonly QuarantinedPart[];
 }
 
 /**
@@ -96,6 +113,14 @@
     /** Time from the send of the attempt to the event that the notice reports; 0 for an unused placement. */
     readonly latencyMs: number;
     readonly load?: ReportedLoad;
+    /** Ids of the prompt parts that other requests may share, if the attempt has started or broke before its start. */
+    readonly partIds?: readonly string[];
+}
+
+/** Coordinator to all routers: prompt parts whose state has changed. */
+export interface QuarantineNoticeMessage {
+    readonly type: "quarantineNotice";
+    readonly parts: readonly QuarantinedPart[];
 }
 
 /** An attempt that has not ended; `Holding` on the wire. */
@@ -123,5 +148,6 @@
     | PlacementReplyMessage
     | AttemptNoticeMessage
     | InFlightAttemptsMessage
+    | QuarantineNoticeMessage
     | ConfirmationRequestMessage
     | ConfirmationReplyMessage;
