--- a/packages/forwarding/src/createResponseRelay.ts
+++ b/packages/forwarding/src/createResponseRelay.ts
@@ -21,16 +21,23 @@
 }
 
 export interface ResponseRelay {
-    readonly push: (chunk: Buffer) => void;
+    /** Relays or buffers a chunk. Returns the outcome if the rest of the response must not be read. */
+    readonly push: (chunk: Buffer) => RelayOutcome | undefined;
     /** Called when the target's response has ended without an error. */
     readonly finish: () => RelayOutcome;
     /** Whether any part of the response has been sent to the caller. */
     readonly hasStarted: () => boolean;
 }
 
-/** Responses above this size are relayed as they arrive, after which the call can no longer be retried. */
+/**
+ * Maximum size of a buffered response. Larger successful ones are relayed as they arrive, after which the call can no
+ * longer be retried. Larger errors and rejections are cut off: a faulty target may send bytes without end.
+ */
 const maxBufferedBytes = 1024 * 1024;
 
+/** Maximum size of one event of a stream, which is buffered until it is complete. Usual events have some 100 bytes. */
+const maxEventBytes = 256 * 1024;
+
 function isStream(call: OpenCall, status: number): boolean {
     return call.kind === "stream" && status >= 200 && status < 300;
 }
@@ -53,23 +60,38 @@
         }
     };
 
-    const pushEvents = (chunk: Buffer): void => {
+    const pushEvents = (chunk: Buffer): RelayOutcome | undefined => {
         const events = splitter?.push(chunk);
-        if (events === undefined || events.completeEvents.length === 0) return;
+        if (events === undefined) return undefined;
+        if (events.incompleteBytes > maxEventBytes)
+            return { result: "broken", reason: "an event exceeds the size limit" };
+        if (events.completeEvents.length === 0) return undefined;
         write(events.completeEvents);
         call.lastEventId = events.lastEventId ?? call.lastEventId;
-        if (isStarted) return;
+        if (isStarted) return undefined;
         isStarted = true;
         opts.onFirstEvent();
+        return undefined;
     };
 
-    const pushBytes = (chunk: Buffer): void => {
-        if (isStarted) return write(chunk);
+    const createRejection = (): RelayOutcome => ({
+        result: metadata.isMisdirected ? "misdirected" : "rejected",
+        reason: `status ${status}`,
+    });
+
+    const pushBytes = (chunk: Buffer): RelayOutcome | undefined => {
+        if (isStarted) {
+            write(chunk);
+            return undefined;
+        }
         buffered.push(chunk);
         bufferedBytes += chunk.length;
-        if (bufferedBytes <= maxBufferedBytes || status >= 500 || metadata.isRejection) return;
+        if (bufferedBytes <= maxBufferedBytes) return undefined;
+        if (metadata.isRejection) return createRejection();
+        if (status >= 500) return { result: "broken", reason: "the error response exceeds the size limit" };
         isStarted = true;
         for (const bytes of buffered.splice(0)) write(bytes);
+        return undefined;
     };
 
     const finishStream = (): RelayOutcome => {
@@ -83,8 +105,7 @@
     };
 
     const finishBuffered = (): RelayOutcome => {
-        if (metadata.isRejection)
-            return { result: metadata.isMisdirected ? "misdirected" : "rejected", reason: `status ${status}` };
+        if (metadata.isRejection) return createRejection();
         const body = Buffer.concat(buffered);
         if (status >= 500) {
             call.failure = { status, headers: opts.headers, body };
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -4,7 +4,7 @@
 import type { Dispatcher } from "undici";
 import type { ConnectionPool } from "./createConnectionPool.js";
 import { createResponseRelay } from "./createResponseRelay.js";
-import type { ResponseRelay } from "./createResponseRelay.js";
+import type { RelayOutcome, ResponseRelay } from "./createResponseRelay.js";
 import type { HeaderCodec, Headers } from "./headerCodec.js";
 import type { OpenCall } from "./openCall.js";
 
@@ -26,6 +26,9 @@
 /** Results after which the connection can be reused. */
 const reusableResults: readonly PlacedAttemptResult[] = ["complete", "rejected", "misdirected", "failed"];
 
+/** Maximum number of informational responses (1xx) before the final one; a faulty target may send them without end. */
+const maxInformationalResponses = 8;
+
 function formatError(error: Error): string {
     const { code } = error as NodeJS.ErrnoException;
     return code ?? error.message;
@@ -47,6 +50,7 @@
     /** Whether the response has a length or chunks; otherwise it ends when the connection closes. */
     let isSelfDelimited = true;
     let isSent = false;
+    let informationalResponses = 0;
     let isFinished = false;
 
     const finishAttempt = (result: PlacedAttemptResult, details: Partial<AttemptOutcome> = {}): void => {
@@ -62,6 +66,14 @@
         controller?.abort(new Error(reason));
     };
 
+    /** Ends the attempt without reading the rest of the response, after which the connection cannot be reused. */
+    const cutOffResponse = ({ result, reason = "the response exceeds a size limit" }: RelayOutcome): void => {
+        isFinished = true;
+        controller?.abort(new Error(reason));
+        connectionPool.destroy(connection);
+        context.onFinished({ result, responseStarted: relay?.hasStarted() ?? false, load, reason });
+    };
+
     const handleResponseHead = (status: number, headers: Headers): void => {
         const metadata = headerCodec.parseResponseHeaders(status, headers);
         connection.keepAliveTimeoutMs = parseKeepAliveTimeout(headers);
@@ -101,10 +113,15 @@
             isSent = true;
         },
         onResponseStart: (_controller, status, headers) => {
-            if (!isFinished && status >= 200) handleResponseHead(status, headers as Headers);
+            if (isFinished) return;
+            if (status >= 200) return handleResponseHead(status, headers as Headers);
+            informationalResponses += 1;
+            if (informationalResponses > maxInformationalResponses) failAttempt("too many informational responses");
         },
         onResponseData: (_controller, chunk) => {
-            if (!isFinished) relay?.push(chunk);
+            if (isFinished) return;
+            const outcome = relay?.push(chunk);
+            if (outcome !== undefined) cutOffResponse(outcome);
         },
         onResponseEnd: () => {
             if (isSelfDelimited) finishResponse();
