--- a/packages/placement/src/createCoordinatorSelector.ts
+++ b/packages/placement/src/createCoordinatorSelector.ts
@@ -1,4 +1,7 @@
-/** Selects the coordinator of each pool: the first router by rendezvous hashing that is not suspected. */
+/**
+ * Selects the coordinator of each pool: the first router by rendezvous hashing that is not suspected. Routers on the
+ * larger hosts rank first, because a coordinator handles the placement requests of the whole pool beside its callers.
+ */
 import { rankByRendezvous } from "@rhubarbwheel/membership/chooseByRendezvous";
 import type { RouterEntry } from "@rhubarbwheel/types/fleet";
 import {
@@ -33,6 +36,16 @@
     readonly listRouters: () => readonly RouterEntry[];
 }
 
+/** Fraction of the cores of the largest host from which a host counts as one of the larger ones. */
+const largeHostRatio = 0.5;
+
+/** Returns the routers in the same order, with those on the larger hosts first. */
+function moveLargeHostsFirst(ranked: readonly RouterEntry[]): readonly RouterEntry[] {
+    const maxCores = Math.max(...ranked.map(({ cores = 0 }) => cores));
+    const isLarge = ({ cores = 0 }: RouterEntry): boolean => cores >= maxCores * largeHostRatio;
+    return [...ranked.filter(isLarge), ...ranked.filter(entry => !isLarge(entry))];
+}
+
 /** Unanswered placement requests of a router; removed when a message from it arrives. */
 interface Suspicion {
     /** Incarnation that did not respond; a later one is not suspected. */
@@ -58,7 +71,8 @@
         const existing = rankings.get(service);
         if (existing !== undefined) return existing;
         const routers = new Map(listed.map(entry => [entry.router, entry]));
-        const ranked = rankByRendezvous(service, [...routers.keys()]).map(router => routers.get(router)!);
+        const names = rankByRendezvous(service, [...routers.keys()]);
+        const ranked = moveLargeHostsFirst(names.map(router => routers.get(router)!));
         rankings.set(service, ranked);
         return ranked;
     };
--- a/packages/placement/test/createCoordinatorSelector.test.ts
+++ b/packages/placement/test/createCoordinatorSelector.test.ts
@@ -33,6 +33,18 @@
     for (const router of names) assert.is(createSelectorHarness(router).find(0), first);
 });
 
+// Guards against a coordinator without processor time: one of the smallest hosts coordinated the largest pool.
+test("routers on larger hosts are selected first, and smaller ones while those are suspected", () => {
+    const cores: Readonly<Record<string, number>> = { r2: 1.4, r4: 0.8 };
+    const routers = createRouterEntries(names).map(entry => ({ ...entry, cores: cores[entry.router] ?? 0.3 }));
+    const selector = createCoordinatorSelector({ router: "r1", listRouters: () => routers });
+    const services = Array.from({ length: 20 }, (_, index) => `service-${index}`);
+    const listSelected = (now: number) => [...new Set(services.map(name => selector.find(name, now)?.router))].sort();
+    assert.equal(listSelected(0), ["r2", "r4"]);
+    for (const router of ["r2", "r4"]) for (const now of [0, 300]) selector.recordTimeout(router, now);
+    assert.equal(listSelected(301), ["r1", "r3"]);
+});
+
 // Guards against several coordinators per pool after a restart of all routers, while the coordinator is slow.
 test("a coordinator that is slow for less than 250 ms is not suspected", () => {
     const selector = createSelectorHarness(self);
--- a/packages/types/src/fleet.ts
+++ b/packages/types/src/fleet.ts
@@ -112,6 +112,8 @@
     /** `ip:port` on which it receives datagrams from other routers. */
     readonly address: string;
     readonly failureDomain: string;
+    /** Processor time that the host gives the router, in cores; omitted by older routers. */
+    readonly cores?: number;
 }
 
 export interface ClosedDomainEntry {
