--- a/packages/placement/src/createPartQuarantine.ts
+++ b/packages/placement/src/createPartQuarantine.ts
@@ -11,8 +11,10 @@
     readonly recordCrash: (partIds: Iterable<string>, now: number) => readonly string[];
     /** Whether a part is quarantined. */
     readonly hasQuarantined: (partIds: readonly string[]) => boolean;
-    /** Whether a request with a quarantined part must be refused. A due probe may run, which is granted only once. */
+    /** Whether a request with a quarantined part must be refused, because no probe is due. */
     readonly mustRefuse: (partIds: readonly string[], now: number) => boolean;
+    /** Records that a request was placed. If it has a quarantined part, it was a probe, and the next one is due later. */
+    readonly recordPlacement: (partIds: readonly string[], now: number) => void;
     /** Returns the states of those parts that are or were quarantined. */
     readonly list: (partIds: readonly string[], now: number) => readonly QuarantinedPart[];
     /** Applies states from another router that are newer than those of this one. */
@@ -139,16 +141,19 @@
         hasQuarantined: partIds => partIds.some(isQuarantined),
         mustRefuse: (partIds, now) => {
             const [id, ...others] = partIds.filter(isQuarantined);
-            if (id === undefined) return false;
-            const { generation, probeAt, probeIntervalMs } = states.get(id)!;
-            if (others.length > 0 || now < probeAt) return true;
-            setState(id, {
-                generation: generation + 1,
-                isReleased: false,
-                probeAt: now + probeIntervalMs,
-                probeIntervalMs: Math.min(maxProbeIntervalMs, probeIntervalMs * 2),
-            });
-            return false;
+            // A crash of a request with several quarantined parts would not show which of them is at fault.
+            return id !== undefined && (others.length > 0 || now < states.get(id)!.probeAt);
+        },
+        recordPlacement: (partIds, now) => {
+            for (const id of partIds.filter(isQuarantined)) {
+                const { generation, probeIntervalMs } = states.get(id)!;
+                setState(id, {
+                    generation: generation + 1,
+                    isReleased: false,
+                    probeAt: now + probeIntervalMs,
+                    probeIntervalMs: Math.min(maxProbeIntervalMs, probeIntervalMs * 2),
+                });
+            }
         },
         list: (partIds, now) =>
             partIds.flatMap(id => {
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -186,18 +186,21 @@
         }
         const partIds = listSharedPartIds(request.prompt);
         quarantine.merge(request.quarantinedParts ?? [], event.now);
-        const mustRefuse = quarantine.mustRefuse(partIds, event.now);
-        const states = quarantine.list(partIds, event.now);
-        const quarantinedParts = states.length === 0 ? undefined : states;
-        if (mustRefuse) {
-            const refusal = "partQuarantined";
-            return sendReply(event, { requestId, service, refusal, retryAfterMs, quarantinedParts });
+        const placement: AdmittedChoice | Refusal = quarantine.mustRefuse(partIds, event.now)
+            ? { refusal: "partQuarantined" }
+            : choosePlacement(pool, request, event.now);
+        if (!("refusal" in placement)) {
+            assign(pool, request, placement, event.now);
+            quarantine.recordPlacement(partIds, event.now);
         }
-        const placement = choosePlacement(pool, request, event.now);
-        if ("refusal" in placement)
-            return sendReply(event, { requestId, service, ...placement, retryAfterMs, quarantinedParts });
-        assign(pool, request, placement, event.now);
-        sendReply(event, { requestId, service, ...placement, quarantinedParts });
+        const states = quarantine.list(partIds, event.now);
+        sendReply(event, {
+            requestId,
+            service,
+            ...placement,
+            retryAfterMs: "refusal" in placement ? retryAfterMs : undefined,
+            quarantinedParts: states.length === 0 ? undefined : states,
+        });
     };
 
     const handleAttemptNotice = (notice: AttemptNoticeMessage, now: number): void => {
--- a/packages/placement/test/createPartQuarantine.test.ts
+++ b/packages/placement/test/createPartQuarantine.test.ts
@@ -11,8 +11,17 @@
 
 const groupMs = crashGroupMs + 1;
 
+type PartQuarantine = ReturnType<typeof createPartQuarantine>;
+
+/** Places a request unless it must be refused. */
+function tryPlace(quarantine: PartQuarantine, partIds: readonly string[], now: number): boolean {
+    if (quarantine.mustRefuse(partIds, now)) return false;
+    quarantine.recordPlacement(partIds, now);
+    return true;
+}
+
 /** Records as many crashes in different groups; returns the parts that each one quarantined. */
-function recordCrashes(quarantine: ReturnType<typeof createPartQuarantine>, partIds: readonly string[], count: number) {
+function recordCrashes(quarantine: PartQuarantine, partIds: readonly string[], count: number) {
     return Array.from({ length: count }, (_, index) => quarantine.recordCrash(partIds, index * groupMs));
 }
 
@@ -50,14 +59,21 @@
     const quarantine = createPartQuarantine();
     recordCrashes(quarantine, ["bad"], crashesBeforeQuarantine);
     const grantedAt: number[] = [];
-    for (let now = 2_000; now < 200_000; now += 1_000) if (!quarantine.mustRefuse(["bad"], now)) grantedAt.push(now);
+    for (let now = 2_000; now < 200_000; now += 1_000) if (tryPlace(quarantine, ["bad"], now)) grantedAt.push(now);
     assert.equal(grantedAt, [22_000, 42_000, 82_000, 162_000]);
 });
 
+test("a probe that no engine can run is due again at once", () => {
+    const quarantine = createPartQuarantine();
+    recordCrashes(quarantine, ["bad"], crashesBeforeQuarantine);
+    assert.not(quarantine.mustRefuse(["bad"], 30_000));
+    assert.ok(tryPlace(quarantine, ["bad"], 30_001));
+});
+
 test("a probe that starts releases the part", () => {
     const quarantine = createPartQuarantine();
     recordCrashes(quarantine, ["bad"], crashesBeforeQuarantine);
-    assert.not(quarantine.mustRefuse(["bad"], 2 * groupMs + minProbeIntervalMs));
+    assert.ok(tryPlace(quarantine, ["bad"], 2 * groupMs + minProbeIntervalMs));
     assert.equal(quarantine.recordStart(["bad"]), ["bad"]);
     assert.not(quarantine.hasQuarantined(["bad"]));
     assert.equal(quarantine.recordStart(["bad"]), []);
@@ -68,11 +84,11 @@
     const added = recordCrashes(quarantine, ["session", "bad"], crashesBeforeQuarantine).at(-1);
     assert.equal(added, ["session", "bad"]);
     assert.ok(quarantine.mustRefuse(["session", "bad"], 2_000));
-    assert.not(quarantine.mustRefuse(["session"], 2_000));
+    assert.ok(tryPlace(quarantine, ["session"], 2_000));
     quarantine.recordStart(["session"]);
-    assert.not(quarantine.mustRefuse(["session"], 2_001));
-    assert.not(quarantine.mustRefuse(["session", "bad"], 2_001), "the probe of the other part");
-    assert.ok(quarantine.mustRefuse(["session", "bad"], 2_002));
+    assert.ok(tryPlace(quarantine, ["session"], 2_001));
+    assert.ok(tryPlace(quarantine, ["session", "bad"], 2_001), "the probe of the other part");
+    assert.not(tryPlace(quarantine, ["session", "bad"], 2_002));
 });
 
 test("newer states of other routers replace older ones", () => {
