--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -194,8 +194,11 @@
     const breakAnswer = ({ requestId }: { readonly requestId: string; }): void => {
         const call = openCalls.get(requestId);
         if (call === undefined) return;
-        if (call.response.headersSent) call.response.destroy();
-        else sendErrorResponse(call.response, "TARGET_BROKEN");
+        const { response } = call;
+        if (!response.headersSent) sendErrorResponse(response, "TARGET_BROKEN");
+        // Events that were just written are still delivered, unless the caller does not read them.
+        else if (response.writableNeedDrain) response.destroy();
+        else response.socket?.destroySoon();
     };
 
     return {
--- a/packages/forwarding/src/createResponseRelay.ts
+++ b/packages/forwarding/src/createResponseRelay.ts
@@ -8,8 +8,6 @@
     readonly status: number;
     readonly headers: Record<string, string | readonly string[]>;
     readonly metadata: ResponseMetadata;
-    /** Whether the response has a length or chunks; otherwise it ends when the connection closes. */
-    readonly isSelfDelimited: boolean;
     readonly pause: () => void;
     readonly resume: () => void;
     readonly onFirstEvent: () => void;
@@ -96,9 +94,7 @@
 
     const finishStream = (): RelayOutcome => {
         const incompleteEvent = splitter?.getIncompleteEvent() ?? Buffer.alloc(0);
-        if (incompleteEvent.length > 0 && !opts.isSelfDelimited)
-            return { result: "broken", reason: "the stream ended within an event" };
-        if (incompleteEvent.length > 0) write(incompleteEvent);
+        if (incompleteEvent.length > 0) return { result: "broken", reason: "the stream ended within an event" };
         if (!response.headersSent) response.writeHead(status, opts.headers as Record<string, string>);
         response.end();
         return { result: "complete" };
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -85,7 +85,6 @@
             status,
             headers: headerCodec.filterResponseHeaders(headers),
             metadata,
-            isSelfDelimited,
             pause: () => controller?.pause(),
             resume: () => controller?.resume(),
             onFirstEvent: () => context.onStarted(load),
