--- a/packages/forwarding/test/callerWorker.ts
+++ b/packages/forwarding/test/callerWorker.ts
@@ -3,6 +3,8 @@
 import { parentPort, workerData } from "node:worker_threads";
 
 export interface CallerWorkerData {
+    /** Loopback address of the server and of the callers, whose many ports other tests must not run into. */
+    readonly host: string;
     readonly port: number;
     readonly callsPerSecond: number;
     /** Time for which a caller waits for its connection and the response. */
@@ -15,14 +17,14 @@
     readonly answered: readonly [number, number];
 }
 
-const { port, callsPerSecond, patienceMs, durationMs } = workerData as CallerWorkerData;
+const { host, port, callsPerSecond, patienceMs, durationMs } = workerData as CallerWorkerData;
 const startedAt = performance.now();
 const answered: [number, number] = [0, 0];
 let startedCalls = 0;
 
 function startCall(): void {
     const half = performance.now() - startedAt < durationMs / 2 ? 0 : 1;
-    const socket = connect(port, "127.0.0.1");
+    const socket = connect({ port, host, localAddress: host });
     const timer = setTimeout(() => socket.destroy(), patienceMs);
     socket.on("connect", () => socket.write("GET / HTTP/1.1\r\nHost: calls.example\r\n\r\n"));
     socket.once("data", () => {
--- a/packages/forwarding/test/overloadedCallerServer.test.ts
+++ b/packages/forwarding/test/overloadedCallerServer.test.ts
@@ -6,6 +6,9 @@
 import { createCallerServer } from "../src/createCallerServer.js";
 import type { CallerWorkerData, CallerWorkerResult } from "./callerWorker.js";
 
+/** A loopback address that no other test uses, because the test opens 2,000 connections. */
+const host = "127.254.0.1";
+
 /** Processor time of one call. */
 const callMs = 8;
 
@@ -25,8 +28,8 @@
         },
         onInvalidRequest: () => undefined,
     });
-    const port = await server.listen("127.0.0.1", 0);
-    const load: CallerWorkerData = { port, callsPerSecond: 250, patienceMs: 1_000, durationMs: 8_000 };
+    const port = await server.listen(host, 0);
+    const load: CallerWorkerData = { host, port, callsPerSecond: 250, patienceMs: 1_000, durationMs: 8_000 };
     const worker = new Worker(new URL("./callerWorker.js", import.meta.url), { workerData: load });
     const [{ answered }] = await once(worker, "message") as [CallerWorkerResult];
     await worker.terminate();
