--- a/packages/membership/src/chooseByRendezvous.ts
+++ b/packages/membership/src/chooseByRendezvous.ts
@@ -19,15 +19,23 @@
         .map(entry => entry.name);
 }
 
-/** Chooses the best of `names` for `key`; `undefined` if there are none. */
-export function chooseByRendezvous(key: string, names: readonly string[]): string | undefined {
+/** Chooses the name with the highest score, the first by name if several have it; `undefined` if there are none. */
+export function chooseByScore(
+    names: readonly string[],
+    computeNameScore: (name: string) => number,
+): string | undefined {
     let best: string | undefined;
     let bestScore = -1;
     for (const name of names) {
-        const score = computeScore(key, name);
+        const score = computeNameScore(name);
         if (score < bestScore || (score === bestScore && best !== undefined && best < name)) continue;
         best = name;
         bestScore = score;
     }
     return best;
 }
+
+/** Chooses the best of `names` for `key`; `undefined` if there are none. */
+export function chooseByRendezvous(key: string, names: readonly string[]): string | undefined {
+    return chooseByScore(names, name => computeScore(key, name));
+}
