--- a/packages/forwarding/src/createEventSplitter.ts
+++ b/packages/forwarding/src/createEventSplitter.ts
@@ -5,8 +5,6 @@
     readonly completeEvents: Buffer;
     /** Id of the last complete event that has one. */
     readonly lastEventId?: string;
-    /** Number of bytes received of an event that has not ended. */
-    readonly incompleteBytes: number;
 }
 
 export interface EventSplitter {
@@ -43,11 +41,10 @@
             const bytes = incompleteEvent.length === 0 ? chunk : Buffer.concat([incompleteEvent, chunk]);
             const end = findLastEventEnd(bytes);
             incompleteEvent = bytes.subarray(end);
-            const incompleteBytes = incompleteEvent.length;
             const completeEvents = bytes.subarray(0, end);
             return end === 0
-                ? { completeEvents, incompleteBytes }
-                : { completeEvents, lastEventId: findLastEventId(completeEvents), incompleteBytes };
+                ? { completeEvents }
+                : { completeEvents, lastEventId: findLastEventId(completeEvents) };
         },
         getIncompleteEvent: () => incompleteEvent,
     };
--- a/packages/forwarding/src/createResponseRelay.ts
+++ b/packages/forwarding/src/createResponseRelay.ts
@@ -60,8 +60,8 @@
 
     const pushEvents = (chunk: Buffer): RelayOutcome | undefined => {
         const events = splitter?.push(chunk);
-        if (events === undefined) return undefined;
-        if (events.incompleteBytes > maxEventBytes)
+        if (splitter === undefined || events === undefined) return undefined;
+        if (splitter.getIncompleteEvent().length > maxEventBytes)
             return { result: "broken", reason: "an event exceeds the size limit" };
         if (events.completeEvents.length === 0) return undefined;
         write(events.completeEvents);
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -23,7 +23,7 @@
     readonly onFinished: (outcome: AttemptOutcome) => void;
 }
 
-/** Results after which the connection can be reused. */
+/** Results after which the connection can be reused if the whole response has been read. */
 const reusableResults: readonly PlacedAttemptResult[] = ["complete", "rejected", "misdirected", "failed"];
 
 /** Maximum number of informational responses (1xx) before the final one; a faulty target may send them without end. */
@@ -50,13 +50,14 @@
     /** Whether the response has a length or chunks; otherwise it ends when the connection closes. */
     let isSelfDelimited = true;
     let isSent = false;
+    let isResponseRead = false;
     let informationalResponses = 0;
     let isFinished = false;
 
     const finishAttempt = (result: PlacedAttemptResult, details: Partial<AttemptOutcome> = {}): void => {
         if (isFinished) return;
         isFinished = true;
-        if (reusableResults.includes(result)) connectionPool.release(connection);
+        if (isResponseRead && reusableResults.includes(result)) connectionPool.release(connection);
         else connectionPool.destroy(connection);
         context.onFinished({ result, responseStarted: relay?.hasStarted() ?? false, load, ...details });
     };
@@ -66,12 +67,10 @@
         controller?.abort(new Error(reason));
     };
 
-    /** Ends the attempt without reading the rest of the response, after which the connection cannot be reused. */
-    const cutOffResponse = ({ result, reason = "the response exceeds a size limit" }: RelayOutcome): void => {
-        isFinished = true;
-        controller?.abort(new Error(reason));
-        connectionPool.destroy(connection);
-        context.onFinished({ result, responseStarted: relay?.hasStarted() ?? false, load, reason });
+    /** Ends the attempt without reading the rest of the response. */
+    const abortResponse = (outcome: RelayOutcome): void => {
+        finishAttempt(outcome.result, outcome);
+        controller?.abort(new Error(outcome.reason));
     };
 
     const handleResponseHead = (status: number, headers: Headers): void => {
@@ -96,6 +95,7 @@
         // A self-delimited response is complete once all of it has arrived, even if the connection breaks afterwards.
         if (!isSelfDelimited && connection.hasSocketError)
             return failAttempt("the connection was reset before the end of the response");
+        isResponseRead = true;
         const outcome = relay?.finish();
         if (outcome === undefined) return failAttempt("the response ended before its headers");
         if (outcome.result === "broken") return failAttempt(outcome.reason ?? "the response is incomplete");
@@ -120,7 +120,7 @@
         onResponseData: (_controller, chunk) => {
             if (isFinished) return;
             const outcome = relay?.push(chunk);
-            if (outcome !== undefined) cutOffResponse(outcome);
+            if (outcome !== undefined) abortResponse(outcome);
         },
         onResponseEnd: () => {
             if (isSelfDelimited) finishResponse();
