--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -1,7 +1,7 @@
 /** Places requests on targets: by the coordinator of the pool, or locally if it does not reply in time. */
 import { computeRetryAfterMs, otherRouterRetryAfterMs } from "@rhubarbwheel/routing/computeRetryAfterMs";
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
-import type { PlacementReplyMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
+import type { PlacementReplyMessage, PlacementRequest, RefusalReason } from "@rhubarbwheel/types/placement";
 import type { RouterMessageEvent } from "@rhubarbwheel/types/placement-events";
 import { computeCost, computeMaxWaitMs, defaultAdmissionInput } from "./admission.js";
 import { listSharedPartIds } from "./createPartQuarantine.js";
@@ -156,13 +156,12 @@
         target: isAllowed ? choice?.target : undefined,
         targetsAgeMs: Math.round(context.view.getAgeMs("targets", context.now)),
     });
-    const refusal = isPartQuarantined
-        ? "partQuarantined"
-        : usableTargets.length === 0
-        ? "noTarget"
-        : isShareUsed
-        ? "shareUsed"
-        : "overloaded";
+    const getRefusal = (): RefusalReason => {
+        if (isPartQuarantined) return "partQuarantined";
+        if (usableTargets.length === 0) return "noTarget";
+        return isShareUsed ? "shareUsed" : "overloaded";
+    };
+    const refusal = getRefusal();
     const refusedPlacement = { refusal, retryAfterMs: computeRetryAfterMs(request.timeLeftMs) } as const;
     applyPlacement(context, entry, isAllowed ? choice ?? refusedPlacement : refusedPlacement);
     // The coordinator may only be slow, and must account for this attempt.
