--- a/packages/forwarding/src/createEventLoopMonitor.ts
+++ b/packages/forwarding/src/createEventLoopMonitor.ts
@@ -11,7 +11,7 @@
 /** Interval between two measurements. */
 const intervalMs = 200;
 
-export function monitorEventLoop(opts: EventLoopMonitorOptions) {
+export function createEventLoopMonitor(opts: EventLoopMonitorOptions) {
     const detector = createOverloadDetector();
     let previous = performance.eventLoopUtilization();
 
@@ -31,4 +31,4 @@
     };
 }
 
-export type EventLoopMonitor = ReturnType<typeof monitorEventLoop>;
+export type EventLoopMonitor = ReturnType<typeof createEventLoopMonitor>;
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -29,8 +29,8 @@
     readonly random: () => number;
     readonly createRequestId: () => string;
     readonly isDraining: () => boolean;
-    /** Whether the number of open caller connections requires closing each one after its next response. */
-    readonly hasTooManyConnections: () => boolean;
+    /** Whether caller connections stay open after a response; false while there are too many calls or connections. */
+    readonly mayKeepConnections: () => boolean;
     /** Memory limit for the bodies of all open calls together. */
     readonly maxBodyMemoryBytes: number;
     /** Called for each call that ends before it reaches the reducer. */
@@ -106,7 +106,7 @@
     const serveCall = (incoming: IncomingMessage, response: ServerResponse): void => {
         const arrivedAt = opts.getNow();
         // Closing the connection makes the caller open its next one to another router.
-        if (opts.isDraining() || opts.hasTooManyConnections()) response.shouldKeepAlive = false;
+        if (opts.isDraining() || !opts.mayKeepConnections()) response.shouldKeepAlive = false;
         const routed = routeCall(incoming, {
             view: opts.view,
             headerCodec: opts.headerCodec,
--- a/packages/forwarding/src/createOverloadDetector.ts
+++ b/packages/forwarding/src/createOverloadDetector.ts
@@ -4,7 +4,10 @@
  */
 
 export interface OverloadDetector {
-    /** Records the fraction of the time since the last record in which the event loop was not idle. */
+    /**
+     * Records the fraction of the time since the last record in which the event loop was not idle. Returns the new state
+     * if it has changed.
+     */
     readonly recordUtilization: (utilization: number, now: number) => OverloadState | undefined;
     readonly isOverloaded: () => boolean;
     /** The last recorded utilization, 0 to 1. */
--- a/packages/placement/src/createCoordinatorSelector.ts
+++ b/packages/placement/src/createCoordinatorSelector.ts
@@ -40,7 +40,7 @@
 const largeHostRatio = 0.5;
 
 /** Returns the routers in the same order, with those on the larger hosts first. */
-function moveLargeHostsFirst(ranked: readonly RouterEntry[]): readonly RouterEntry[] {
+function sortLargeHostsFirst(ranked: readonly RouterEntry[]): readonly RouterEntry[] {
     const maxCores = Math.max(...ranked.map(({ cores = 0 }) => cores));
     const isLarge = ({ cores = 0 }: RouterEntry): boolean => cores >= maxCores * largeHostRatio;
     return [...ranked.filter(isLarge), ...ranked.filter(entry => !isLarge(entry))];
@@ -72,7 +72,7 @@
         if (existing !== undefined) return existing;
         const routers = new Map(listed.map(entry => [entry.router, entry]));
         const names = rankByRendezvous(service, [...routers.keys()]);
-        const ranked = moveLargeHostsFirst(names.map(router => routers.get(router)!));
+        const ranked = sortLargeHostsFirst(names.map(router => routers.get(router)!));
         rankings.set(service, ranked);
         return ranked;
     };
--- a/packages/placement/src/createPartQuarantine.ts
+++ b/packages/placement/src/createPartQuarantine.ts
@@ -11,8 +11,8 @@
     readonly recordCrash: (partIds: Iterable<string>, now: number) => readonly string[];
     /** Whether a part is quarantined. */
     readonly hasQuarantined: (partIds: readonly string[]) => boolean;
-    /** Whether a request with a quarantined part must be refused, because no probe is due. */
-    readonly mustRefuse: (partIds: readonly string[], now: number) => boolean;
+    /** Whether the request may be placed: it has no quarantined part, or it has one and a probe is due. */
+    readonly mayPlace: (partIds: readonly string[], now: number) => boolean;
     /** Records that a request was placed. If it has a quarantined part, it was a probe, and the next one is due later. */
     readonly recordPlacement: (partIds: readonly string[], now: number) => void;
     /** Returns the states of those parts that are or were quarantined. */
@@ -48,7 +48,7 @@
 /** Maximum number of quarantined parts. Each one has crashed engines, so there are few. */
 const maxQuarantinedParts = 500;
 
-/** Time from the quarantine to its first probe. Each further interval is twice as long. */
+/** Time from the quarantine to its first probe and from that to the next; each later interval is twice as long. */
 export const minProbeIntervalMs = 20_000;
 
 const maxProbeIntervalMs = 600_000;
@@ -139,10 +139,10 @@
             return added;
         },
         hasQuarantined: partIds => partIds.some(isQuarantined),
-        mustRefuse: (partIds, now) => {
+        mayPlace: (partIds, now) => {
             const [id, ...others] = partIds.filter(isQuarantined);
             // A crash of a request with several quarantined parts would not show which of them is at fault.
-            return id !== undefined && (others.length > 0 || now < states.get(id)!.probeAt);
+            return id === undefined || (others.length === 0 && now >= states.get(id)!.probeAt);
         },
         recordPlacement: (partIds, now) => {
             for (const id of partIds.filter(isQuarantined)) {
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -186,9 +186,9 @@
         }
         const partIds = listSharedPartIds(request.prompt);
         quarantine.merge(request.quarantinedParts ?? [], event.now);
-        const placement: AdmittedChoice | Refusal = quarantine.mustRefuse(partIds, event.now)
-            ? { refusal: "partQuarantined" }
-            : choosePlacement(pool, request, event.now);
+        const placement: AdmittedChoice | Refusal = quarantine.mayPlace(partIds, event.now)
+            ? choosePlacement(pool, request, event.now)
+            : { refusal: "partQuarantined" };
         if (!("refusal" in placement)) {
             assign(pool, request, placement, event.now);
             quarantine.recordPlacement(partIds, event.now);
--- a/packages/placement/test/createPartQuarantine.test.ts
+++ b/packages/placement/test/createPartQuarantine.test.ts
@@ -15,7 +15,7 @@
 
 /** Places a request unless it must be refused. */
 function tryPlace(quarantine: PartQuarantine, partIds: readonly string[], now: number): boolean {
-    if (quarantine.mustRefuse(partIds, now)) return false;
+    if (!quarantine.mayPlace(partIds, now)) return false;
     quarantine.recordPlacement(partIds, now);
     return true;
 }
@@ -29,8 +29,8 @@
 test("a part that waited at several engines that crashed is quarantined", () => {
     const quarantine = createPartQuarantine();
     assert.equal(recordCrashes(quarantine, ["bad"], crashesBeforeQuarantine), [[], [], ["bad"]]);
-    assert.ok(quarantine.mustRefuse(["common", "bad"], 3_000));
-    assert.not(quarantine.mustRefuse(["common", "other"], 3_000));
+    assert.not(quarantine.mayPlace(["common", "bad"], 3_000));
+    assert.ok(quarantine.mayPlace(["common", "other"], 3_000));
 });
 
 test("a part that has started since the first crash is not quarantined", () => {
@@ -66,7 +66,7 @@
 test("a probe that no engine can run is due again at once", () => {
     const quarantine = createPartQuarantine();
     recordCrashes(quarantine, ["bad"], crashesBeforeQuarantine);
-    assert.not(quarantine.mustRefuse(["bad"], 30_000));
+    assert.ok(quarantine.mayPlace(["bad"], 30_000));
     assert.ok(tryPlace(quarantine, ["bad"], 30_001));
 });
 
@@ -83,7 +83,7 @@
     const quarantine = createPartQuarantine();
     const added = recordCrashes(quarantine, ["session", "bad"], crashesBeforeQuarantine).at(-1);
     assert.equal(added, ["session", "bad"]);
-    assert.ok(quarantine.mustRefuse(["session", "bad"], 2_000));
+    assert.not(quarantine.mayPlace(["session", "bad"], 2_000));
     assert.ok(tryPlace(quarantine, ["session"], 2_000));
     quarantine.recordStart(["session"]);
     assert.ok(tryPlace(quarantine, ["session"], 2_001));
@@ -97,7 +97,7 @@
     recordCrashes(first, ["bad"], crashesBeforeQuarantine);
     const quarantined = first.list(["bad"], 2_000);
     second.merge(quarantined, 500_000);
-    assert.ok(second.mustRefuse(["bad"], 500_001));
+    assert.not(second.mayPlace(["bad"], 500_001));
     second.recordStart(["bad"]);
     second.merge(quarantined, 500_002);
     assert.not(second.hasQuarantined(["bad"]), "an older state has no effect");
--- a/packages/placement/test/quarantine.test.ts
+++ b/packages/placement/test/quarantine.test.ts
@@ -25,14 +25,14 @@
 }
 
 /** Requests of which every tenth has the part `bad`, at engines that crash when such a request starts. */
-function simulateEngines(durationMs: number) {
+function runSimulation(durationMs: number) {
     const { reduce, quarantine } = createFleet();
     const running = new Map<string, PlacementRequest[]>();
     const placed = { bad: 0, sound: 0 };
     const placedBadAt: number[] = [];
     const requested = { bad: 0, sound: 0 };
     const announcedTo = new Set<string>();
-    const notify = (request: PlacementRequest, target: string, now: number, result?: "broken" | "complete") => {
+    const sendNotice = (request: PlacementRequest, target: string, now: number, result?: "broken" | "complete") => {
         const { requestId, service, prompt } = request;
         const partIds = result === "complete" ? undefined : prompt?.parts.slice(0, -1).map(({ id }) => id);
         const message = {
@@ -54,10 +54,10 @@
         if (oldest === undefined) return;
         const isBad = oldest.prompt?.parts.some(({ id }) => id === "bad") === true;
         running.set(target, isBad ? [] : others);
-        if (isBad) { for (const request of [oldest, ...others]) notify(request, target, now, "broken"); }
+        if (isBad) { for (const request of [oldest, ...others]) sendNotice(request, target, now, "broken"); }
         else {
-            notify(oldest, target, now);
-            notify(oldest, target, now, "complete");
+            sendNotice(oldest, target, now);
+            sendNotice(oldest, target, now, "complete");
         }
     };
     for (let now = 0, index = 0; now < durationMs; now += 20, index++) {
@@ -85,7 +85,7 @@
 
 // Guards against requests of one kind that crash engines one after the other.
 test("requests with a part that crashes engines stop after a few crashes, and others run", () => {
-    const { placed, placedBadAt, requested, quarantine, announcedTo } = simulateEngines(15_000);
+    const { placed, placedBadAt, requested, quarantine, announcedTo } = runSimulation(15_000);
     const lateCount = placedBadAt.filter(at => at > 5_000).length;
     assert.ok(lateCount <= 3, `placed at ${placedBadAt.join()}`);
     assert.ok(placed.sound >= 0.95 * requested.sound, `${placed.sound} of ${requested.sound}`);
