Take a rejection as one only if it has the id of the call

What callers saw: told 503, "not run", for an order that a target had run or was running (REFUSED); a call on a streaming route that is not resumable ran at a second target (TWICE).

Cause: runAttempt accepted a rejection whatever id it had. A faulty target that writes an earlier refusal once more on a kept connection so refuses the next call there, which it runs.

Why this works: every call has an id (the router rejects one without), and targets repeat it in every response. A response with another id, or with none, says nothing about the call, so the attempt is broken: only calls that may run twice are retried. checkResponse decides this from status and headers, in one place.

--- a/packages/forwarding/src/createResponseRelay.ts
+++ b/packages/forwarding/src/createResponseRelay.ts
@@ -1,13 +1,13 @@
 /** Relays the response of one attempt to the caller: streams event by event, other responses once complete. */
 import type { PlacedAttemptResult } from "@rhubarbwheel/types/placement";
+import type { ValidCheck } from "./checkResponse.js";
 import { createEventSplitter } from "./createEventSplitter.js";
-import type { ResponseMetadata } from "./headerCodec.js";
 import type { OpenCall } from "./openCall.js";
 
 export interface ResponseRelayOptions {
     readonly status: number;
     readonly headers: Record<string, string | readonly string[]>;
-    readonly metadata: ResponseMetadata;
+    readonly check: ValidCheck;
     readonly pause: () => void;
     readonly resume: () => void;
     readonly onFirstEvent: () => void;
@@ -41,7 +41,7 @@
 }
 
 export function createResponseRelay(call: OpenCall, opts: ResponseRelayOptions): ResponseRelay {
-    const { status, metadata } = opts;
+    const { status, check } = opts;
     const { response } = call;
     const splitter = isStream(call, status) ? createEventSplitter() : undefined;
     const buffered: Buffer[] = [];
@@ -72,10 +72,9 @@
         return undefined;
     };
 
-    const createRejection = (): RelayOutcome => ({
-        result: metadata.isMisdirected ? "misdirected" : "rejected",
-        reason: `status ${status}`,
-    });
+    const rejection: RelayOutcome | undefined = check.type === "accepted"
+        ? undefined
+        : { result: check.type, reason: check.reason };
 
     const pushBytes = (chunk: Buffer): RelayOutcome | undefined => {
         if (isStarted) {
@@ -85,7 +84,7 @@
         buffered.push(chunk);
         bufferedBytes += chunk.length;
         if (bufferedBytes <= maxBufferedBytes) return undefined;
-        if (metadata.isRejection) return createRejection();
+        if (rejection !== undefined) return rejection;
         if (status >= 500) return { result: "broken", reason: "the error response exceeds the size limit" };
         isStarted = true;
         for (const bytes of buffered.splice(0)) write(bytes);
@@ -101,7 +100,7 @@
     };
 
     const finishBuffered = (): RelayOutcome => {
-        if (metadata.isRejection) return createRejection();
+        if (rejection !== undefined) return rejection;
         const body = Buffer.concat(buffered);
         if (status >= 500) {
             call.failure = { status, headers: opts.headers, body };
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -2,6 +2,7 @@
 import type { PlacedAttemptResult, ReportedLoad } from "@rhubarbwheel/types/placement";
 import type { StartAttemptEffect } from "@rhubarbwheel/types/placement-events";
 import type { Dispatcher } from "undici";
+import { checkResponse } from "./checkResponse.js";
 import type { ConnectionPool } from "./createConnectionPool.js";
 import { createResponseRelay } from "./createResponseRelay.js";
 import type { RelayOutcome, ResponseRelay } from "./createResponseRelay.js";
@@ -76,14 +77,14 @@
     const handleResponseHead = (status: number, headers: Headers): void => {
         const metadata = headerCodec.parseResponseHeaders(status, headers);
         connection.keepAliveTimeoutMs = parseKeepAliveTimeout(headers);
-        if (metadata.callerId !== call.metadata.callerId && !metadata.isRejection)
-            return failAttempt("the response has the id of another call");
+        const check = checkResponse(call, status, metadata);
+        if (check.type === "invalid") return failAttempt(check.reason);
         load = metadata.load;
         isSelfDelimited = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
         relay = createResponseRelay(call, {
             status,
             headers: headerCodec.filterResponseHeaders(headers),
-            metadata,
+            check,
             pause: () => controller?.pause(),
             resume: () => controller?.resume(),
             onFirstEvent: () => context.onStarted(load),
