Let only the events of a resumed stream follow a response that has begun

What callers saw: a stream had begun and broke off; the next target answered with an error. A large response of an idempotent call that was reset midway went on with that of the second target. A short error was cut off only because writeHead throws inside the handler.

Cause: whether a response may be relayed was judged in three places, none of which knew whether another one had begun.

Why this works: checkResponse also knows whether the head was sent, and then accepts nothing but events; anything else fails the attempt, and the caller's response is broken off visibly. The relay gets the form and no longer derives it from the status.

--- a/packages/forwarding/src/checkResponse.ts
+++ b/packages/forwarding/src/checkResponse.ts
@@ -5,12 +5,20 @@
 export type ResponseCheck =
     /** The target guarantees that it did not and will not run the call. */
     | { readonly type: "rejected" | "misdirected"; readonly reason: string; }
-    /** A response of the target to this call. */
-    | { readonly type: "accepted"; }
+    /** `events`: a stream, relayed event by event; `error`: held back, because the call may be retried. */
+    | { readonly type: "accepted"; readonly form: "events" | "body" | "error"; }
+    /** A response to this call that the caller cannot get, because another response has begun. */
+    | { readonly type: "failed"; readonly reason: string; }
     /** No response to this call, so that it is unknown whether the target ran it. */
     | { readonly type: "invalid"; readonly reason: string; };
 
-export type ValidCheck = Exclude<ResponseCheck, { readonly type: "invalid"; }>;
+/** Check of a response that is read to its end. */
+export type ReadableCheck = Exclude<ResponseCheck, { readonly type: "invalid" | "failed"; }>;
+
+function getForm(call: OpenCall, status: number): "events" | "body" | "error" {
+    if (status >= 500) return "error";
+    return call.kind === "stream" && status >= 200 && status < 300 ? "events" : "body";
+}
 
 /**
  * A rejection must have the id of the call like any other response: a faulty target may send an earlier one again on a
@@ -22,5 +30,9 @@
         return { type: "invalid", reason: `status ${status} with the id of another call` };
     if (metadata.isMisdirected) return { type: "misdirected", reason: `status ${status}` };
     if (metadata.isRejection) return { type: "rejected", reason: `status ${status}` };
-    return { type: "accepted" };
+    const form = getForm(call, status);
+    // Only the events of a resumed stream may follow what has been sent.
+    if (call.response.headersSent && form !== "events")
+        return { type: "failed", reason: `status ${status} after the response has begun` };
+    return { type: "accepted", form };
 }
--- a/packages/forwarding/src/createResponseRelay.ts
+++ b/packages/forwarding/src/createResponseRelay.ts
@@ -1,13 +1,13 @@
 /** Relays the response of one attempt to the caller: streams event by event, other responses once complete. */
 import type { PlacedAttemptResult } from "@rhubarbwheel/types/placement";
-import type { ValidCheck } from "./checkResponse.js";
+import type { ReadableCheck } from "./checkResponse.js";
 import { createEventSplitter } from "./createEventSplitter.js";
 import type { OpenCall } from "./openCall.js";
 
 export interface ResponseRelayOptions {
     readonly status: number;
     readonly headers: Record<string, string | readonly string[]>;
-    readonly check: ValidCheck;
+    readonly check: ReadableCheck;
     readonly pause: () => void;
     readonly resume: () => void;
     readonly onFirstEvent: () => void;
@@ -36,14 +36,11 @@
 /** Maximum size of one event of a stream, which is buffered until it is complete. Usual events have some 100 bytes. */
 const maxEventBytes = 256 * 1024;
 
-function isStream(call: OpenCall, status: number): boolean {
-    return call.kind === "stream" && status >= 200 && status < 300;
-}
-
 export function createResponseRelay(call: OpenCall, opts: ResponseRelayOptions): ResponseRelay {
     const { status, check } = opts;
+    const form = check.type === "accepted" ? check.form : undefined;
     const { response } = call;
-    const splitter = isStream(call, status) ? createEventSplitter() : undefined;
+    const splitter = form === "events" ? createEventSplitter() : undefined;
     const buffered: Buffer[] = [];
     let bufferedBytes = 0;
     let isStarted = false;
@@ -85,7 +82,7 @@
         bufferedBytes += chunk.length;
         if (bufferedBytes <= maxBufferedBytes) return undefined;
         if (rejection !== undefined) return rejection;
-        if (status >= 500) return { result: "broken", reason: "the error response exceeds the size limit" };
+        if (form === "error") return { result: "broken", reason: "the error response exceeds the size limit" };
         isStarted = true;
         for (const bytes of buffered.splice(0)) write(bytes);
         return undefined;
@@ -102,7 +99,7 @@
     const finishBuffered = (): RelayOutcome => {
         if (rejection !== undefined) return rejection;
         const body = Buffer.concat(buffered);
-        if (status >= 500) {
+        if (form === "error") {
             call.failure = { status, headers: opts.headers, body };
             return { result: "failed", reason: `status ${status}` };
         }
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -79,6 +79,7 @@
         connection.keepAliveTimeoutMs = parseKeepAliveTimeout(headers);
         const check = checkResponse(call, status, metadata);
         if (check.type === "invalid") return failAttempt(check.reason);
+        if (check.type === "failed") return abortResponse({ result: "failed", reason: check.reason });
         load = metadata.load;
         isSelfDelimited = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
         relay = createResponseRelay(call, {
