Break off a large response that stalls, and do not retry after its start

A large response that broke midway was run at a second target, whose response could not be used.

Cause: the reducer learned that a response had begun only for streams. So the deadline produced an error response, which is dropped once the head was sent.

Why this works: the relay reports the start of every response, and the reducer then breaks it off at the deadline. After the start it retries resumable streams only.

--- a/packages/forwarding/src/createResponseRelay.ts
+++ b/packages/forwarding/src/createResponseRelay.ts
@@ -10,7 +10,8 @@
     readonly check: ReadableCheck;
     readonly pause: () => void;
     readonly resume: () => void;
-    readonly onFirstEvent: () => void;
+    /** Called when the first part of the response has been sent to the caller. */
+    readonly onStarted: () => void;
 }
 
 export interface RelayOutcome {
@@ -55,6 +56,11 @@
         }
     };
 
+    const start = (): void => {
+        isStarted = true;
+        opts.onStarted();
+    };
+
     const pushEvents = (chunk: Buffer): RelayOutcome | undefined => {
         const events = splitter?.push(chunk);
         if (splitter === undefined || events === undefined) return undefined;
@@ -63,9 +69,7 @@
         if (events.completeEvents.length === 0) return undefined;
         write(events.completeEvents);
         call.lastEventId = events.lastEventId ?? call.lastEventId;
-        if (isStarted) return undefined;
-        isStarted = true;
-        opts.onFirstEvent();
+        if (!isStarted) start();
         return undefined;
     };
 
@@ -83,8 +87,8 @@
         if (bufferedBytes <= maxBufferedBytes) return undefined;
         if (rejection !== undefined) return rejection;
         if (form === "error") return { result: "broken", reason: "the error response exceeds the size limit" };
-        isStarted = true;
         for (const bytes of buffered.splice(0)) write(bytes);
+        start();
         return undefined;
     };
 
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -88,7 +88,7 @@
             check,
             pause: () => controller?.pause(),
             resume: () => controller?.resume(),
-            onFirstEvent: () => context.onStarted(load),
+            onStarted: () => context.onStarted(load),
         });
     };
 
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -60,7 +60,7 @@
     if (found === undefined || found.attempt.startedAt !== undefined) return;
     const { entry, attempt } = found;
     attempt.startedAt = context.now;
-    entry.responseStarted ||= entry.request.kind === "stream";
+    entry.responseStarted = true;
     context.pools.get(entry.request.service)?.model.start(event.requestId, context.now);
     const partIds = listSharedPartIds(entry.request.prompt);
     sendAttemptNotice(context, entry, attempt, { load: event.load, partIds });
@@ -68,9 +68,12 @@
 
 /** Whether the call may be retried after `result`. */
 function mayRetry(entry: EntryRequest, result: PlacedAttemptResult): boolean {
-    if (result === "unsent" || result === "misdirected" || result === "rejected") return true;
     const { kind, resumable } = entry.request;
-    return kind === "idempotent" || (kind === "stream" && resumable);
+    const isResumable = kind === "stream" && resumable;
+    // Another target cannot continue any other response.
+    if (entry.responseStarted) return isResumable;
+    if (result === "unsent" || result === "misdirected" || result === "rejected") return true;
+    return kind === "idempotent" || isResumable;
 }
 
 function tryRetry(context: EntryContext, entry: EntryRequest, event: AttemptFinishedEvent): boolean {
--- a/packages/placement/test/createEntryRouter.test.ts
+++ b/packages/placement/test/createEntryRouter.test.ts
@@ -27,6 +27,8 @@
 const retryCases: readonly RetryCase[] = [
     { result: "broken", request: {}, expected: "start other for 1190 ms" },
     { result: "failed", request: {}, expected: "start other for 1190 ms" },
+    // Guards against a second response after the part of a large one that the caller has received.
+    { result: "broken", request: {}, more: { responseStarted: true }, expected: "breakAnswer" },
     { result: "failed", request: { maxAttempts: 1 }, expected: "relayFailure" },
     { result: "broken", request: { maxAttempts: 1 }, expected: "fail TARGET_BROKEN" },
     { result: "broken", request: nonIdempotent, expected: "fail TARGET_BROKEN" },
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -44,7 +44,7 @@
     readonly requestId: string;
 }
 
-/** The target has started a successful response, or the first event of a stream has arrived. */
+/** The first part of the response has been sent to the caller: an event of a stream, or the start of a large body. */
 export interface AttemptStartedEvent extends TimedEvent {
     readonly type: "attemptStarted";
     readonly requestId: string;
