Add one drain listener while the caller is slow

Cause: the relay paused the target's response again for every chunk that was still read after the first pause.

--- a/packages/forwarding/src/createResponseRelay.ts
+++ b/packages/forwarding/src/createResponseRelay.ts
@@ -45,15 +45,20 @@
     const buffered: Buffer[] = [];
     let bufferedBytes = 0;
     let isStarted = false;
+    /** Whether the response of the target is not read until the caller has read what was written. */
+    let isPaused = false;
 
     const write = (bytes: Buffer): void => {
         if (response.destroyed) return;
         // A stream that is resumed at another target keeps the status and headers of its first response.
         if (!response.headersSent) response.writeHead(status, opts.headers as Record<string, string>);
-        if (!response.write(bytes)) {
-            opts.pause();
-            response.once("drain", opts.resume);
-        }
+        if (response.write(bytes) || isPaused) return;
+        isPaused = true;
+        opts.pause();
+        response.once("drain", () => {
+            isPaused = false;
+            opts.resume();
+        });
     };
 
     const start = (): void => {
