Relay the contents of the store between routers

Each router kept four watches of its own, and each change woke those of all of them: 33,376 calls on 195 routers.

Cause: the load of the store grows with routers times changes.

Why this works: the routers of a failure domain are ranked by rendezvous hashing. The first two that respond watch the store; the others follow both of them over TCP. A relay sends each kind whole, then the changes in order, and replies to a request every 450 ms with the age of the store's confirmation. The age counts from the time at which the follower asked, so it is never too young, whatever the delay. All entries pass through a mirror that applies only what continues or replaces what it has, so no kind goes back or misses a change; a gap closes the connection, and a new list follows. A router whose relays are silent for 1 s, lost, or no longer confirmed watches the store itself, from the revision that it has. Both ends prove that they can read the store, in which each router publishes a key of its own.

Weighed: fewer kinds a watch (the store has none over several kinds), longer watches (changes, two thirds of the calls, stay), digests by datagram (each change still costs a call a router).

Tests: createStoreMirror (3,000 seeded orders of events: the entries are always those of the store at the revision of the mirror), createRelaySelector, relayConnection, and platform/test/relays with a store that fails for the relays only. Removing either guard of the mirror fails its tests.

The stand-in of the store listens on one address per router, so that faults can apply to some; routerRegistration.test names that address in place of 127.0.0.1, which was that of all routers alike.

--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -5,14 +5,7 @@
 import { createRouteTable } from "@rhubarbwheel/routing/createRouteTable";
 import type { RouteTable } from "@rhubarbwheel/routing/createRouteTable";
 import type { LogEffect } from "@rhubarbwheel/types/effects";
-import type {
-    ClosedDomainEntry,
-    FleetConfiguration,
-    PoolSpec,
-    RouterEntry,
-    TargetEntry,
-    ViewKind,
-} from "@rhubarbwheel/types/fleet";
+import type { FleetConfiguration, PoolSpec, RouterEntry, TargetEntry, ViewKind } from "@rhubarbwheel/types/fleet";
 import { viewKinds } from "@rhubarbwheel/types/fleet";
 import type {
     ConfigurationConfirmedEvent,
@@ -24,6 +17,7 @@
     ViewListedEvent,
 } from "@rhubarbwheel/types/placement-events";
 import { createTargetList } from "./createTargetList.js";
+import { getEntryName } from "./entryNames.js";
 
 export interface FleetViewOptions {
     /** Maximum age of the configuration at which credentials are accepted; an older one may lack a revocation. */
@@ -163,12 +157,6 @@
         return kind === "routers" ? [...routers.keys()] : [];
     };
 
-    const getEntryName = (kind: ViewKind, entry: ViewListedEvent["entries"][number]): string => {
-        if (kind === "targets") return (entry as TargetEntry).target;
-        if (kind === "closedDomains") return (entry as ClosedDomainEntry).failureDomain;
-        return kind === "routers" ? (entry as RouterEntry).router : "";
-    };
-
     const confirm = (event: ViewListedEvent | ViewChangedEvent): void => {
         const state = kinds[event.kind];
         if (state.failingSince !== undefined) {
@@ -206,8 +194,9 @@
         if (event.type === "viewListed" || event.type === "viewChanged") {
             if (event.type === "viewListed") applyList(event);
             else for (const change of event.changes) applyChange(event.kind, change, event);
-            if (event.kind === "targets") targets.rebuildIndex();
-            if (event.kind === "routers") routerList = [...routers.values()];
+            const isUnchanged = event.type === "viewChanged" && event.changes.length === 0;
+            if (event.kind === "targets" && !isUnchanged) targets.rebuildIndex();
+            if (event.kind === "routers" && !isUnchanged) routerList = [...routers.values()];
             confirm(event);
         }
         else if (event.type === "configurationConfirmed") confirmByRouter(event);
--- /dev/null
+++ b/packages/fleet-view/src/createStoreMirror.ts
@@ -0,0 +1,184 @@
+/**
+ * Copy of the store's entries, from which this router relays them to others. Lists and changes arrive from the store
+ * and from relays, late and more than once; the mirror passes on only what is newer than what it has, so that no kind
+ * ever goes back to an earlier revision.
+ */
+import type { ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
+import { viewKinds } from "@rhubarbwheel/types/fleet";
+import type { ViewChange } from "@rhubarbwheel/types/placement-events";
+import { getEntryName } from "./entryNames.js";
+import type { StoreFollowerEvent, ViewEvent } from "./followStore.js";
+
+type AnyEntry = ViewEntries[ViewKind];
+
+export interface MirrorList {
+    readonly entries: readonly AnyEntry[];
+    readonly revision: number;
+}
+
+/** Changes of one kind after `fromRevision`, up to and including `revision`. */
+export interface MirrorChanges {
+    readonly changes: readonly ViewChange[];
+    readonly fromRevision: number;
+    readonly revision: number;
+}
+
+/** `gap`: this router lacks what came before, so the relay has to send a list. */
+export type RelayResult = "applied" | "gap";
+
+export interface MirrorConfirmation {
+    readonly revision: number;
+    /** Monotonic time as of which the store had nothing newer. */
+    readonly confirmedAt: number;
+}
+
+export interface StoreMirrorOptions {
+    readonly getNow: () => number;
+    /** Receives what is new, and failures of the store. */
+    readonly emit: (event: ViewEvent) => void;
+    /** Called after the entries of a kind have changed. `changes` is omitted after a new list. */
+    readonly onUpdated: (kind: ViewKind, changes?: readonly ViewChange[]) => void;
+}
+
+interface KindState {
+    readonly entries: Map<string, AnyEntry>;
+    /** Undefined until the kind has been listed. */
+    revision?: number;
+    /** Revision with which the entries last changed. */
+    contentRevision: number;
+    /** Monotonic time at which the revision last grew. */
+    advancedAt: number;
+    confirmedAt: number;
+    /** Time of the first failed request since the last confirmation. */
+    failingSince?: number;
+    /** Confirmation of the last emitted event. */
+    emittedConfirmedAt: number;
+}
+
+/** Confirmations that advance by less are not emitted, because each one costs processor time. */
+const minConfirmationAdvanceMs = 300;
+
+/** Time of failed requests after which this router is no relay; a lost response alone does not matter. */
+const maxFailingMs = 500;
+
+export function createStoreMirror(opts: StoreMirrorOptions) {
+    const kinds = Object.fromEntries(viewKinds.map(kind => [kind, {
+        entries: new Map(),
+        contentRevision: 0,
+        advancedAt: -Infinity,
+        confirmedAt: -Infinity,
+        emittedConfirmedAt: -Infinity,
+    }])) as unknown as Readonly<Record<ViewKind, KindState>>;
+
+    const applyChange = (kind: ViewKind, { name, entry }: ViewChange): void => {
+        // The store names the only entry of the configuration, which has no name of its own.
+        const key = kind === "configuration" ? "" : name;
+        if (entry === undefined) kinds[kind].entries.delete(key);
+        else kinds[kind].entries.set(key, entry);
+    };
+
+    const replaceEntries = (kind: ViewKind, { entries, revision }: MirrorList): void => {
+        const state = kinds[kind];
+        state.entries.clear();
+        for (const entry of entries) state.entries.set(getEntryName(kind, entry), entry);
+        state.revision = revision;
+        state.contentRevision = revision;
+        state.advancedAt = opts.getNow();
+    };
+
+    const recordConfirmation = (kind: ViewKind, confirmedAt: number): void => {
+        const state = kinds[kind];
+        state.confirmedAt = Math.max(state.confirmedAt, confirmedAt);
+        if (state.failingSince !== undefined && state.confirmedAt > state.failingSince) state.failingSince = undefined;
+    };
+
+    const emitList = (kind: ViewKind, list: MirrorList, confirmedAt: number): void => {
+        replaceEntries(kind, list);
+        kinds[kind].emittedConfirmedAt = confirmedAt;
+        const { entries, revision } = list;
+        opts.emit({ type: "viewListed", kind, entries, revision, confirmedAt });
+        opts.onUpdated(kind);
+    };
+
+    const emitChanges = (kind: ViewKind, update: MirrorChanges): void => {
+        const state = kinds[kind];
+        for (const change of update.changes) applyChange(kind, change);
+        if (update.revision > (state.revision ?? -Infinity)) {
+            state.revision = update.revision;
+            state.advancedAt = opts.getNow();
+        }
+        if (update.changes.length > 0) state.contentRevision = update.revision;
+        state.emittedConfirmedAt = state.confirmedAt;
+        const { revision = update.revision, confirmedAt } = state;
+        opts.emit({ type: "viewChanged", kind, changes: update.changes, revision, confirmedAt });
+        if (update.changes.length > 0) opts.onUpdated(kind, update.changes);
+    };
+
+    /** Applies changes whose effect is not yet known. Those up to the own revision would undo later ones. */
+    const applyChanges = (kind: ViewKind, update: MirrorChanges): void => {
+        const { revision = -Infinity } = kinds[kind];
+        if (update.revision > revision) return emitChanges(kind, update);
+        emitChanges(kind, { changes: [], fromRevision: revision, revision });
+    };
+
+    return {
+        /** Handles an event of this router's own follower of the store. */
+        handleStoreEvent: (event: StoreFollowerEvent): void => {
+            if (event.type === "viewInterrupted") {
+                kinds[event.kind].failingSince ??= opts.getNow();
+                return opts.emit(event);
+            }
+            recordConfirmation(event.kind, event.confirmedAt);
+            if (event.type === "viewChanged") return applyChanges(event.kind, event);
+            const { revision = -Infinity, advancedAt } = kinds[event.kind];
+            // Relayed changes may overtake a list. An older one that was requested after them is that of a store that
+            // has lost objects.
+            if (event.revision < revision && event.confirmedAt <= advancedAt) return;
+            emitList(event.kind, { entries: event.entries, revision: event.revision }, event.confirmedAt);
+        },
+        /** Applies the list of a relay, unless this router knows something newer. */
+        applyRelayedList: (kind: ViewKind, list: MirrorList): void => {
+            const { revision = -Infinity } = kinds[kind];
+            if (list.revision > revision) emitList(kind, list, -Infinity);
+        },
+        /** Applies changes that a relay has sent after everything up to `fromRevision`. */
+        applyRelayedChanges: (kind: ViewKind, update: MirrorChanges): RelayResult => {
+            const { revision = -Infinity } = kinds[kind];
+            if (update.fromRevision > revision) return "gap";
+            if (update.revision > revision) emitChanges(kind, update);
+            return "applied";
+        },
+        /** Confirms a kind of which a relay has sent everything up to `fromRevision`, and then nothing changed. */
+        confirm: (
+            kind: ViewKind,
+            { fromRevision, revision, confirmedAt }: MirrorConfirmation & { readonly fromRevision: number; },
+        ): RelayResult => {
+            const state = kinds[kind];
+            if (state.revision === undefined || fromRevision > state.revision) return "gap";
+            // A relay that lacks the last change confirms other entries than those of this router.
+            if (revision < state.contentRevision) return "applied";
+            recordConfirmation(kind, confirmedAt);
+            const isNewer = revision > state.revision;
+            if (isNewer || state.confirmedAt - state.emittedConfirmedAt >= minConfirmationAdvanceMs)
+                emitChanges(kind, { changes: [], fromRevision: state.revision, revision });
+            return "applied";
+        },
+        /** Marks all kinds as unconfirmed, because the monotonic clock may have stood still. */
+        expireConfirmations: (): void => {
+            for (const kind of viewKinds) kinds[kind].confirmedAt = -Infinity;
+        },
+        getList: (kind: ViewKind): MirrorList | undefined => {
+            const { entries, revision } = kinds[kind];
+            return revision === undefined ? undefined : { entries: [...entries.values()], revision };
+        },
+        getRevision: (kind: ViewKind): number | undefined => kinds[kind].revision,
+        /** Undefined before the first list, and while requests to the store fail. */
+        getConfirmation: (kind: ViewKind): MirrorConfirmation | undefined => {
+            const { revision, confirmedAt, failingSince } = kinds[kind];
+            const isFailing = failingSince !== undefined && opts.getNow() - failingSince > maxFailingMs;
+            return revision === undefined || isFailing ? undefined : { revision, confirmedAt };
+        },
+    };
+}
+
+export type StoreMirror = ReturnType<typeof createStoreMirror>;
--- /dev/null
+++ b/packages/fleet-view/src/entryNames.ts
@@ -0,0 +1,9 @@
+/** Names of the entries of each kind. */
+import type { ClosedDomainEntry, RouterEntry, TargetEntry, ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
+
+/** Returns the name of an entry in the store. The only entry of the configuration has none. */
+export function getEntryName(kind: ViewKind, entry: ViewEntries[ViewKind]): string {
+    if (kind === "targets") return (entry as TargetEntry).target;
+    if (kind === "closedDomains") return (entry as ClosedDomainEntry).failureDomain;
+    return kind === "routers" ? (entry as RouterEntry).router : "";
+}
--- a/packages/fleet-view/src/followStore.ts
+++ b/packages/fleet-view/src/followStore.ts
@@ -23,11 +23,17 @@
     | { readonly type: "historyGone"; }
     | { readonly type: "unavailable"; readonly reason: string; };
 
-type StoreFollowerEvent =
+/** Event for the reducer. */
+export type ViewEvent =
     | Omit<ViewListedEvent, "now">
     | Omit<ViewChangedEvent, "now">
     | Omit<ViewInterruptedEvent, "now">;
 
+/** Changes after `fromRevision`, up to and including `revision`. */
+export type StoreChangedEvent = Omit<ViewChangedEvent, "now"> & { readonly fromRevision: number; };
+
+export type StoreFollowerEvent = Omit<ViewListedEvent, "now"> | StoreChangedEvent | Omit<ViewInterruptedEvent, "now">;
+
 export interface StoreFollowerOptions<K extends ViewKind> {
     readonly kind: K;
     readonly list: () => Promise<StoreListResult<K>>;
@@ -43,6 +49,10 @@
     readonly needsFreshConfirmation?: boolean;
     /** Delay after a change, so that several in quick succession are read in one request; none if omitted. */
     readonly debounceMs?: number;
+    /** Revision up to which changes are known from elsewhere, such as another router; not used if undefined. */
+    readonly getKnownRevision?: () => number | undefined;
+    /** Waits while another router relays the changes, so that no watch is needed; at once if omitted. */
+    readonly waitUntilNeeded?: () => Promise<void>;
     readonly emit: (event: StoreFollowerEvent) => void;
     readonly getNow: () => number;
     readonly sleep: (ms: number) => Promise<void>;
@@ -112,9 +122,12 @@
         updateNextWatchTimeout(confirmedAt);
     };
 
-    const watchOnce = async (from: number): Promise<void> => {
-        const requestSentAt = opts.getNow();
+    const watchOnce = async (ownRevision: number): Promise<void> => {
         const watchEpoch = epoch;
+        await opts.waitUntilNeeded?.();
+        if (stopped || watchEpoch !== epoch) return;
+        const from = Math.max(ownRevision, opts.getKnownRevision?.() ?? ownRevision);
+        const requestSentAt = opts.getNow();
         const timeoutMs = nextWatchTimeoutMs;
         nextWatchTimeoutMs = opts.watchTimeoutMs;
         const result = await opts.watch(from, timeoutMs);
@@ -131,7 +144,7 @@
         const confirmedAt = result.changes.length === 0
             ? Math.min(opts.getNow(), requestSentAt + timeoutMs)
             : requestSentAt;
-        opts.emit({ type: "viewChanged", kind, changes: result.changes, revision, confirmedAt });
+        opts.emit({ type: "viewChanged", kind, changes: result.changes, fromRevision: from, revision, confirmedAt });
         if (result.changes.length === 0) return;
         if (opts.debounceMs !== undefined) await opts.sleep(opts.debounceMs);
         updateNextWatchTimeout(requestSentAt);
--- /dev/null
+++ b/packages/peer-protocol/src/createRelayClient.ts
@@ -0,0 +1,171 @@
+/** Connections to the routers that relay the store to this one. */
+import type { RouterEntry, ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
+import type { ViewChange } from "@rhubarbwheel/types/placement-events";
+import { connect } from "node:net";
+import {
+    type ChangesFrame,
+    createNonce,
+    encodeFrame,
+    type ListFrame,
+    matchesSignature,
+    readFrames,
+    type RelayFrame,
+    relayProtocolVersion,
+    signNonce,
+} from "./relayFrames.js";
+import { splitAddress } from "./splitAddress.js";
+
+/** `gap`: what the relay has sent does not follow what this router knows, so a list is needed. */
+export type RelayResult = "applied" | "gap";
+
+export interface RelaySink {
+    readonly applyRelayedList: (
+        kind: ViewKind,
+        list: { readonly entries: readonly ViewEntries[ViewKind][]; readonly revision: number; },
+    ) => void;
+    readonly applyRelayedChanges: (
+        kind: ViewKind,
+        update: {
+            readonly changes: readonly ViewChange[];
+            readonly fromRevision: number;
+            readonly revision: number;
+        },
+    ) => RelayResult;
+    readonly confirm: (
+        kind: ViewKind,
+        confirmation: { readonly fromRevision: number; readonly revision: number; readonly confirmedAt: number; },
+    ) => RelayResult;
+}
+
+export interface RelayClientOptions {
+    /** Name of this router. */
+    readonly router: string;
+    readonly sink: RelaySink;
+    readonly getNow: () => number;
+    /** Called before a reply is handled, so that a suspension of this host is noticed before times are compared. */
+    readonly checkClocks: () => void;
+    /** `confirmedAt` is monotonic time of this router, no later than that of the store's own confirmation. */
+    readonly onReport: (relay: RouterEntry, confirmedAt: Readonly<Partial<Record<ViewKind, number>>>) => void;
+    /** Called once for each connection that fails or ends, unless it was closed by this router. */
+    readonly onLost: (relay: RouterEntry, reason: string) => void;
+}
+
+/** Interval between requests for a confirmation. */
+const pingIntervalMs = 450;
+
+interface RelayConnection {
+    readonly entry: RouterEntry;
+    readonly forgetPings: () => void;
+    readonly close: () => void;
+}
+
+function openRelayConnection(entry: RouterEntry, opts: RelayClientOptions): RelayConnection {
+    const { sink } = opts;
+    const key = entry.relayKey ?? "";
+    const { host, port } = splitAddress(entry.address);
+    const socket = connect(port, host);
+    const nonce = createNonce();
+    /** Time at which each pending ping was sent, by sequence number. */
+    const pingSentAt = new Map<number, number>();
+    /** Revision up to which the relay has sent each kind. */
+    const received: Partial<Record<ViewKind, number>> = {};
+    let sequence = 0;
+    let pingTimer: NodeJS.Timeout | undefined;
+    let isClosed = false;
+
+    const close = (): void => {
+        isClosed = true;
+        clearInterval(pingTimer);
+        socket.destroy();
+    };
+
+    const lose = (reason: string): void => {
+        if (isClosed) return;
+        close();
+        opts.onLost(entry, reason);
+    };
+
+    const sendPing = (): void => {
+        sequence += 1;
+        pingSentAt.set(sequence, opts.getNow());
+        socket.write(encodeFrame({ type: "ping", sequence }));
+    };
+
+    const handlePong = (frame: Extract<RelayFrame, { readonly type: "pong"; }>): void => {
+        opts.checkClocks();
+        // After a suspension, during which this router's clock stood still, the age is unknown.
+        const sentAt = pingSentAt.get(frame.sequence) ?? -Infinity;
+        pingSentAt.delete(frame.sequence);
+        const confirmedAt: Partial<Record<ViewKind, number>> = {};
+        for (const { kind, revision, ageMs } of frame.kinds) {
+            const fromRevision = received[kind] ?? Infinity;
+            received[kind] = revision;
+            confirmedAt[kind] = sentAt - ageMs;
+            const result = sink.confirm(kind, { fromRevision, revision, confirmedAt: sentAt - ageMs });
+            if (result === "gap") return lose(`gap in ${kind}`);
+        }
+        opts.onReport(entry, confirmedAt);
+    };
+
+    const handleList = ({ kind, entries, revision }: ListFrame): void => {
+        received[kind] = revision;
+        sink.applyRelayedList(kind, { entries, revision });
+    };
+
+    const handleChanges = ({ kind, changes, fromRevision, revision }: ChangesFrame): void => {
+        const isInOrder = fromRevision === received[kind];
+        received[kind] = revision;
+        if (!isInOrder || sink.applyRelayedChanges(kind, { changes, fromRevision, revision }) === "gap")
+            lose(`gap in ${kind}`);
+    };
+
+    const handleWelcome = (frame: Extract<RelayFrame, { readonly type: "welcome"; }>): void => {
+        if (!matchesSignature(signNonce(key, "relay", entry.router, nonce), frame.signature))
+            return lose("not authenticated");
+        const signature = signNonce(key, "follower", opts.router, frame.nonce);
+        socket.write(encodeFrame({ type: "join", signature }));
+        sendPing();
+        pingTimer = setInterval(sendPing, pingIntervalMs);
+    };
+
+    const handleFrame = (frame: RelayFrame): void => {
+        if (frame.type === "welcome" && pingTimer === undefined) handleWelcome(frame);
+        else if (pingTimer === undefined) lose(`${frame.type} before authentication`);
+        else if (frame.type === "pong") handlePong(frame);
+        else if (frame.type === "list") handleList(frame);
+        else if (frame.type === "changes") handleChanges(frame);
+        else lose(`unexpected ${frame.type}`);
+    };
+
+    socket.setNoDelay(true);
+    socket.once("connect", () => {
+        socket.write(encodeFrame({ type: "hello", version: relayProtocolVersion, router: opts.router, nonce }));
+    });
+    socket.on("error", error => lose((error as NodeJS.ErrnoException).code ?? error.message));
+    socket.once("close", () => lose("closed"));
+    readFrames(socket, { onFrame: handleFrame, onMalformed: lose });
+    return { entry, forgetPings: () => pingSentAt.clear(), close };
+}
+
+export function createRelayClient(opts: RelayClientOptions) {
+    let connections: readonly RelayConnection[] = [];
+
+    const setRelays = (relays: readonly RouterEntry[]): void => {
+        const matches = (connection: RelayConnection, relay: RouterEntry): boolean =>
+            connection.entry.router === relay.router && connection.entry.incarnation === relay.incarnation;
+        const kept = connections.filter(connection => relays.some(relay => matches(connection, relay)));
+        for (const connection of connections) if (!kept.includes(connection)) connection.close();
+        const added = relays.filter(relay => !kept.some(connection => matches(connection, relay)));
+        connections = [...kept, ...added.map(relay => openRelayConnection(relay, opts))];
+    };
+
+    return {
+        /** Opens connections to `relays` and closes those to any others. */
+        setRelays,
+        /** Ignores the replies to requests sent so far, because the monotonic clock may have stood still. */
+        forgetPings: (): void => connections.forEach(connection => connection.forgetPings()),
+        close: (): void => setRelays([]),
+    };
+}
+
+export type RelayClient = ReturnType<typeof createRelayClient>;
--- /dev/null
+++ b/packages/peer-protocol/src/createRelayServer.ts
@@ -0,0 +1,192 @@
+/** Relays the store's entries to other routers over TCP: a list of each kind first, then the changes as they arrive. */
+import type { ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
+import { viewKinds } from "@rhubarbwheel/types/fleet";
+import type { ViewChange } from "@rhubarbwheel/types/placement-events";
+import { createServer } from "node:net";
+import type { Socket } from "node:net";
+import {
+    createNonce,
+    encodeFrame,
+    matchesSignature,
+    readFrames,
+    type RelayFrame,
+    relayProtocolVersion,
+    signNonce,
+} from "./relayFrames.js";
+import { splitAddress } from "./splitAddress.js";
+
+export interface RelaySource {
+    /** Undefined until the kind has been listed. */
+    readonly getList: (
+        kind: ViewKind,
+    ) => { readonly entries: readonly ViewEntries[ViewKind][]; readonly revision: number; } | undefined;
+    readonly getRevision: (kind: ViewKind) => number | undefined;
+    /** `confirmedAt` is monotonic time in ms. Undefined while the store does not confirm the kind. */
+    readonly getConfirmation: (
+        kind: ViewKind,
+    ) => { readonly revision: number; readonly confirmedAt: number; } | undefined;
+}
+
+export interface RelayServerOptions {
+    /** Name of this router. */
+    readonly router: string;
+    /** Key that this router has published in the store. */
+    readonly key: string;
+    /** Address to bind, `ip:port`. */
+    readonly listen: string;
+    readonly source: RelaySource;
+    readonly getNow: () => number;
+    /** Called before a reply, so that a suspension of the host is noticed before ages are computed. */
+    readonly checkClocks: () => void;
+    /** Reports refused and malformed connections. */
+    readonly onProblem: (problem: string) => void;
+}
+
+/** Time within which a connection must authenticate. */
+const authenticationTimeoutMs = 1_000;
+
+/** Time without a request after which a connection is closed. */
+const idleTimeoutMs = 10_000;
+
+/** Many times the number of routers that follow one relay. */
+const maxConnections = 512;
+
+/** Unsent bytes at which a follower that does not read is disconnected. */
+const maxUnsentBytes = 16 * 1024 * 1024;
+
+interface Follower {
+    readonly socket: Socket;
+    /** Revision up to which each kind has been sent. */
+    readonly sent: Partial<Record<ViewKind, number>>;
+}
+
+export function createRelayServer(opts: RelayServerOptions) {
+    const { source } = opts;
+    const followers = new Set<Follower>();
+    const sockets = new Set<Socket>();
+    /** The last encoded changes: most followers have been sent the same revision before. */
+    let lastEncoded = { key: "", text: "" };
+
+    const write = (socket: Socket, text: string): void => {
+        if (socket.writableLength > maxUnsentBytes) socket.destroy();
+        else socket.write(text);
+    };
+
+    const sendList = (follower: Follower, kind: ViewKind): void => {
+        const list = source.getList(kind);
+        if (list === undefined) return;
+        follower.sent[kind] = list.revision;
+        write(follower.socket, encodeFrame({ type: "list", kind, ...list }));
+    };
+
+    const sendPong = (follower: Follower, sequence: number): void => {
+        opts.checkClocks();
+        const kinds = viewKinds.flatMap(kind => {
+            const confirmation = source.getConfirmation(kind);
+            if (confirmation === undefined || follower.sent[kind] === undefined) return [];
+            const ageMs = opts.getNow() - confirmation.confirmedAt;
+            if (ageMs === Infinity) return [];
+            follower.sent[kind] = confirmation.revision;
+            return [{ kind, revision: confirmation.revision, ageMs: Math.max(0, ageMs) }];
+        });
+        write(follower.socket, encodeFrame({ type: "pong", sequence, kinds }));
+    };
+
+    const authenticate = (socket: Socket, onJoined: (follower: Follower) => void): (frame: RelayFrame) => boolean => {
+        const nonce = createNonce();
+        let router = "";
+        return frame => {
+            if (frame.type === "hello" && router === "" && frame.version === relayProtocolVersion) {
+                router = frame.router;
+                const signature = signNonce(opts.key, "relay", opts.router, frame.nonce);
+                write(socket, encodeFrame({ type: "welcome", nonce, signature }));
+                return true;
+            }
+            if (frame.type !== "join" || router === "") return false;
+            if (!matchesSignature(signNonce(opts.key, "follower", router, nonce), frame.signature)) return false;
+            onJoined({ socket, sent: {} });
+            return true;
+        };
+    };
+
+    const accept = (socket: Socket): void => {
+        const remote = socket.remoteAddress ?? "";
+        let follower: Follower | undefined;
+        const refuse = (problem: string): void => {
+            opts.onProblem(`relay connection from ${remote}: ${problem}`);
+            socket.destroy();
+        };
+        const handleHandshake = authenticate(socket, joined => {
+            follower = joined;
+            followers.add(joined);
+            socket.setTimeout(idleTimeoutMs);
+            for (const kind of viewKinds) sendList(joined, kind);
+        });
+        sockets.add(socket);
+        socket.setNoDelay(true);
+        socket.setTimeout(authenticationTimeoutMs, () => socket.destroy());
+        socket.on("error", () => socket.destroy());
+        socket.once("close", () => {
+            sockets.delete(socket);
+            if (follower !== undefined) followers.delete(follower);
+        });
+        readFrames(socket, {
+            onFrame: frame => {
+                if (follower === undefined) {
+                    if (!handleHandshake(frame)) refuse("not authenticated");
+                }
+                else if (frame.type === "ping") sendPong(follower, frame.sequence);
+                else refuse(`unexpected ${frame.type}`);
+            },
+            onMalformed: refuse,
+        });
+    };
+
+    const server = createServer(accept);
+    server.maxConnections = maxConnections;
+    server.on("error", error => opts.onProblem(error.message));
+
+    const encodeChanges = (
+        kind: ViewKind,
+        fromRevision: number,
+        revision: number,
+        changes: readonly ViewChange[],
+    ): string => {
+        const key = `${kind} ${fromRevision} ${revision}`;
+        if (lastEncoded.key !== key)
+            lastEncoded = { key, text: encodeFrame({ type: "changes", kind, fromRevision, revision, changes }) };
+        return lastEncoded.text;
+    };
+
+    return {
+        listen: (): Promise<void> =>
+            new Promise((resolve, reject) => {
+                const { host, port } = splitAddress(opts.listen);
+                server.once("error", reject);
+                server.listen(port, host, () => {
+                    server.off("error", reject);
+                    resolve();
+                });
+            }),
+        /** Sends the changes of a kind to all followers, or its list if `changes` is omitted. */
+        publish: (kind: ViewKind, changes?: readonly ViewChange[]): void => {
+            const revision = source.getRevision(kind);
+            if (revision === undefined) return;
+            for (const follower of followers) {
+                const fromRevision = follower.sent[kind];
+                if (changes === undefined || fromRevision === undefined) sendList(follower, kind);
+                else {
+                    follower.sent[kind] = revision;
+                    write(follower.socket, encodeChanges(kind, fromRevision, revision, changes));
+                }
+            }
+        },
+        countFollowers: (): number => followers.size,
+        close: (): void => {
+            server.close();
+            for (const socket of sockets) socket.destroy();
+        },
+    };
+}
+
+export type RelayServer = ReturnType<typeof createRelayServer>;
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -2,6 +2,8 @@
 import { createConfigurationConfirmer } from "@rhubarbwheel/fleet-view/createConfigurationConfirmer";
 import { createFleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import type { FleetViewOptions } from "@rhubarbwheel/fleet-view/createFleetView";
+import { createRelaySelector } from "@rhubarbwheel/fleet-view/createRelaySelector";
+import type { RelaySelectorOptions } from "@rhubarbwheel/fleet-view/createRelaySelector";
 import { createRouterFailureDetector } from "@rhubarbwheel/fleet-view/createRouterFailureDetector";
 import { createEntryRouter } from "@rhubarbwheel/placement/createEntryRouter";
 import { createPartQuarantine } from "@rhubarbwheel/placement/createPartQuarantine";
@@ -14,6 +16,7 @@
 export interface PlacementReducerOptions {
     readonly view: FleetViewOptions;
     readonly entry: Omit<EntryRouterOptions, "view" | "random" | "quarantine">;
+    readonly relay: Pick<RelaySelectorOptions, "maxAgeMs">;
     /** Random number in [0, 1). */
     readonly random: () => number;
 }
@@ -25,10 +28,11 @@
 }
 
 export function createPlacementReducer(opts: PlacementReducerOptions) {
-    const { router } = opts.entry;
+    const { router, failureDomain } = opts.entry;
     const view = createFleetView(opts.view);
     const confirmer = createConfigurationConfirmer({ router, view, random: opts.random });
     const failureDetector = createRouterFailureDetector({ router, view });
+    const relaySelector = createRelaySelector({ ...opts.relay, router, failureDomain, view });
     const quarantine = createPartQuarantine();
     const coordinator = createPlacementCoordinator({ router, view, quarantine });
     const { countAssigned } = coordinator;
@@ -37,6 +41,7 @@
     const slices: readonly PlacementSlice[] = [
         view,
         confirmer,
+        relaySelector,
         failureDetector,
         coordinator,
         // Follows the coordinator, which has then removed the attempts that have ended.
--- a/packages/telemetry/src/events/fleetViewEvents.ts
+++ b/packages/telemetry/src/events/fleetViewEvents.ts
@@ -88,4 +88,23 @@
         message: "The store entry of this router has vanished; the router registers again.",
         fields: ["router"],
     },
+    1614: {
+        name: "relaysChosen",
+        level: "info",
+        message: "This router takes the contents of the store from these routers; from none if it watches the store.",
+        fields: ["relays"],
+    },
+    1615: {
+        name: "relaySuspected",
+        level: "warn",
+        message: "A router that relays the store does not respond; it is passed over for some seconds.",
+        fields: ["relay", "reason"],
+    },
+    1616: {
+        name: "storeWatchChanged",
+        level: "info",
+        message:
+            "This router has started to watch the store itself, or has stopped because relays are confirmed by it.",
+        fields: ["isWatching"],
+    },
 };
--- a/packages/types/src/fleet.ts
+++ b/packages/types/src/fleet.ts
@@ -114,6 +114,8 @@
     readonly failureDomain: string;
     /** Processor time that the host gives the router, in cores; omitted by older routers. */
     readonly cores?: number;
+    /** Secret with which routers that can read the store authenticate to this one; omitted by older routers. */
+    readonly relayKey?: string;
 }
 
 export interface ClosedDomainEntry {
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -1,7 +1,7 @@
 /** Events and effects of a router that uses the platform's store and a placement coordinator per pool. */
 import type { LogEffect, RaiseEffect, StopEffect } from "./effects.js";
 import type { DrainRequestedEvent } from "./events.js";
-import type { RouteKind, ViewEntries, ViewKind } from "./fleet.js";
+import type { RouteKind, RouterEntry, ViewEntries, ViewKind } from "./fleet.js";
 import type { PlacedAttemptResult, PlacementMessage, PromptPart, PromptSize, ReportedLoad } from "./placement.js";
 
 /** Metadata of a call for the reducer; the forwarder keeps headers and body. */
@@ -113,6 +113,23 @@
     readonly reason: string;
 }
 
+/** A router that relays the store has replied to a request. */
+export interface RelayReportedEvent extends TimedEvent {
+    readonly type: "relayReported";
+    readonly router: string;
+    readonly incarnation: number;
+    /** Time as of which the store had confirmed each kind at that router; a kind it does not know is omitted. */
+    readonly confirmedAt: Readonly<Partial<Record<ViewKind, number>>>;
+}
+
+/** The connection to a router that relays the store could not be opened, or was closed. */
+export interface RelayLostEvent extends TimedEvent {
+    readonly type: "relayLost";
+    readonly router: string;
+    readonly incarnation: number;
+    readonly reason: string;
+}
+
 /** Result of `readKeptParts`: the prompt parts in the target's prefix cache. */
 export interface KeptPartsReadEvent extends TimedEvent {
     readonly type: "keptPartsRead";
@@ -137,6 +154,8 @@
     | ViewListedEvent
     | ViewChangedEvent
     | ViewInterruptedEvent
+    | RelayReportedEvent
+    | RelayLostEvent
     | ConfigurationConfirmedEvent
     | ClockJumpedEvent
     | KeptPartsReadEvent
@@ -204,6 +223,18 @@
     readonly incarnation: number;
 }
 
+/** Opens connections to the routers that relay the store to this one, and closes those to any others. */
+export interface ConnectRelaysEffect {
+    readonly type: "connectRelays";
+    readonly relays: readonly RouterEntry[];
+}
+
+/** Starts or stops watching the store; without, this router depends on relays. */
+export interface WatchStoreEffect {
+    readonly type: "watchStore";
+    readonly isNeeded: boolean;
+}
+
 export interface SendToRouterEffect {
     readonly type: "sendToRouter";
     readonly router: string;
@@ -221,6 +252,8 @@
     | ReadKeptPartsEffect
     | AnnounceRouterEffect
     | RemoveRouterEffect
+    | ConnectRelaysEffect
+    | WatchStoreEffect
     | LogEffect
     | RaiseEffect<PlacementEvent>
     | StopEffect;
