Watch only the kinds that no relay confirms, and settle after a start first

After a start each router opened four watches 0.1 s before its relays were connected.

Why this works: relays are judged by kind, and the gate of each follower is its own. For 400 ms after the first list only the routers are watched, which shows the relays; the other kinds were listed just before.

--- a/packages/fleet-view/src/createRelaySelector.ts
+++ b/packages/fleet-view/src/createRelaySelector.ts
@@ -2,7 +2,7 @@
  * Slice that decides from which routers this one takes the contents of the store, so that the store's load does not
  * grow with the fleet. The routers of a failure domain are ranked by rendezvous hashing; the first two that respond
  * watch the store, and the others follow both. A router whose relays are silent, or no longer confirmed by the store,
- * watches for itself.
+ * watches for itself, each kind of entries that no relay confirms.
  */
 import { rankByRendezvous } from "@rhubarbwheel/membership/chooseByRendezvous";
 import type { RouterEntry, ViewKind } from "@rhubarbwheel/types/fleet";
@@ -36,6 +36,12 @@
 /** Delay of a check that shows that this router itself was too busy to read what its relays have sent. */
 const lateCheckMs = 150;
 
+/** Kinds that are watched from the start: the list of routers shows which ones are relays. */
+export const initialWatchedKinds: readonly ViewKind[] = ["routers"];
+
+/** Time after the first list in which relays are found and connected, before the other kinds are watched. */
+const settleMs = 400;
+
 interface Relay {
     readonly entry: RouterEntry;
     /** Time of its last reply, or of the attempt to connect. */
@@ -56,7 +62,9 @@
     let relays: readonly Relay[] = [];
     /** End of the suspicion by router. */
     const suspectedUntil = new Map<string, number>();
-    let isWatching = true;
+    let watchedKinds: readonly ViewKind[] = initialWatchedKinds;
+    /** Time from which kinds that no relay confirms are watched; undefined before the first list. */
+    let settledAt: number | undefined;
     let nextCheckAt = Infinity;
     let effects: PlacementEffect[] = [];
 
@@ -96,17 +104,18 @@
         );
     };
 
-    const isConfirmed = (relay: Relay, now: number): boolean =>
+    const isConfirmed = (relay: Relay, kind: ViewKind, now: number): boolean =>
         now - relay.heardAt <= silenceTimeoutMs
-        && viewKinds.every(kind => now - (relay.confirmedAt[kind] ?? -Infinity) <= opts.maxAgeMs[kind]);
+        && now - (relay.confirmedAt[kind] ?? -Infinity) <= opts.maxAgeMs[kind];
 
     const updateWatching = (now: number): void => {
-        const isNeeded = !relays.some(relay => isConfirmed(relay, now));
-        if (isNeeded === isWatching) return;
-        isWatching = isNeeded;
+        if (settledAt === undefined || now < settledAt) return;
+        const kinds = viewKinds.filter(kind => !relays.some(relay => isConfirmed(relay, kind, now)));
+        if (kinds.join() === watchedKinds.join()) return;
+        watchedKinds = kinds;
         effects.push(
-            { type: "log", event: relaySelectorLogEvents.storeWatchChanged, fields: { isWatching } },
-            { type: "watchStore", isNeeded },
+            { type: "log", event: relaySelectorLogEvents.storeWatchChanged, fields: { kinds: kinds.join() } },
+            { type: "watchStore", kinds },
         );
     };
 
@@ -156,7 +165,12 @@
         reduce: event => {
             effects = [];
             handleEvent(event);
-            const isListed = (event.type === "viewListed" || event.type === "viewChanged") && event.kind === "routers";
+            const isView = event.type === "viewListed" || event.type === "viewChanged";
+            if (isView && settledAt === undefined) {
+                settledAt = event.now + settleMs;
+                nextCheckAt = settledAt;
+            }
+            const isListed = isView && event.kind === "routers";
             if (isListed) {
                 rankRouters();
                 nextCheckAt = Math.min(nextCheckAt, event.now + checkIntervalMs);
--- a/packages/fleet-view/src/createStoreGate.ts
+++ b/packages/fleet-view/src/createStoreGate.ts
@@ -1,7 +1,9 @@
-/** Lets the followers of the store watch it only while that is needed. */
+/** Lets the followers of the store watch only the kinds that are not relayed by other routers. */
+import type { ViewKind } from "@rhubarbwheel/types/fleet";
+import { initialWatchedKinds } from "./createRelaySelector.js";
 
 export interface StoreGateOptions {
-    /** Maximum random delay after the gate has opened; many routers may open theirs at the same moment. */
+    /** Maximum random delay after a kind has been opened; many routers may lose their relays at the same moment. */
     readonly spreadMs: number;
     /** Random number in [0, 1). */
     readonly random: () => number;
@@ -9,24 +11,27 @@
 }
 
 export function createStoreGate(opts: StoreGateOptions) {
-    let isOpen = true;
-    let opened: Promise<void> | undefined;
-    let resolveOpened: () => void = () => undefined;
+    let openKinds: readonly ViewKind[] = initialWatchedKinds;
+    let changed: Promise<void> = Promise.resolve();
+    let resolveChanged: () => void = () => undefined;
+
+    const waitForChange = (): void => {
+        changed = new Promise(resolve => (resolveChanged = resolve));
+    };
+    waitForChange();
 
     return {
-        setOpen: (value: boolean): void => {
-            isOpen = value;
-            if (!isOpen) opened ??= new Promise(resolve => (resolveOpened = resolve));
-            else {
-                opened = undefined;
-                resolveOpened();
-            }
+        /** Opens these kinds, and closes the others. */
+        setOpenKinds: (kinds: readonly ViewKind[]): void => {
+            openKinds = kinds;
+            resolveChanged();
+            waitForChange();
         },
-        /** Resolves at once while the gate is open; otherwise a random time after it has opened. */
-        waitUntilOpen: async (): Promise<void> => {
-            while (!isOpen) {
-                await opened;
-                await opts.sleep(opts.spreadMs * opts.random());
+        /** Resolves at once while the kind is open; otherwise a random time after it has been opened. */
+        waitUntilOpen: async (kind: ViewKind): Promise<void> => {
+            while (!openKinds.includes(kind)) {
+                await changed;
+                if (openKinds.includes(kind)) await opts.sleep(opts.spreadMs * opts.random());
             }
         },
     };
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -229,10 +229,10 @@
     readonly relays: readonly RouterEntry[];
 }
 
-/** Starts or stops watching the store; without, this router depends on relays. */
+/** Watches only these kinds in the store; for the others this router depends on relays. */
 export interface WatchStoreEffect {
     readonly type: "watchStore";
-    readonly isNeeded: boolean;
+    readonly kinds: readonly ViewKind[];
 }
 
 export interface SendToRouterEffect {
