Count the event table of the relay selector

logEvents.test.ts counts the tables it has found, so that none escapes the comparison with the catalogue; relaySelectorLogEvents is the fourteenth.

--- a/packages/daemon/test/logEvents.test.ts
+++ b/packages/daemon/test/logEvents.test.ts
@@ -32,7 +32,7 @@
 
 test("the event tables and the catalogue contain the same numbers", () => {
     const emitted = tables.flat().map(({ number }) => Number(number));
-    assert.is(tables.length, 13);
+    assert.is(tables.length, 14);
     assert.is(new Set(emitted).size, emitted.length, "two events share a number");
     assert.equal(emitted.sort((one, other) => one - other), Object.keys(eventCatalogue).map(Number));
 });
