--- a/packages/peer-protocol/src/createRelayClient.ts
+++ b/packages/peer-protocol/src/createRelayClient.ts
@@ -55,7 +55,7 @@
 
 interface RelayConnection {
     readonly entry: RouterEntry;
-    readonly forgetPings: () => void;
+    readonly clearPings: () => void;
     readonly close: () => void;
 }
 
@@ -79,7 +79,7 @@
         socket.destroy();
     };
 
-    const lose = (reason: string): void => {
+    const failConnection = (reason: string): void => {
         if (isClosed) return;
         close();
         opts.onLost(entry, reason);
@@ -102,7 +102,7 @@
             received[kind] = revision;
             confirmedAt[kind] = sentAt - ageMs;
             const result = sink.confirm(kind, { fromRevision, revision, confirmedAt: sentAt - ageMs });
-            if (result === "gap") return lose(`gap in ${kind}`);
+            if (result === "gap") return failConnection(`gap in ${kind}`);
         }
         opts.onReport(entry, confirmedAt);
     };
@@ -116,12 +116,12 @@
         const isInOrder = fromRevision === received[kind];
         received[kind] = revision;
         if (!isInOrder || sink.applyRelayedChanges(kind, { changes, fromRevision, revision }) === "gap")
-            lose(`gap in ${kind}`);
+            failConnection(`gap in ${kind}`);
     };
 
     const handleWelcome = (frame: Extract<RelayFrame, { readonly type: "welcome"; }>): void => {
         if (!matchesSignature(signNonce(key, "relay", entry.router, nonce), frame.signature))
-            return lose("not authenticated");
+            return failConnection("not authenticated");
         const signature = signNonce(key, "follower", opts.router, frame.nonce);
         socket.write(encodeFrame({ type: "join", signature }));
         sendPing();
@@ -130,21 +130,21 @@
 
     const handleFrame = (frame: RelayFrame): void => {
         if (frame.type === "welcome" && pingTimer === undefined) handleWelcome(frame);
-        else if (pingTimer === undefined) lose(`${frame.type} before authentication`);
+        else if (pingTimer === undefined) failConnection(`${frame.type} before authentication`);
         else if (frame.type === "pong") handlePong(frame);
         else if (frame.type === "list") handleList(frame);
         else if (frame.type === "changes") handleChanges(frame);
-        else lose(`unexpected ${frame.type}`);
+        else failConnection(`unexpected ${frame.type}`);
     };
 
     socket.setNoDelay(true);
     socket.once("connect", () => {
         socket.write(encodeFrame({ type: "hello", version: relayProtocolVersion, router: opts.router, nonce }));
     });
-    socket.on("error", error => lose((error as NodeJS.ErrnoException).code ?? error.message));
-    socket.once("close", () => lose("closed"));
-    readFrames(socket, { onFrame: handleFrame, onMalformed: lose });
-    return { entry, forgetPings: () => pingSentAt.clear(), close };
+    socket.on("error", error => failConnection((error as NodeJS.ErrnoException).code ?? error.message));
+    socket.once("close", () => failConnection("closed"));
+    readFrames(socket, { onFrame: handleFrame, onMalformed: failConnection });
+    return { entry, clearPings: () => pingSentAt.clear(), close };
 }
 
 export function createRelayClient(opts: RelayClientOptions) {
@@ -163,7 +163,7 @@
         /** Opens connections to `relays` and closes those to any others. */
         setRelays,
         /** Ignores the replies to requests sent so far, because the monotonic clock may have stood still. */
-        forgetPings: (): void => connections.forEach(connection => connection.forgetPings()),
+        clearPings: (): void => connections.forEach(connection => connection.clearPings()),
         close: (): void => setRelays([]),
     };
 }
--- a/packages/peer-protocol/src/createRelayServer.ts
+++ b/packages/peer-protocol/src/createRelayServer.ts
@@ -169,7 +169,7 @@
                 });
             }),
         /** Sends the changes of a kind to all followers, or its list if `changes` is omitted. */
-        publish: (kind: ViewKind, changes?: readonly ViewChange[]): void => {
+        sendUpdate: (kind: ViewKind, changes?: readonly ViewChange[]): void => {
             const revision = source.getRevision(kind);
             if (revision === undefined) return;
             for (const follower of followers) {
--- a/packages/peer-protocol/test/relayConnection.test.ts
+++ b/packages/peer-protocol/test/relayConnection.test.ts
@@ -56,7 +56,7 @@
         change: (next: readonly ViewEntries[ViewKind][], changes?: readonly ViewChange[]) => {
             entries = next;
             revision += 1;
-            server.publish("closedDomains", changes);
+            server.sendUpdate("closedDomains", changes);
         },
     };
 }
@@ -171,7 +171,7 @@
     await waitFor(() => reports.length > 0);
     const count = reports.length;
     // Before the reply to the next request, which is sent within 450 ms.
-    const timer = setInterval(() => client.forgetPings(), 0);
+    const timer = setInterval(() => client.clearPings(), 0);
     await sleep(700);
     clearInterval(timer);
     client.close();
