--- a/packages/telemetry/src/events/fleetViewEvents.ts
+++ b/packages/telemetry/src/events/fleetViewEvents.ts
@@ -103,8 +103,7 @@
     1616: {
         name: "storeWatchChanged",
         level: "info",
-        message:
-            "This router has started to watch the store itself, or has stopped because relays are confirmed by it.",
-        fields: ["isWatching"],
+        message: "This router watches these kinds in the store itself, because no relay confirms them.",
+        fields: ["kinds"],
     },
 };
