Emit the first confirmation after a suspension

What callers could see: after a suspension of the host or a clock step, calls with a key refused for up to some hundred milliseconds longer than needed, while the router's own lists fail and a relay confirms the configuration.

Cause: the mirror emits a confirmation only if it is 300 ms newer than the last emitted one. The suspension expired the confirmation in the view, but not the mark of the last emitted one, so a confirmation little newer than that mark was held back. Found by reading; not seen in a play.

Evidence: the new test of createStoreMirror.test.ts; on the parent commit 7 of 8 passed, now 8 of 8 (node packages/fleet-view/lib/test/createStoreMirror.test.js).

Why this works: the mark expires together with the confirmation.

--- a/packages/fleet-view/src/createStoreMirror.ts
+++ b/packages/fleet-view/src/createStoreMirror.ts
@@ -165,7 +165,10 @@
         },
         /** Marks all kinds as unconfirmed, because the monotonic clock may have stood still. */
         expireConfirmations: (): void => {
-            for (const kind of viewKinds) kinds[kind].confirmedAt = -Infinity;
+            for (const kind of viewKinds) {
+                kinds[kind].confirmedAt = -Infinity;
+                kinds[kind].emittedConfirmedAt = -Infinity;
+            }
         },
         getList: (kind: ViewKind): MirrorList | undefined => {
             const { entries, revision } = kinds[kind];
--- a/packages/fleet-view/test/createStoreMirror.test.ts
+++ b/packages/fleet-view/test/createStoreMirror.test.ts
@@ -107,6 +107,21 @@
     assert.equal(harness.mirror.getConfirmation(kind), { revision: 11, confirmedAt: 1_502 });
 });
 
+// Guards against a router that refuses credentials after a suspension although its relays confirm the configuration.
+test("after a suspension, the first confirmation is emitted although it is little newer than the last one", () => {
+    const harness = createHarness();
+    handleList(harness, ["a"], 10, 1_000);
+    harness.mirror.expireConfirmations();
+    harness.mirror.confirm(kind, { fromRevision: 10, revision: 10, confirmedAt: 1_100 });
+    assert.equal(harness.events.at(-1), {
+        type: "viewChanged",
+        kind,
+        changes: [],
+        revision: 10,
+        confirmedAt: 1_100,
+    });
+});
+
 /** Store with one kind; remembers its names at each revision. */
 function createModelStore() {
     const names = new Set<string>();
