Do not rank routers again on events that only confirm their list

The failure detector filtered and sorted all routers on every event of their list. With relays such an event comes about twice a second instead of every 10 s, nearly always without changes; it now returns if the list is the same array, as the relay selector does.

In the same reading, state that can be derived: the mirror passed a fromRevision that nothing used and built objects for it, and the selector told an empty ranking from none, which it treated alike. Behaviour is the same; the tests of packages/fleet-view pass unchanged.

--- a/packages/fleet-view/src/createRelaySelector.ts
+++ b/packages/fleet-view/src/createRelaySelector.ts
@@ -57,8 +57,8 @@
 export function createRelaySelector(opts: RelaySelectorOptions): PlacementSlice {
     const { router, failureDomain, view } = opts;
     let routerList: readonly RouterEntry[] | undefined;
-    /** Routers of the failure domain that rank above this one, best first; undefined if this one is not listed. */
-    let ranked: readonly RouterEntry[] | undefined;
+    /** Routers of the failure domain that rank above this one, best first; empty if this one is not listed. */
+    let ranked: readonly RouterEntry[] = [];
     let relays: readonly Relay[] = [];
     /** End of the suspicion by router. */
     const suspectedUntil = new Map<string, number>();
@@ -78,14 +78,12 @@
                 .map(entry => [entry.router, entry]),
         );
         const names = rankByRendezvous(failureDomain, [...candidates.keys()]);
-        const ownRank = names.indexOf(router);
-        ranked = ownRank < 0
-            ? undefined
-            : names.slice(0, ownRank).map(name => candidates.get(name)).filter(entry => entry !== undefined);
+        const ownRank = Math.max(0, names.indexOf(router));
+        ranked = names.slice(0, ownRank).map(name => candidates.get(name)).filter(entry => entry !== undefined);
     };
 
     const listLive = (now: number): readonly RouterEntry[] =>
-        (ranked ?? []).filter(entry => (suspectedUntil.get(entry.router) ?? -Infinity) <= now);
+        ranked.filter(entry => (suspectedUntil.get(entry.router) ?? -Infinity) <= now);
 
     const updateRelays = (now: number): void => {
         const live = listLive(now);
--- a/packages/fleet-view/src/createRouterFailureDetector.ts
+++ b/packages/fleet-view/src/createRouterFailureDetector.ts
@@ -37,6 +37,7 @@
 
 export function createRouterFailureDetector(opts: RouterFailureDetectorOptions): PlacementSlice {
     const { router, view } = opts;
+    let routerList: readonly RouterEntry[] | undefined;
     let successor: RouterEntry | undefined;
     /** Time of the successor's last message, or of its selection as successor. */
     let successorHeardAt = 0;
@@ -48,6 +49,9 @@
 
     const handleRouterList = (now: number): void => {
         const routers = view.listRouters();
+        // Most events only confirm the list.
+        if (routers === routerList) return;
+        routerList = routers;
         const found = findSuccessor(router, routers);
         if (found?.router !== successor?.router || found?.incarnation !== successor?.incarnation)
             successorHeardAt = now;
--- a/packages/fleet-view/src/createStoreMirror.ts
+++ b/packages/fleet-view/src/createStoreMirror.ts
@@ -100,25 +100,23 @@
         opts.onUpdated(kind);
     };
 
-    const emitChanges = (kind: ViewKind, update: MirrorChanges): void => {
+    /** Advances the kind to `revision`, which is not less than its own; without changes, only confirms it. */
+    const emitChanges = (kind: ViewKind, changes: readonly ViewChange[], revision: number): void => {
         const state = kinds[kind];
-        for (const change of update.changes) applyChange(kind, change);
-        if (update.revision > (state.revision ?? -Infinity)) {
-            state.revision = update.revision;
-            state.advancedAt = opts.getNow();
-        }
-        if (update.changes.length > 0) state.contentRevision = update.revision;
+        for (const change of changes) applyChange(kind, change);
+        if (revision !== state.revision) state.advancedAt = opts.getNow();
+        state.revision = revision;
+        if (changes.length > 0) state.contentRevision = revision;
         state.emittedConfirmedAt = state.confirmedAt;
-        const { revision = update.revision, confirmedAt } = state;
-        opts.emit({ type: "viewChanged", kind, changes: update.changes, revision, confirmedAt });
-        if (update.changes.length > 0) opts.onUpdated(kind, update.changes);
+        opts.emit({ type: "viewChanged", kind, changes, revision, confirmedAt: state.confirmedAt });
+        if (changes.length > 0) opts.onUpdated(kind, changes);
     };
 
     /** Applies changes whose effect is not yet known. Those up to the own revision would undo later ones. */
     const applyChanges = (kind: ViewKind, update: MirrorChanges): void => {
         const { revision = -Infinity } = kinds[kind];
-        if (update.revision > revision) return emitChanges(kind, update);
-        emitChanges(kind, { changes: [], fromRevision: revision, revision });
+        if (update.revision > revision) emitChanges(kind, update.changes, update.revision);
+        else emitChanges(kind, [], revision);
     };
 
     return {
@@ -145,7 +143,7 @@
         applyRelayedChanges: (kind: ViewKind, update: MirrorChanges): RelayResult => {
             const { revision = -Infinity } = kinds[kind];
             if (update.fromRevision > revision) return "gap";
-            if (update.revision > revision) emitChanges(kind, update);
+            if (update.revision > revision) emitChanges(kind, update.changes, update.revision);
             return "applied";
         },
         /** Confirms a kind of which a relay has sent everything up to `fromRevision`, and then nothing changed. */
@@ -160,7 +158,7 @@
             recordConfirmation(kind, confirmedAt);
             const isNewer = revision > state.revision;
             if (isNewer || state.confirmedAt - state.emittedConfirmedAt >= minConfirmationAdvanceMs)
-                emitChanges(kind, { changes: [], fromRevision: state.revision, revision });
+                emitChanges(kind, [], Math.max(revision, state.revision));
             return "applied";
         },
         /** Marks all kinds as unconfirmed, because the monotonic clock may have stood still. */
