Call what existed already in the relay connections

- listenAt of platform/createHealthServer was written again in the relay server.
It stands in peer-protocol now, and both call it.
- The comparison of signatures stood in authentication and in relayFrames; it is matchesSignature now.
- The lists, changes, confirmations and results of relays were described in the mirror, the client, the server and the frames.
They stand in @rhubarbwheel/types/relay.

Behaviour is the same, but that a relay's signature in capital letters would be accepted.

--- a/packages/fleet-view/src/createStoreMirror.ts
+++ b/packages/fleet-view/src/createStoreMirror.ts
@@ -6,32 +6,18 @@
 import type { ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
 import { viewKinds } from "@rhubarbwheel/types/fleet";
 import type { ViewChange } from "@rhubarbwheel/types/placement-events";
+import type {
+    RelayedChanges,
+    RelayedConfirmation,
+    RelayedList,
+    RelayResult,
+    StoreConfirmation,
+} from "@rhubarbwheel/types/relay";
 import { getEntryName } from "./entryNames.js";
 import type { StoreFollowerEvent, ViewEvent } from "./followStore.js";
 
 type AnyEntry = ViewEntries[ViewKind];
 
-export interface MirrorList {
-    readonly entries: readonly AnyEntry[];
-    readonly revision: number;
-}
-
-/** Changes of one kind after `fromRevision`, up to and including `revision`. */
-export interface MirrorChanges {
-    readonly changes: readonly ViewChange[];
-    readonly fromRevision: number;
-    readonly revision: number;
-}
-
-/** `gap`: this router lacks what came before, so the relay has to send a list. */
-export type RelayResult = "applied" | "gap";
-
-export interface MirrorConfirmation {
-    readonly revision: number;
-    /** Monotonic time as of which the store had nothing newer. */
-    readonly confirmedAt: number;
-}
-
 export interface StoreMirrorOptions {
     readonly getNow: () => number;
     /** Receives what is new, and failures of the store. */
@@ -77,7 +63,7 @@
         else kinds[kind].entries.set(key, entry);
     };
 
-    const replaceEntries = (kind: ViewKind, { entries, revision }: MirrorList): void => {
+    const replaceEntries = (kind: ViewKind, { entries, revision }: RelayedList): void => {
         const state = kinds[kind];
         state.entries.clear();
         for (const entry of entries) state.entries.set(getEntryName(kind, entry), entry);
@@ -92,7 +78,7 @@
         if (state.failingSince !== undefined && state.confirmedAt > state.failingSince) state.failingSince = undefined;
     };
 
-    const emitList = (kind: ViewKind, list: MirrorList, confirmedAt: number): void => {
+    const emitList = (kind: ViewKind, list: RelayedList, confirmedAt: number): void => {
         replaceEntries(kind, list);
         kinds[kind].emittedConfirmedAt = confirmedAt;
         const { entries, revision } = list;
@@ -113,7 +99,7 @@
     };
 
     /** Applies changes whose effect is not yet known. Those up to the own revision would undo later ones. */
-    const applyChanges = (kind: ViewKind, update: MirrorChanges): void => {
+    const applyChanges = (kind: ViewKind, update: RelayedChanges): void => {
         const { revision = -Infinity } = kinds[kind];
         if (update.revision > revision) emitChanges(kind, update.changes, update.revision);
         else emitChanges(kind, [], revision);
@@ -135,12 +121,12 @@
             emitList(event.kind, { entries: event.entries, revision: event.revision }, event.confirmedAt);
         },
         /** Applies the list of a relay, unless this router knows something newer. */
-        applyRelayedList: (kind: ViewKind, list: MirrorList): void => {
+        applyRelayedList: (kind: ViewKind, list: RelayedList): void => {
             const { revision = -Infinity } = kinds[kind];
             if (list.revision > revision) emitList(kind, list, -Infinity);
         },
         /** Applies changes that a relay has sent after everything up to `fromRevision`. */
-        applyRelayedChanges: (kind: ViewKind, update: MirrorChanges): RelayResult => {
+        applyRelayedChanges: (kind: ViewKind, update: RelayedChanges): RelayResult => {
             const { revision = -Infinity } = kinds[kind];
             if (update.fromRevision > revision) return "gap";
             if (update.revision > revision) emitChanges(kind, update.changes, update.revision);
@@ -149,7 +135,7 @@
         /** Confirms a kind of which a relay has sent everything up to `fromRevision`, and then nothing changed. */
         confirm: (
             kind: ViewKind,
-            { fromRevision, revision, confirmedAt }: MirrorConfirmation & { readonly fromRevision: number; },
+            { fromRevision, revision, confirmedAt }: RelayedConfirmation,
         ): RelayResult => {
             const state = kinds[kind];
             if (state.revision === undefined || fromRevision > state.revision) return "gap";
@@ -168,13 +154,13 @@
                 kinds[kind].emittedConfirmedAt = -Infinity;
             }
         },
-        getList: (kind: ViewKind): MirrorList | undefined => {
+        getList: (kind: ViewKind): RelayedList | undefined => {
             const { entries, revision } = kinds[kind];
             return revision === undefined ? undefined : { entries: [...entries.values()], revision };
         },
         getRevision: (kind: ViewKind): number | undefined => kinds[kind].revision,
         /** Undefined before the first list, and while requests to the store fail. */
-        getConfirmation: (kind: ViewKind): MirrorConfirmation | undefined => {
+        getConfirmation: (kind: ViewKind): StoreConfirmation | undefined => {
             const { revision, confirmedAt, failingSince } = kinds[kind];
             const isFailing = failingSince !== undefined && opts.getNow() - failingSince > maxFailingMs;
             return revision === undefined || isFailing ? undefined : { revision, confirmedAt };
--- a/packages/peer-protocol/src/authentication.ts
+++ b/packages/peer-protocol/src/authentication.ts
@@ -5,7 +5,8 @@
  */
 import { Metadata } from "@grpc/grpc-js";
 import type { RouterIdentity } from "@rhubarbwheel/types/slices";
-import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
+import { createHmac, randomBytes } from "node:crypto";
+import { matchesSignature } from "./matchesSignature.js";
 
 /** Limits how long a recorded signature can be replayed; larger than the usual clock skew between hosts. */
 export const maxClockSkewMs = 60_000;
@@ -78,8 +79,7 @@
         const fields = readSignedFields(metadata);
         if (fields === undefined) return { type: "refused", reason: "the signature is missing or incomplete" };
         const expected = computeSignature(direction, kind, fields);
-        const received = Buffer.from(String(metadata.get(metadataKeys.signature)[0] ?? ""), "hex");
-        if (received.length !== expected.length || !timingSafeEqual(received, expected))
+        if (!matchesSignature(expected, String(metadata.get(metadataKeys.signature)[0] ?? "")))
             return { type: "refused", reason: "the signature does not match; the fleet secrets differ" };
         if (fields.recipient !== identity.router) {
             return {
--- a/packages/peer-protocol/src/createRelayClient.ts
+++ b/packages/peer-protocol/src/createRelayClient.ts
@@ -1,42 +1,20 @@
 /** Connections to the routers that relay the store to this one. */
-import type { RouterEntry, ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
-import type { ViewChange } from "@rhubarbwheel/types/placement-events";
+import type { RouterEntry, ViewKind } from "@rhubarbwheel/types/fleet";
+import type { RelaySink } from "@rhubarbwheel/types/relay";
 import { connect } from "node:net";
 import {
     type ChangesFrame,
     createNonce,
     encodeFrame,
     type ListFrame,
-    matchesSignature,
     readFrames,
     type RelayFrame,
     relayProtocolVersion,
     signNonce,
+    verifyNonce,
 } from "./relayFrames.js";
 import { splitAddress } from "./splitAddress.js";
 
-/** `gap`: what the relay has sent does not follow what this router knows, so a list is needed. */
-export type RelayResult = "applied" | "gap";
-
-export interface RelaySink {
-    readonly applyRelayedList: (
-        kind: ViewKind,
-        list: { readonly entries: readonly ViewEntries[ViewKind][]; readonly revision: number; },
-    ) => void;
-    readonly applyRelayedChanges: (
-        kind: ViewKind,
-        update: {
-            readonly changes: readonly ViewChange[];
-            readonly fromRevision: number;
-            readonly revision: number;
-        },
-    ) => RelayResult;
-    readonly confirm: (
-        kind: ViewKind,
-        confirmation: { readonly fromRevision: number; readonly revision: number; readonly confirmedAt: number; },
-    ) => RelayResult;
-}
-
 export interface RelayClientOptions {
     /** Name of this router. */
     readonly router: string;
@@ -120,7 +98,7 @@
     };
 
     const handleWelcome = (frame: Extract<RelayFrame, { readonly type: "welcome"; }>): void => {
-        if (!matchesSignature(signNonce(key, "relay", entry.router, nonce), frame.signature))
+        if (!verifyNonce(frame.signature, key, "relay", entry.router, nonce))
             return failConnection("not authenticated");
         const signature = signNonce(key, "follower", opts.router, frame.nonce);
         socket.write(encodeFrame({ type: "join", signature }));
--- a/packages/peer-protocol/src/createRelayServer.ts
+++ b/packages/peer-protocol/src/createRelayServer.ts
@@ -1,31 +1,20 @@
 /** Relays the store's entries to other routers over TCP: a list of each kind first, then the changes as they arrive. */
-import type { ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
+import type { ViewKind } from "@rhubarbwheel/types/fleet";
 import { viewKinds } from "@rhubarbwheel/types/fleet";
 import type { ViewChange } from "@rhubarbwheel/types/placement-events";
+import type { RelaySource } from "@rhubarbwheel/types/relay";
 import { createServer } from "node:net";
 import type { Socket } from "node:net";
+import { listenAt } from "./listenAt.js";
 import {
     createNonce,
     encodeFrame,
-    matchesSignature,
     readFrames,
     type RelayFrame,
     relayProtocolVersion,
     signNonce,
+    verifyNonce,
 } from "./relayFrames.js";
-import { splitAddress } from "./splitAddress.js";
-
-export interface RelaySource {
-    /** Undefined until the kind has been listed. */
-    readonly getList: (
-        kind: ViewKind,
-    ) => { readonly entries: readonly ViewEntries[ViewKind][]; readonly revision: number; } | undefined;
-    readonly getRevision: (kind: ViewKind) => number | undefined;
-    /** `confirmedAt` is monotonic time in ms. Undefined while the store does not confirm the kind. */
-    readonly getConfirmation: (
-        kind: ViewKind,
-    ) => { readonly revision: number; readonly confirmedAt: number; } | undefined;
-}
 
 export interface RelayServerOptions {
     /** Name of this router. */
@@ -103,7 +92,7 @@
                 return true;
             }
             if (frame.type !== "join" || router === "") return false;
-            if (!matchesSignature(signNonce(opts.key, "follower", router, nonce), frame.signature)) return false;
+            if (!verifyNonce(frame.signature, opts.key, "follower", router, nonce)) return false;
             onJoined({ socket, sent: {} });
             return true;
         };
@@ -159,15 +148,7 @@
     };
 
     return {
-        listen: (): Promise<void> =>
-            new Promise((resolve, reject) => {
-                const { host, port } = splitAddress(opts.listen);
-                server.once("error", reject);
-                server.listen(port, host, () => {
-                    server.off("error", reject);
-                    resolve();
-                });
-            }),
+        listen: (): Promise<void> => listenAt(server, opts.listen),
         /** Sends the changes of a kind to all followers, or its list if `changes` is omitted. */
         sendUpdate: (kind: ViewKind, changes?: readonly ViewChange[]): void => {
             const revision = source.getRevision(kind);
--- a/packages/peer-protocol/src/relayFrames.ts
+++ b/packages/peer-protocol/src/relayFrames.ts
@@ -2,12 +2,13 @@
  * Frames of the connections on which routers relay the store: one JSON object per line. Both ends prove that they can
  * read the store, which holds the relay's key, before anything else is sent.
  */
-import type { ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
+import type { ViewKind } from "@rhubarbwheel/types/fleet";
 import { viewKinds } from "@rhubarbwheel/types/fleet";
-import type { ViewChange } from "@rhubarbwheel/types/placement-events";
-import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
+import type { RelayedChanges, RelayedList } from "@rhubarbwheel/types/relay";
+import { createHmac, randomBytes } from "node:crypto";
 import type { Socket } from "node:net";
 import * as v from "valibot";
+import { matchesSignature } from "./matchesSignature.js";
 
 /** Routers of another version watch the store themselves, because entries are relayed as decoded by this one. */
 export const relayProtocolVersion = 1;
@@ -50,19 +51,14 @@
 
 type ParsedFrame = v.InferOutput<typeof frameSchema>;
 
-export interface ListFrame {
+export interface ListFrame extends RelayedList {
     readonly type: "list";
     readonly kind: ViewKind;
-    readonly revision: number;
-    readonly entries: readonly ViewEntries[ViewKind][];
 }
 
-export interface ChangesFrame {
+export interface ChangesFrame extends RelayedChanges {
     readonly type: "changes";
     readonly kind: ViewKind;
-    readonly fromRevision: number;
-    readonly revision: number;
-    readonly changes: readonly ViewChange[];
 }
 
 export type RelayFrame = Exclude<ParsedFrame, { readonly type: "list" | "changes"; }> | ListFrame | ChangesFrame;
@@ -125,13 +121,24 @@
     return randomBytes(16).toString("hex");
 }
 
+type SignerRole = "relay" | "follower";
+
+function computeSignature(key: string, role: SignerRole, router: string, nonce: string): Buffer {
+    return createHmac("sha256", key).update(JSON.stringify([role, router, nonce])).digest();
+}
+
 /** Signs the other side's nonce. `role` keeps a signature of one side from being used as that of the other. */
-export function signNonce(key: string, role: "relay" | "follower", router: string, nonce: string): string {
-    return createHmac("sha256", key).update(JSON.stringify([role, router, nonce])).digest("hex");
+export function signNonce(key: string, role: SignerRole, router: string, nonce: string): string {
+    return computeSignature(key, role, router, nonce).toString("hex");
 }
 
-export function matchesSignature(expected: string, received: string): boolean {
-    const left = Buffer.from(expected);
-    const right = Buffer.from(received);
-    return left.length === right.length && timingSafeEqual(left, right);
+/** Whether `signature` is that of `nonce` by the router `router` in this role. */
+export function verifyNonce(
+    signature: string,
+    key: string,
+    role: SignerRole,
+    router: string,
+    nonce: string,
+): boolean {
+    return matchesSignature(computeSignature(key, role, router, nonce), signature);
 }
