Clear the pings before the reply in the test of a suspension

Cause: the test was wrong, not the client. A timer of 1 ms was to clear the request between its sending and the reply. Request, reply of the relay in the same process, and reading of the reply can all come before that timer; the client then rightly confirmed.

The test now clears the requests in checkClocks, which the client calls before it handles a reply and through which the router clears them. It also waits for a reply, where before it passed without any.

--- a/packages/peer-protocol/test/relayConnection.test.ts
+++ b/packages/peer-protocol/test/relayConnection.test.ts
@@ -5,7 +5,7 @@
 import type { AddressInfo } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { createRelayClient } from "../src/createRelayClient.js";
+import { createRelayClient, type RelayClient } from "../src/createRelayClient.js";
 import { createRelayServer } from "../src/createRelayServer.js";
 import { encodeFrame, signNonce } from "../src/relayFrames.js";
 
@@ -65,11 +65,11 @@
     return { router: "relay", incarnation: 1, address, failureDomain: "zone-a", relayKey };
 }
 
-/** Follows a relay; what arrives is recorded as lines. */
-function followRelay(entry: RouterEntry) {
+/** Follows a relay; what arrives is recorded as lines. `checkClocks` is called before each reply is handled. */
+function followRelay(entry: RouterEntry, checkClocks: (client: RelayClient) => void = () => undefined) {
     const lines: string[] = [];
     const reports: Readonly<Partial<Record<ViewKind, number>>>[] = [];
-    const client = createRelayClient({
+    const client: RelayClient = createRelayClient({
         router: "follower",
         sink: {
             applyRelayedList: (kind, list) => lines.push(`list ${kind} ${JSON.stringify(list)}`),
@@ -80,7 +80,7 @@
             confirm: () => "applied",
         },
         getNow: () => performance.now(),
-        checkClocks: () => undefined,
+        checkClocks: () => checkClocks(client),
         onReport: (_relay, confirmedAt) => reports.push(confirmedAt),
         onLost: (_relay, reason) => lines.push(`lost: ${reason}`),
     });
@@ -167,13 +167,14 @@
 
 test("after a suspension, replies to earlier requests confirm nothing", async () => {
     const relay = await startRelay();
-    const { client, reports } = followRelay(createRelayEntry(relay.address));
+    let wasSuspended = false;
+    const { client, reports } = followRelay(createRelayEntry(relay.address), follower => {
+        if (wasSuspended) follower.clearPings();
+    });
     await waitFor(() => reports.length > 0);
+    wasSuspended = true;
     const count = reports.length;
-    // Before the reply to the next request, which is sent within 450 ms.
-    const timer = setInterval(() => client.clearPings(), 0);
-    await sleep(700);
-    clearInterval(timer);
+    await waitFor(() => reports.length > count);
     client.close();
     relay.server.close();
     for (const report of reports.slice(count)) assert.is(report.closedDomains, -Infinity);
