Keep the check of the relays scheduled until the router has settled

Cause: after its first list a router waits 400 ms before it watches the kinds that no relay confirms. The list of routers schedules a check 250 ms after it. A router that ranks first or second has no relays, so this check, which comes before the 400 ms are over, scheduled no further one. The router then watched only the list of routers until that list changed again, whatever else changed.

The existing test took the watch of the list of routers for a watch of everything.

Why this works: the check remains scheduled until the router has settled.

--- a/packages/fleet-view/src/createRelaySelector.ts
+++ b/packages/fleet-view/src/createRelaySelector.ts
@@ -165,7 +165,8 @@
         updateRelays(now);
         updateWatching(now);
         overdueSince = undefined;
-        if (relays.length === 0 && suspectedUntil.size === 0) nextCheckAt = Infinity;
+        const isSettled = settledAt !== undefined && now >= settledAt;
+        if (isSettled && relays.length === 0 && suspectedUntil.size === 0) nextCheckAt = Infinity;
     };
 
     return {
--- a/packages/fleet-view/test/createRelaySelector.test.ts
+++ b/packages/fleet-view/test/createRelaySelector.test.ts
@@ -27,7 +27,7 @@
 }
 
 /** A selector with its time, and the relays and the watching that result from its effects. */
-function createHarness(router: string, names: readonly string[], overrides: Partial<RouterEntry> = {}) {
+function startHarness(router: string, names: readonly string[], overrides: Partial<RouterEntry> = {}) {
     let routers = names.map(name => createRouterEntry(name, overrides));
     let watchedKinds: readonly ViewKind[] = initialWatchedKinds;
     let relays: readonly RouterEntry[] = [];
@@ -49,6 +49,7 @@
             routers = nextNames.map(name => createRouterEntry(name, overrides));
             reduce({ type: "viewChanged", kind: "routers", changes: [], revision: 1, confirmedAt: now });
         },
+        listKind: (kind: ViewKind) => reduce({ type: "viewListed", kind, entries: [], revision: 1, confirmedAt: now }),
         report: (relay: string, ageMs = 0, kinds: readonly ViewKind[] = viewKinds) => {
             const confirmedAt = Object.fromEntries(kinds.map(kind => [kind, now - ageMs]));
             reduce({ type: "relayReported", router: relay, incarnation: 1, confirmedAt });
@@ -73,6 +74,11 @@
         listWatchedKinds: () => watchedKinds,
         getNow: () => now,
     };
+    return harness;
+}
+
+function createHarness(router: string, names: readonly string[], overrides: Partial<RouterEntry> = {}) {
+    const harness = startHarness(router, names, overrides);
     harness.list();
     harness.advance(500);
     return harness;
@@ -103,6 +109,20 @@
     });
 }
 
+for (const listedAtMs of [0, 100, 200, 390, 450]) {
+    // Guards against CONFIG: a restarted router without relays that watches only the list of routers from then on.
+    test(`a router whose list of routers comes ${listedAtMs} ms after its first list watches every kind`, () => {
+        for (const name of createNames(2)) {
+            const harness = startHarness(name, createNames(2));
+            harness.listKind("configuration");
+            harness.advance(listedAtMs);
+            harness.list();
+            harness.advance(800 - listedAtMs);
+            assert.equal(harness.listWatchedKinds(), viewKinds);
+        }
+    });
+}
+
 test("routers without a key, or of another failure domain, are not relays", () => {
     for (const overrides of [{ relayKey: undefined }, { failureDomain: "zone-b" }]) {
         const names = createNames(6);
