Defer a late check of the relays once

Cause: a check that came more than 150 ms late was put off by 150 ms, again and again. A router whose event loop stayed later than that neither suspected silent relays nor watched the store after its start, as only checks do so.

Why this works: what had arrived before a late check is read before the deferred one, which then decides however late it is. Two deferrals are never in a row. Six new tests pass, four of them fail on the parent; the test of a router that was busy for 1.5 s and has replies waiting still passes.

--- a/packages/fleet-view/src/createRelaySelector.ts
+++ b/packages/fleet-view/src/createRelaySelector.ts
@@ -33,7 +33,10 @@
 
 const checkIntervalMs = 250;
 
-/** Delay of a check that shows that this router itself was too busy to read what its relays have sent. */
+/**
+ * Delay of a check that shows that this router was too busy to read what its relays have sent. Such a check is deferred
+ * by as much, once: a router that stays busy must not go on with what it knew when that began.
+ */
 const lateCheckMs = 150;
 
 /** Kinds that are watched from the start: the list of routers shows which ones are relays. */
@@ -66,7 +69,7 @@
     /** Time from which kinds that no relay confirms are watched; undefined before the first list. */
     let settledAt: number | undefined;
     let nextCheckAt = Infinity;
-    /** Time at which the first of the checks that were late was due; undefined after one in time. */
+    /** Time at which the deferred check was due; undefined if none is. */
     let overdueSince: number | undefined;
     let effects: PlacementEffect[] = [];
 
@@ -156,10 +159,12 @@
     };
 
     const check = (now: number): void => {
-        const isLate = now - nextCheckAt > lateCheckMs;
-        if (isLate) overdueSince ??= nextCheckAt;
-        nextCheckAt = now + (isLate ? lateCheckMs : checkIntervalMs);
-        if (isLate) return;
+        if (now - nextCheckAt > lateCheckMs && overdueSince === undefined) {
+            overdueSince = nextCheckAt;
+            nextCheckAt = now + lateCheckMs;
+            return;
+        }
+        nextCheckAt = now + checkIntervalMs;
         suspectSilent(now);
         for (const [name, until] of suspectedUntil) if (until <= now) suspectedUntil.delete(name);
         updateRelays(now);
--- a/packages/fleet-view/test/createRelaySelector.test.ts
+++ b/packages/fleet-view/test/createRelaySelector.test.ts
@@ -65,6 +65,15 @@
                 onStep();
             }
         },
+        /** Advances with wake-ups that are late by `lateMs`, as on an event loop without processor time. */
+        advanceLate: (ms: number, lateMs: number) => {
+            const until = now + ms;
+            for (let wakeAt = selector.getWakeAt() + lateMs; wakeAt <= until; wakeAt = selector.getWakeAt() + lateMs) {
+                now = Math.max(now, wakeAt);
+                reduce({ type: "wake" });
+            }
+            now = until;
+        },
         /** Advances without any wake-up, as on a busy event loop. */
         block: (ms: number) => {
             now += ms;
@@ -198,6 +207,28 @@
     assert.is(harness.isWatching(), false);
 });
 
+for (const lateMs of [140, 160, 400]) {
+    // Guards against CONFIG: a restarted router without processor time that watches nothing for as long as that lasts.
+    test(`a router whose wake-ups are ${lateMs} ms late watches every kind after its start`, () => {
+        const names = createNames(6);
+        for (const name of names) {
+            const harness = startHarness(name, names);
+            harness.list();
+            harness.advanceLate(800 + 2 * lateMs, lateMs);
+            assert.equal(harness.listWatchedKinds(), viewKinds);
+        }
+    });
+
+    // Guards against CONFIG: a router without processor time that never takes its silent relays for silent.
+    test(`a router whose wake-ups are ${lateMs} ms late watches the store when both relays fall silent`, () => {
+        const harness = findFollower(createNames(6));
+        for (const relay of harness.listRelays()) harness.report(relay);
+        assert.is(harness.isWatching(), false);
+        harness.advanceLate(1_500 + 2 * lateMs, lateMs);
+        assert.equal(harness.listWatchedKinds(), viewKinds);
+    });
+}
+
 test("after a suspension of the host, confirmations from before do not count", () => {
     const harness = findFollower(createNames(6));
     for (const relay of harness.listRelays()) harness.report(relay);
