Derive the times of the store relays from the bounds of the site

What callers saw: a version was not in force within configApplyMs (CONFIG) at routers that reached the store all the while, and targets that leave could get calls after drainMs in the same way.

The class is a time derived from nothing that must hold.

--- a/packages/fleet-view/src/createRelaySelector.ts
+++ b/packages/fleet-view/src/createRelaySelector.ts
@@ -16,7 +16,7 @@
     readonly failureDomain: string;
     readonly view: Pick<FleetView, "listRouters">;
     /** Maximum age of each kind at a relay whose watches of the store succeed. */
-    readonly maxAgeMs: Readonly<Record<ViewKind, number>>;
+    readonly getMaxAgeMs: (kind: ViewKind) => number;
 }
 
 /** Event numbers of the relay selector's log events. */
@@ -107,9 +107,18 @@
         );
     };
 
+    /** Time at which the relay's confirmation of the kind becomes too old. */
+    const getExpiry = ({ confirmedAt }: Relay, kind: ViewKind): number =>
+        (confirmedAt[kind] ?? -Infinity) + opts.getMaxAgeMs(kind);
+
     const isConfirmed = (relay: Relay, kind: ViewKind, now: number): boolean =>
-        now - relay.heardAt <= silenceTimeoutMs
-        && now - (relay.confirmedAt[kind] ?? -Infinity) <= opts.maxAgeMs[kind];
+        now - relay.heardAt <= silenceTimeoutMs && now <= getExpiry(relay, kind);
+
+    /** Earliest time at which the best confirmation of a kind becomes too old; Infinity if all are now. */
+    const getNextExpiry = (now: number): number => {
+        const expiries = viewKinds.map(kind => Math.max(...relays.map(relay => getExpiry(relay, kind))));
+        return Math.min(...expiries.filter(expiry => expiry >= now));
+    };
 
     const updateWatching = (now: number): void => {
         if (settledAt === undefined || now < settledAt) return;
@@ -170,6 +179,8 @@
         updateRelays(now);
         updateWatching(now);
         overdueSince = undefined;
+        // A confirmation that becomes too old between two checks takes part of the time for a change.
+        nextCheckAt = Math.min(nextCheckAt, getNextExpiry(now) + 1);
         const isSettled = settledAt !== undefined && now >= settledAt;
         if (isSettled && relays.length === 0 && suspectedUntil.size === 0) nextCheckAt = Infinity;
     };
--- a/packages/fleet-view/test/createRelaySelector.test.ts
+++ b/packages/fleet-view/test/createRelaySelector.test.ts
@@ -36,7 +36,7 @@
         router,
         failureDomain: "zone-a",
         view: { listRouters: () => routers },
-        maxAgeMs,
+        getMaxAgeMs: kind => maxAgeMs[kind],
     });
     const applyEffect = (effect: PlacementEffect): void => {
         if (effect.type === "connectRelays") relays = effect.relays;
--- a/packages/peer-protocol/src/createRelayClient.ts
+++ b/packages/peer-protocol/src/createRelayClient.ts
@@ -20,6 +20,8 @@
     readonly router: string;
     readonly sink: RelaySink;
     readonly getNow: () => number;
+    /** Interval between requests for a confirmation. */
+    readonly pingIntervalMs: number;
     /** Called before a reply is handled, so that a suspension of this host is noticed before times are compared. */
     readonly checkClocks: () => void;
     /** `confirmedAt` is monotonic time of this router, no later than that of the store's own confirmation. */
@@ -28,9 +30,6 @@
     readonly onLost: (relay: RouterEntry, reason: string) => void;
 }
 
-/** Interval between requests for a confirmation. */
-const pingIntervalMs = 450;
-
 interface RelayConnection {
     readonly entry: RouterEntry;
     readonly clearPings: () => void;
@@ -104,7 +103,7 @@
         const signature = signNonce(key, "follower", opts.router, frame.nonce);
         socket.write(encodeFrame({ type: "join", signature }));
         sendPing();
-        pingTimer = setInterval(sendPing, pingIntervalMs);
+        pingTimer = setInterval(sendPing, opts.pingIntervalMs);
     };
 
     const handleFrame = (frame: RelayFrame): void => {
--- a/packages/peer-protocol/test/relayConnection.test.ts
+++ b/packages/peer-protocol/test/relayConnection.test.ts
@@ -70,6 +70,7 @@
     const lines: string[] = [];
     const reports: Readonly<Partial<Record<ViewKind, number>>>[] = [];
     const client: RelayClient = createRelayClient({
+        pingIntervalMs: 450,
         router: "follower",
         sink: {
             applyRelayedList: (kind, list) => lines.push(`list ${kind} ${JSON.stringify(list)}`),
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -16,7 +16,7 @@
 export interface PlacementReducerOptions {
     readonly view: FleetViewOptions;
     readonly entry: Omit<EntryRouterOptions, "view" | "random" | "quarantine">;
-    readonly relay: Pick<RelaySelectorOptions, "maxAgeMs">;
+    readonly relay: Pick<RelaySelectorOptions, "getMaxAgeMs">;
     /** Random number in [0, 1). */
     readonly random: () => number;
 }
