Keep the configuration in force when a newer version cannot be applied

Cause: only the types of the fields were checked. A version that could not be decoded at all was read as a removal, and its revision as a confirmation of the version in force, whose withdrawn credentials then stayed accepted.

The store gets no more calls than without it.

--- a/packages/fleet-view/src/followStore.ts
+++ b/packages/fleet-view/src/followStore.ts
@@ -13,12 +13,21 @@
     readonly revision: number;
 }
 
+/** The newest entries up to `revision` cannot be applied, so what was applied before them is no longer confirmed. */
+export interface InvalidContents {
+    readonly type: "invalid";
+    readonly revision: number;
+    readonly reason: string;
+}
+
 export type StoreListResult<K extends ViewKind> =
     | { readonly type: "listed"; readonly list: StoreList<K>; }
+    | InvalidContents
     | { readonly type: "unavailable"; readonly reason: string; };
 
 export type StoreWatchResult<K extends ViewKind> =
     | { readonly type: "changed"; readonly changes: readonly ViewChange<K>[]; readonly revision: number; }
+    | InvalidContents
     /** The history since the revision has been compacted; a relist is needed. */
     | { readonly type: "historyGone"; }
     | { readonly type: "unavailable"; readonly reason: string; };
@@ -90,6 +99,8 @@
     /** Incremented by a relist, so that responses to earlier requests are ignored. */
     let epoch = 0;
     let nextWatchTimeoutMs = opts.watchTimeoutMs;
+    /** The newest entries, if they cannot be applied. */
+    let invalid: InvalidContents | undefined;
 
     /** Draws the timeout of the next watch after the view was confirmed as of `confirmedAt`. */
     const updateNextWatchTimeout = (confirmedAt: number): void => {
@@ -110,6 +121,12 @@
         opts.onResponse?.();
     };
 
+    const handleInvalid = (contents: InvalidContents): void => {
+        invalid = contents;
+        revision = contents.revision;
+        opts.emit({ type: "viewInterrupted", kind, reason: contents.reason });
+    };
+
     const listOnce = async (): Promise<void> => {
         const confirmedAt = opts.getNow();
         const listEpoch = epoch;
@@ -117,6 +134,8 @@
         if (stopped || listEpoch !== epoch) return;
         if (result.type === "unavailable") return handleFailure(result.reason);
         recordResponse();
+        if (result.type === "invalid") return handleInvalid(result);
+        invalid = undefined;
         revision = result.list.revision;
         opts.emit({ type: "viewListed", kind, entries: result.list.entries, revision, confirmedAt });
         updateNextWatchTimeout(confirmedAt);
@@ -127,6 +146,8 @@
         await opts.waitUntilNeeded?.();
         if (stopped || watchEpoch !== epoch) return;
         const from = Math.max(ownRevision, opts.getKnownRevision?.() ?? ownRevision);
+        // Another router has relayed newer entries, which replace the invalid ones.
+        if (invalid !== undefined && from > invalid.revision) invalid = undefined;
         const requestSentAt = opts.getNow();
         const timeoutMs = nextWatchTimeoutMs;
         nextWatchTimeoutMs = opts.watchTimeoutMs;
@@ -139,6 +160,9 @@
             return;
         }
         recordResponse();
+        if (result.type === "invalid") return handleInvalid(result);
+        if (result.changes.length > 0) invalid = undefined;
+        if (invalid !== undefined) return handleInvalid({ ...invalid, revision: result.revision });
         revision = result.revision;
         // A response without changes is sent only at the end of the timeout.
         const confirmedAt = result.changes.length === 0
--- a/packages/fleet-view/test/followStore.test.ts
+++ b/packages/fleet-view/test/followStore.test.ts
@@ -68,6 +68,28 @@
 const failed: StoreResult = { type: "unavailable", reason: "status 503" };
 const historyGone: StoreResult = { type: "historyGone" };
 
+// Guards against credentials that stay accepted because a version that removes them could not be applied.
+test("entries that cannot be applied are not confirmed until others replace them", async () => {
+    const invalid: StoreResult = { type: "invalid", revision: 7, reason: "invalid" };
+    const results = [listed, invalid, { ...unchanged, revision: 7 }, { ...changed, revision: 9 }];
+    assert.equal(await follow(results), [
+        "list",
+        "viewListed 1 confirmed at 0",
+        "watch 5",
+        "interrupted: invalid",
+        "watch 7",
+        "interrupted: invalid",
+        "watch 7",
+        "viewChanged 1 confirmed at 30",
+    ]);
+    assert.equal(await follow([invalid, { ...changed, revision: 8 }]), [
+        "list",
+        "interrupted: invalid",
+        "watch 7",
+        "viewChanged 1 confirmed at 10",
+    ]);
+});
+
 test("lists once, then watches from the revision of each response", async () => {
     assert.equal(await follow([listed, changed, { ...unchanged, revision: 8 }]), [
         "list",
