Keep to what targets say in responses: that they leave, or want nothing for a time

What callers saw: calls went to targets that had said that they leave (Server-Leaving: 1) or want nothing (503 with Retry-After), and were turned away or cut (DRAIN, BUDGET in their new words).

Cause: no code read these headers. A target that turns calls away was avoided by the average of its failures alone.

Leaving is passed on to the coordinator, and from there to all routers; a pause concerns one router. If no target is left, the call is refused at once (TARGETS_LIMITED) with the time after which one wants requests again.

The response with the id of another call says nothing, before and after.

--- a/packages/error/src/routerError.ts
+++ b/packages/error/src/routerError.ts
@@ -93,6 +93,11 @@
         "No target of the service accepts new requests.",
         "Check failure domains and targets with: rhubarbwheel status",
     ],
+    TARGETS_LIMITED: [
+        503,
+        "All targets of the service leave, pause or have taken as many requests as they accept.",
+        "Retry after the time in Retry-After.",
+    ],
     CONFIGURATION_EMPTY: [503, "The router has no confirmed configuration yet.", "Retry at another router."],
     CONFIGURATION_STALE: [
         503,
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -1,6 +1,7 @@
 /** Serves calls: reads them, dispatches them to the reducer and runs the effects that the reducer returns. */
 import type { FleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import { otherRouterRetryAfterMs } from "@rhubarbwheel/routing/computeRetryAfterMs";
+import type { TargetNotice } from "@rhubarbwheel/types/placement";
 import type {
     CancelAttemptEffect,
     FailRequestEffect,
@@ -33,6 +34,8 @@
     readonly mayKeepConnections: () => boolean;
     /** Memory limit for the bodies of all open calls together. */
     readonly maxBodyMemoryBytes: number;
+    /** Whether a target named a rate limit that a response without one withdraws. */
+    readonly hasRateLimit: (target: string) => boolean;
     /** Called for each call that ends before it reaches the reducer. */
     readonly onCallRefused: (incoming: IncomingMessage, refusal: CallRefusal) => void;
 }
@@ -141,14 +144,22 @@
         });
     };
 
+    const dispatchNotice = (target: string, notice: TargetNotice, sentAt: number): void => {
+        const isEmpty = !notice.isLeaving && notice.pauseMs === undefined && notice.rateLimit === "none";
+        if (isEmpty && !opts.hasRateLimit(target)) return;
+        dispatch({ type: "targetNoticed", target, notice, sentAt });
+    };
+
     const startAttempt = (effect: StartAttemptEffect): void => {
-        const { requestId, attempt } = effect;
+        const { requestId, attempt, target } = effect;
+        const sentAt = opts.getNow();
         const call = openCalls.get(requestId);
         if (call === undefined) return dispatchUnsent(effect);
         call.failure = undefined;
         const cancel = runAttempt(call, effect, {
             headerCodec: opts.headerCodec,
             connectionPool: opts.connectionPool,
+            onNotice: notice => dispatchNotice(target, notice, sentAt),
             onStarted: load => dispatch({ type: "attemptStarted", requestId, attempt, load }),
             onFinished: outcome => {
                 cancelFunctions.delete(requestId);
--- a/packages/forwarding/src/headerCodec.ts
+++ b/packages/forwarding/src/headerCodec.ts
@@ -1,5 +1,5 @@
 /** Interface for the HTTP headers of calls and responses. The platform adapter provides the implementation. */
-import type { PromptSize, ReportedLoad } from "@rhubarbwheel/types/placement";
+import type { PromptSize, ReportedLoad, TargetNotice } from "@rhubarbwheel/types/placement";
 import type { IncomingHttpHeaders } from "node:http";
 
 /** Headers by lower-case name. A repeated header has an array of values. */
@@ -26,6 +26,7 @@
     /** Whether the address now belongs to another target. */
     readonly isMisdirected: boolean;
     readonly load?: ReportedLoad;
+    readonly notice: TargetNotice;
 }
 
 export interface TargetHeaderOptions {
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -1,5 +1,5 @@
 /** Runs one attempt of a call: sends it to a target, validates the response and relays it to the caller. */
-import type { PlacedAttemptResult, ReportedLoad } from "@rhubarbwheel/types/placement";
+import type { PlacedAttemptResult, ReportedLoad, TargetNotice } from "@rhubarbwheel/types/placement";
 import type { StartAttemptEffect } from "@rhubarbwheel/types/placement-events";
 import type { Dispatcher } from "undici";
 import { checkResponse } from "./checkResponse.js";
@@ -20,6 +20,8 @@
     readonly headerCodec: HeaderCodec;
     readonly connectionPool: ConnectionPool;
     readonly onStarted: (load: ReportedLoad | undefined) => void;
+    /** Called with what the target says about itself, before the attempt starts or finishes. */
+    readonly onNotice: (notice: TargetNotice) => void;
     /** Called exactly once, unless the attempt is cancelled by the function that `runAttempt` returns. */
     readonly onFinished: (outcome: AttemptOutcome) => void;
 }
@@ -79,6 +81,8 @@
         connection.keepAliveTimeoutMs = parseKeepAliveTimeout(headers);
         const check = checkResponse(call, status, metadata);
         if (check.type === "invalid") return failAttempt(check.reason);
+        // A misdirected call was answered by another target.
+        if (check.type !== "misdirected") context.onNotice(metadata.notice);
         if (check.type === "failed") return abortResponse({ result: "failed", reason: check.reason });
         load = metadata.load;
         isSelfDelimited = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -14,6 +14,7 @@
     QuarantinedPart,
     QuarantineNoticeMessage,
     ReportedLoad,
+    TargetNoticeMessage,
 } from "@rhubarbwheel/types/placement";
 import { decodeWith, encodeWith, formatError } from "./peerCodec.js";
 import {
@@ -75,7 +76,7 @@
         waitMs: optional(double),
         maxWaitMs: optional(double),
         usedRatio: optional(double),
-        refusal: optional(stringEnum(["overloaded", "shareUsed", "noTarget", "partQuarantined"])),
+        refusal: optional(stringEnum(["overloaded", "shareUsed", "noTarget", "partQuarantined", "limited"])),
         retryAfterMs: optional(double),
         quarantinedParts: optional(wrappedList(quarantinedPart)),
     }),
@@ -89,6 +90,14 @@
         partIds: optional(wrappedList(string)),
     }),
     quarantineNotice: struct<WithoutType<QuarantineNoticeMessage>>({ parts: list(quarantinedPart) }),
+    targetNotice: struct<WithoutType<TargetNoticeMessage>>({
+        target: string,
+        startedAtUnixMs: optional(integer),
+        isLeaving: boolean,
+        rateLimit: optional(double),
+        ageMs: double,
+        isAnnounced: boolean,
+    }),
     confirmationAsk: struct<WithoutType<ConfirmationRequestMessage>>({ sequence: integer }),
     confirmationReply: struct<WithoutType<ConfirmationReplyMessage>>({
         sequence: integer,
--- a/packages/peer-protocol/test/placementCodec.test.ts
+++ b/packages/peer-protocol/test/placementCodec.test.ts
@@ -90,6 +90,17 @@
         partIds: ["5c1e07a2", "b2"],
     },
     { type: "quarantineNotice", parts: [quarantinedPart] },
+    { type: "targetNotice", target: "t", isLeaving: true, ageMs: 12.5, isAnnounced: false },
+    {
+        type: "targetNotice",
+        target: "t",
+        startedAtUnixMs: 1_796_442_000_123,
+        isLeaving: false,
+        rateLimit: 4.5,
+        ageMs: 0,
+        isAnnounced: true,
+    },
+    { type: "placementReply", requestId: "a", service: "s", refusal: "limited", retryAfterMs: 400 },
     { type: "confirmationAsk", sequence: 12 },
     { type: "confirmationReply", sequence: 12, configurationVersion: 170, ageMs: 250.5 },
 ];
--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -12,6 +12,7 @@
 } from "./entryState.js";
 import { getOrCreatePool } from "./getOrCreatePool.js";
 import { endTimedOut, handleAttemptFinished, handleAttemptStarted, handleCallerGone } from "./handleAttemptEvents.js";
+import { handleTargetNoticed } from "./handleTargetNotice.js";
 import { drainAcceptMs, inFlightReportIntervalMs } from "./placementSettings.js";
 import { checkPendingPlacement, handleReply, placeRequest } from "./placeRequest.js";
 import { reportInFlightAttempts } from "./reportInFlightAttempts.js";
@@ -44,6 +45,7 @@
     if (event.type === "requestRouted") handleRequestRouted(context, event);
     else if (event.type === "attemptStarted") handleAttemptStarted(context, event);
     else if (event.type === "attemptFinished") handleAttemptFinished(context, event);
+    else if (event.type === "targetNoticed") handleTargetNoticed(context, event);
     else if (event.type === "callerGone") handleCallerGone(context, event.requestId);
     else if (event.type === "routerMessage") {
         context.coordinators.recordMessage(event.from, event.now);
@@ -72,6 +74,7 @@
         pools: new Map(),
         coordinators: createCoordinatorSelector({ router, listRouters: view.listRouters }),
         coldRateLimiter: createSendRateLimiter(),
+        noticeSentAt: new Map(),
         now: 0,
         effects: [],
     };
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -29,12 +29,14 @@
 import type { Choice, PoolModel } from "./createPoolModel.js";
 import { createRefusalHistory } from "./createRefusalHistory.js";
 import { createSendRateLimiter } from "./createSendRateLimiter.js";
+import type { TargetNotices } from "./createTargetNotices.js";
 import { coldGrantRatio, inFlightExpiryMs, shareWindowMs } from "./placementSettings.js";
 
 export interface PlacementCoordinatorOptions {
     readonly router: string;
     readonly view: FleetView;
     readonly quarantine: PartQuarantine;
+    readonly targetNotices: TargetNotices;
 }
 
 export interface PlacementCoordinator extends PlacementSlice {
@@ -72,7 +74,7 @@
 }
 
 export function createPlacementCoordinator(opts: PlacementCoordinatorOptions): PlacementCoordinator {
-    const { view, quarantine } = opts;
+    const { view, quarantine, targetNotices } = opts;
     const pools = new Map<string, CoordinatedPool>();
     const coldRateLimiter = createSendRateLimiter();
     const refusalHistory = createRefusalHistory();
@@ -128,11 +130,12 @@
         now: number,
     ): AdmittedChoice | Refusal => {
         const usableTargets = view.listUsableTargets(pool.service, request.regions);
-        const candidates = usableTargets.filter(entry =>
-            !request.excluded.includes(entry.target) && maySendTo(entry, now)
+        const wanted = usableTargets.filter(entry =>
+            !request.excluded.includes(entry.target) && !targetNotices.isLeaving(entry)
         );
         if (usableTargets.length === 0) return { refusal: "noTarget" };
         const cost = computeCost(request.prompt);
+        const candidates = wanted.filter(entry => maySendTo(entry, now));
         const { workspace } = request;
         const usedRatio = workspace === undefined ? 0 : pool.fairShares.getUsedRatio(workspace, now);
         if (workspace !== undefined) pool.fairShares.recordDemand(workspace, cost, now);
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -10,6 +10,7 @@
 import type { ReportedUsage } from "./createReportedUsage.js";
 import type { RetryBudget, RetryPolicy } from "./createRetryBudget.js";
 import type { SendRateLimiter } from "./createSendRateLimiter.js";
+import type { TargetNotices } from "./createTargetNotices.js";
 
 /** Numbers of the entry router's log events. */
 export const entryLogEvents = {
@@ -21,6 +22,7 @@
     coordinatorSuspected: 1705,
     placedLocally: 1706,
     entryDrainStarted: 1707,
+    targetNoticed: 1716,
 } as const;
 
 export interface EntryRouterOptions {
@@ -34,6 +36,7 @@
     /** Random number in [0, 1). */
     readonly random: () => number;
     readonly quarantine: PartQuarantine;
+    readonly targetNotices: TargetNotices;
 }
 
 /** A placement request that awaits the reply of its coordinator. */
@@ -91,6 +94,8 @@
     readonly pools: Map<string, EntryPool>;
     readonly coordinators: CoordinatorSelector;
     readonly coldRateLimiter: SendRateLimiter;
+    /** Time at which the last notice about each target was sent to a coordinator. */
+    readonly noticeSentAt: Map<string, number>;
     /** Time at which the drain started. */
     drainingSince?: number;
     now: number;
--- /dev/null
+++ b/packages/placement/src/handleTargetNotice.ts
@@ -0,0 +1,47 @@
+/** Keeps to what targets have told this router, and passes it on to the coordinator. */
+import type { TargetEntry } from "@rhubarbwheel/types/fleet";
+import type { TargetNoticedEvent } from "@rhubarbwheel/types/placement-events";
+import { type EntryContext, logEntryEvent } from "./entryState.js";
+
+/** Interval at which a notice that has not changed is sent again, for a new coordinator or after a lost datagram. */
+const repeatIntervalMs = 1_000;
+
+export function handleTargetNoticed(context: EntryContext, event: TargetNoticedEvent): void {
+    const { target, notice, sentAt, now } = event;
+    const entry = context.view.getTarget(target);
+    if (entry === undefined) return;
+    const { targetNotices, noticeSentAt } = context;
+    const isPaused = targetNotices.getPausedUntil(entry) > now;
+    const hasChanged = targetNotices.record(entry, notice, sentAt, now);
+    const isDue = now - (noticeSentAt.get(target) ?? -Infinity) >= repeatIntervalMs;
+    const isNewPause = notice.pauseMs !== undefined && !isPaused;
+    if (hasChanged || isNewPause || (isDue && notice.rateLimit === "unreadable"))
+        logEntryEvent(context, "targetNoticed", { target, service: entry.service, ...notice });
+    const coordinator = context.coordinators.find(entry.service, now);
+    if (coordinator === undefined || (!hasChanged && (!isDue || coordinator.router === context.router))) return;
+    noticeSentAt.set(target, now);
+    const { router, address } = coordinator;
+    const shared = targetNotices.getShared(entry);
+    const { startedAtUnixMs } = entry;
+    const message = {
+        type: "targetNotice",
+        target,
+        startedAtUnixMs,
+        ...shared,
+        ageMs: now - sentAt,
+        isAnnounced: false,
+    } as const;
+    context.effects.push({ type: "sendToRouter", router, address, message });
+}
+
+/** Whether the target wants requests from this router. */
+export function isWanted(context: EntryContext, target: TargetEntry): boolean {
+    return !context.targetNotices.isLeaving(target) && context.targetNotices.getPausedUntil(target) <= context.now;
+}
+
+/** Time until one of the targets, all of which are unwanted, wants requests again; undefined if all leave. */
+export function computePauseMs(context: EntryContext, targets: readonly TargetEntry[]): number | undefined {
+    const { targetNotices } = context;
+    const ends = targets.filter(target => !targetNotices.isLeaving(target)).map(targetNotices.getPausedUntil);
+    return ends.length === 0 ? undefined : Math.max(0, Math.min(...ends) - context.now);
+}
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -15,6 +15,7 @@
     type Placement,
 } from "./entryState.js";
 import { getOrCreatePool } from "./getOrCreatePool.js";
+import { computePauseMs, isWanted } from "./handleTargetNotice.js";
 import { lateReplyWaitRatio, placementRetryMs, placementTimeoutMs } from "./placementSettings.js";
 import { reportInFlightAttempts } from "./reportInFlightAttempts.js";
 
@@ -24,6 +25,7 @@
     shareUsed: "SHARE_USED",
     noTarget: "NO_TARGET",
     partQuarantined: "PROMPT_QUARANTINED",
+    limited: "TARGETS_LIMITED",
 } as const;
 
 /** Maximum number of routers that are assumed to add as much load as this one during local placement. */
@@ -48,7 +50,12 @@
     return context.coldRateLimiter.hasCapacity(target.target, computeColdLimitShare(context, target), context.now);
 }
 
-function createPlacementRequest(context: EntryContext, entry: EntryRequest): PlacementRequest {
+/** `unwanted`: targets that want no requests from this router; the coordinator does not know of pauses. */
+function createPlacementRequest(
+    context: EntryContext,
+    entry: EntryRequest,
+    unwanted: readonly TargetEntry[],
+): PlacementRequest {
     const { requestId, service, workspace, prompt, latencyTargetMs, regions } = entry.request;
     const quarantinedParts = context.quarantine.list(listSharedPartIds(prompt), context.now);
     return {
@@ -61,7 +68,7 @@
         timeLeftMs: computeTimeLeftMs(context, entry),
         regions,
         failureDomain: context.failureDomain,
-        excluded: [...entry.excluded],
+        excluded: [...entry.excluded, ...unwanted.map(({ target }) => target)],
         quarantinedParts: quarantinedParts.length === 0 ? undefined : quarantinedParts,
     };
 }
@@ -75,7 +82,15 @@
 
 /** Sends a placement request to the coordinator, or places the request locally if there is none. */
 export function placeRequest(context: EntryContext, entry: EntryRequest): void {
-    const request = createPlacementRequest(context, entry);
+    const usableTargets = context.view.listUsableTargets(entry.request.service, entry.request.regions);
+    const unwanted = usableTargets.filter(target => !isWanted(context, target));
+    if (unwanted.length > 0 && unwanted.length === usableTargets.length) {
+        return handleRefusal(context, entry, {
+            refusal: "limited",
+            retryAfterMs: computePauseMs(context, unwanted),
+        });
+    }
+    const request = createPlacementRequest(context, entry, unwanted);
     const coordinator = context.coordinators.find(request.service, context.now);
     if (coordinator === undefined) return placeLocally(context, entry, request, "no coordinator");
     const { now } = context;
@@ -134,7 +149,7 @@
     const pool = getOrCreatePool(context, request.service);
     const usableTargets = context.view.listUsableTargets(request.service, request.regions);
     const candidates = usableTargets.filter(target =>
-        !request.excluded.includes(target.target) && maySendTo(context, target)
+        !request.excluded.includes(target.target) && isWanted(context, target) && maySendTo(context, target)
     );
     const choice = pool?.model.choose(request, {
         candidates,
@@ -197,7 +212,8 @@
     if (target === undefined) return handleRefusal(context, entry, placement);
     const targetEntry = context.view.getTarget(target);
     // The coordinator's view of the targets may be older than this router's.
-    if (targetEntry === undefined || !context.view.isUsable(target) || !tryTakeColdSend(context, targetEntry)) {
+    const mayUse = targetEntry !== undefined && context.view.isUsable(target) && isWanted(context, targetEntry);
+    if (!mayUse || !tryTakeColdSend(context, targetEntry)) {
         if (entry.excluded.includes(target)) return handleRefusal(context, entry, { refusal: "noTarget" });
         entry.excluded.push(target);
         return placeRequest(context, entry);
--- a/packages/placement/test/coordinatorHarness.ts
+++ b/packages/placement/test/coordinatorHarness.ts
@@ -3,12 +3,19 @@
 import type { PlacementEffect, PlacementEvent } from "@rhubarbwheel/types/placement-events";
 import { createPartQuarantine } from "../src/createPartQuarantine.js";
 import { createPlacementCoordinator } from "../src/createPlacementCoordinator.js";
+import { createTargetNotices } from "../src/createTargetNotices.js";
 import { createViewFixture } from "./viewFixture.js";
 import type { ViewFixtureOptions } from "./viewFixture.js";
 
 export function createCoordinatorHarness(opts: ViewFixtureOptions) {
     const { view, loadAll } = createViewFixture(opts);
-    const coordinator = createPlacementCoordinator({ router: "r1", view, quarantine: createPartQuarantine() });
+    const targetNotices = createTargetNotices();
+    const coordinator = createPlacementCoordinator({
+        router: "r1",
+        view,
+        quarantine: createPartQuarantine(),
+        targetNotices,
+    });
     const reduce = (event: PlacementEvent): readonly PlacementEffect[] => {
         view.reduce(event);
         return coordinator.reduce(event);
@@ -35,5 +42,5 @@
         send({ type: "attemptNotice", requestId, service, target, latencyMs: 50, result }, now);
     };
 
-    return { view, reduce, send, requestPlacement, sendNotice };
+    return { view, targetNotices, reduce, send, requestPlacement, sendNotice };
 }
--- a/packages/placement/test/entryHarness.ts
+++ b/packages/placement/test/entryHarness.ts
@@ -9,6 +9,7 @@
 import { createCoordinatorSelector } from "../src/createCoordinatorSelector.js";
 import { createEntryRouter } from "../src/createEntryRouter.js";
 import { createPartQuarantine } from "../src/createPartQuarantine.js";
+import { createTargetNotices } from "../src/createTargetNotices.js";
 import { createViewFixture } from "./viewFixture.js";
 import type { ViewFixtureOptions } from "./viewFixture.js";
 
@@ -31,16 +32,20 @@
     };
 }
 
-export function createEntryHarness(opts: ViewFixtureOptions & { readonly reserve?: number; }) {
+export function createEntryHarness(
+    opts: ViewFixtureOptions & { readonly reserve?: number; readonly router?: string; },
+) {
     const { view, loadAll } = createViewFixture(opts);
+    const targetNotices = createTargetNotices();
     const entry = createEntryRouter({
-        router: "r1",
+        router: opts.router ?? "r1",
         failureDomain: "a",
         view,
         getRetryPolicy: () => ({ ratio: 0.2, reserve: opts.reserve ?? 100, windowMs: 10_000 }),
         computeColdLimit: perSecond => perSecond * 1.5 + 5,
         random: () => 0,
         quarantine: createPartQuarantine(),
+        targetNotices,
     });
     const reduce = (event: PlacementEvent): readonly PlacementEffect[] => {
         view.reduce(event);
@@ -65,6 +70,7 @@
 
     return {
         view,
+        targetNotices,
         entry,
         reduce,
         finish,
--- a/packages/placement/test/quarantine.test.ts
+++ b/packages/placement/test/quarantine.test.ts
@@ -6,6 +6,7 @@
 import { createPartQuarantine } from "../src/createPartQuarantine.js";
 import { createPlacementCoordinator } from "../src/createPlacementCoordinator.js";
 import { createQuarantineTracker } from "../src/createQuarantineTracker.js";
+import { createTargetNotices } from "../src/createTargetNotices.js";
 import { createRequest, createRouterEntries, createTargets, enginePool } from "./placementFixtures.js";
 import { createViewFixture } from "./viewFixture.js";
 
@@ -15,7 +16,12 @@
     const routers = createRouterEntries(3);
     const { view, loadAll } = createViewFixture({ pool: enginePool, targets, routers });
     const quarantine = createPartQuarantine();
-    const coordinator = createPlacementCoordinator({ router: "r1", view, quarantine });
+    const coordinator = createPlacementCoordinator({
+        router: "r1",
+        view,
+        quarantine,
+        targetNotices: createTargetNotices(),
+    });
     const { countAssigned } = coordinator;
     const tracker = createQuarantineTracker({ router: "r1", view, quarantine, countAssigned });
     const slices = [view, coordinator, tracker];
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -9,13 +9,15 @@
 import { createPartQuarantine } from "@rhubarbwheel/placement/createPartQuarantine";
 import { createPlacementCoordinator } from "@rhubarbwheel/placement/createPlacementCoordinator";
 import { createQuarantineTracker } from "@rhubarbwheel/placement/createQuarantineTracker";
+import { createTargetNotices } from "@rhubarbwheel/placement/createTargetNotices";
+import { createTargetNoticeTracker } from "@rhubarbwheel/placement/createTargetNoticeTracker";
 import type { EntryRouterOptions } from "@rhubarbwheel/placement/entryState";
 import type { PlacementEffect, PlacementEvent, PlacementSlice } from "@rhubarbwheel/types/placement-events";
 import { reduceOverSlices } from "./reduceOverSlices.js";
 
 export interface PlacementReducerOptions {
     readonly view: FleetViewOptions;
-    readonly entry: Omit<EntryRouterOptions, "view" | "random" | "quarantine">;
+    readonly entry: Omit<EntryRouterOptions, "view" | "random" | "quarantine" | "targetNotices">;
     readonly relay: Pick<RelaySelectorOptions, "getMaxAgeMs">;
     /** Random number in [0, 1). */
     readonly random: () => number;
@@ -34,15 +36,18 @@
     const failureDetector = createRouterFailureDetector({ router, view });
     const relaySelector = createRelaySelector({ ...opts.relay, router, failureDomain, view });
     const quarantine = createPartQuarantine();
-    const coordinator = createPlacementCoordinator({ router, view, quarantine });
+    const targetNotices = createTargetNotices();
+    const noticeTracker = createTargetNoticeTracker({ router, view, targetNotices });
+    const coordinator = createPlacementCoordinator({ router, view, quarantine, targetNotices });
     const { countAssigned } = coordinator;
     const quarantineTracker = createQuarantineTracker({ router, view, quarantine, countAssigned });
-    const entry = createEntryRouter({ ...opts.entry, view, quarantine, random: opts.random });
+    const entry = createEntryRouter({ ...opts.entry, view, quarantine, targetNotices, random: opts.random });
     const slices: readonly PlacementSlice[] = [
         view,
         confirmer,
         relaySelector,
         failureDetector,
+        noticeTracker,
         coordinator,
         // Follows the coordinator, which has then removed the attempts that have ended.
         quarantineTracker,
@@ -60,6 +65,7 @@
         getWakeAt: () => Math.min(...slices.map(slice => slice.getWakeAt())),
         view,
         entry,
+        targetNotices,
     };
 }
 
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -130,4 +130,10 @@
         message: "A request with a quarantined prompt part has started; such requests are admitted again.",
         fields: ["service", "part"],
     },
+    1716: {
+        name: "targetNoticed",
+        level: "info",
+        message: "A target said in a response that it leaves, pauses, or accepts another rate of requests.",
+        fields: ["target", "service", "isLeaving", "pauseMs", "rateLimit"],
+    },
 };
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -2,7 +2,14 @@
 import type { LogEffect, RaiseEffect, StopEffect } from "./effects.js";
 import type { DrainRequestedEvent } from "./events.js";
 import type { RouteKind, RouterEntry, ViewEntries, ViewKind } from "./fleet.js";
-import type { PlacedAttemptResult, PlacementMessage, PromptPart, PromptSize, ReportedLoad } from "./placement.js";
+import type {
+    PlacedAttemptResult,
+    PlacementMessage,
+    PromptPart,
+    PromptSize,
+    ReportedLoad,
+    TargetNotice,
+} from "./placement.js";
 
 /** Metadata of a call for the reducer; the forwarder keeps headers and body. */
 export interface RoutedRequest {
@@ -66,6 +73,15 @@
     readonly reason?: string;
 }
 
+/** A target has said something about itself in its response to an attempt of this router. */
+export interface TargetNoticedEvent extends TimedEvent {
+    readonly type: "targetNoticed";
+    readonly target: string;
+    readonly notice: TargetNotice;
+    /** Time at which the attempt was sent. */
+    readonly sentAt: number;
+}
+
 export interface RouterMessageEvent extends TimedEvent {
     readonly type: "routerMessage";
     readonly from: string;
@@ -154,6 +170,7 @@
     | CallerGoneEvent
     | AttemptStartedEvent
     | AttemptFinishedEvent
+    | TargetNoticedEvent
     | RouterMessageEvent
     | ViewListedEvent
     | ViewChangedEvent
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -56,7 +56,8 @@
     readonly request: PlacementRequest;
 }
 
-export type RefusalReason = "overloaded" | "shareUsed" | "noTarget" | "partQuarantined";
+/** `limited`: all targets leave, want no requests for some time, or have taken as many as they accept. */
+export type RefusalReason = "overloaded" | "shareUsed" | "noTarget" | "partQuarantined" | "limited";
 
 /** Coordinator to entry router: the chosen target, or a refusal. */
 export interface PlacementReplyMessage {
@@ -96,6 +97,31 @@
     | "unsent"
     | "cancelled";
 
+/** What a target says about itself in a response. */
+export interface TargetNotice {
+    /** It leaves, and wants no new requests from any router. */
+    readonly isLeaving: boolean;
+    /** Time for which it wants no requests from the router that it responded to. */
+    readonly pauseMs?: number;
+    /** Requests per second that it takes from all routers together. An unreadable one changes nothing. */
+    readonly rateLimit: number | "none" | "unreadable";
+}
+
+/** What a target has said to all routers: from a router to the coordinator, and from there to the other routers. */
+export interface TargetNoticeMessage {
+    readonly type: "targetNotice";
+    readonly target: string;
+    /** Start time of the target, if it reports one. */
+    readonly startedAtUnixMs?: number;
+    readonly isLeaving: boolean;
+    /** Omitted if it takes as many requests as it can run. */
+    readonly rateLimit?: number;
+    /** Time since the call was sent to which the target responded so. */
+    readonly ageMs: number;
+    /** Whether the coordinator sent it; only the first router to know tells the coordinator. */
+    readonly isAnnounced: boolean;
+}
+
 /** Load that a target reported in a response. */
 export interface ReportedLoad {
     readonly running: number;
@@ -149,5 +175,6 @@
     | AttemptNoticeMessage
     | InFlightAttemptsMessage
     | QuarantineNoticeMessage
+    | TargetNoticeMessage
     | ConfirmationRequestMessage
     | ConfirmationReplyMessage;
