Finish an attempt that cannot connect at all as unsent

What callers saw: 504 after 4,004 ms for each call on an unsafe route that was placed at a target with the address 127.0.0.1:99999, although a healthy target had room.

Cause: opening the connection throws on such an address, before the attempt has begun, so the attempt neither finished nor counted against the target.

Why this works: an exception before anything is sent finishes the attempt as unsent, after which the call is placed elsewhere.

--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -3,7 +3,7 @@
 import type { StartAttemptEffect } from "@rhubarbwheel/types/placement-events";
 import type { Dispatcher } from "undici";
 import { checkResponse } from "./checkResponse.js";
-import type { ConnectionPool } from "./createConnectionPool.js";
+import type { Connection, ConnectionPool } from "./createConnectionPool.js";
 import { createResponseRelay } from "./createResponseRelay.js";
 import type { RelayOutcome, ResponseRelay } from "./createResponseRelay.js";
 import type { HeaderCodec, Headers } from "./headerCodec.js";
@@ -45,8 +45,32 @@
 
 /** Starts the attempt. The returned function cancels it. */
 export function runAttempt(call: OpenCall, effect: StartAttemptEffect, context: AttemptContext): () => void {
+    try {
+        const connection = context.connectionPool.acquire(effect.address, effect.mayReuseConnection);
+        return runAttemptOn(connection, call, effect, context);
+    }
+    catch (error) {
+        // The address is not one to connect to, or the headers or the method are not what undici accepts.
+        const reason = formatError(error as Error);
+        let isCancelled = false;
+        queueMicrotask(() => {
+            if (!isCancelled)
+                context.onFinished({ result: "unsent", responseStarted: call.response.headersSent, reason });
+        });
+        return () => {
+            isCancelled = true;
+        };
+    }
+}
+
+/** Throws, with nothing sent and the connection destroyed, if the call cannot be sent to any target. */
+function runAttemptOn(
+    connection: Connection,
+    call: OpenCall,
+    effect: StartAttemptEffect,
+    context: AttemptContext,
+): () => void {
     const { headerCodec, connectionPool } = context;
-    const connection = connectionPool.acquire(effect.address, effect.mayReuseConnection);
     let controller: Dispatcher.DispatchController | undefined;
     let relay: ResponseRelay | undefined;
     let load: ReportedLoad | undefined;
@@ -154,8 +178,9 @@
         }, handler);
     }
     catch (error) {
-        // undici throws on some headers and methods that Node's HTTP server accepts.
-        queueMicrotask(() => finishAttempt("unsent", { reason: formatError(error as Error) }));
+        isFinished = true;
+        connectionPool.destroy(connection);
+        throw error;
     }
 
     return () => {
