Keep to the rate of requests that a target accepts, over all routers

The class is a limit that concerns all routers together and that none enforces.

Why this works: the coordinator of the pool grants requests to such a target by a token bucket that starts empty, so a new coordinator does not grant what the one before it just has. Without a reply of a coordinator the routers share a quarter of the rate by their order. The rate is taken over from the first response that names it, passed on to all routers, and withdrawn by a response to a call that was sent later. While other targets of the pool are unlimited, the limited ones are left to requests of a high cost: they run as much work as they may, and the others have time for short prompts. Callers whose targets all have taken enough are refused at once, and return one by one at the rate of the targets.

--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -13,7 +13,7 @@
 import { getOrCreatePool } from "./getOrCreatePool.js";
 import { endTimedOut, handleAttemptFinished, handleAttemptStarted, handleCallerGone } from "./handleAttemptEvents.js";
 import { handleTargetNoticed } from "./handleTargetNotice.js";
-import { drainAcceptMs, inFlightReportIntervalMs } from "./placementSettings.js";
+import { drainAcceptMs, inFlightReportIntervalMs, localRateWindowMs } from "./placementSettings.js";
 import { checkPendingPlacement, handleReply, placeRequest } from "./placeRequest.js";
 import { reportInFlightAttempts } from "./reportInFlightAttempts.js";
 
@@ -74,6 +74,7 @@
         pools: new Map(),
         coordinators: createCoordinatorSelector({ router, listRouters: view.listRouters }),
         coldRateLimiter: createSendRateLimiter(),
+        localRateLimiter: createSendRateLimiter(localRateWindowMs),
         noticeSentAt: new Map(),
         now: 0,
         effects: [],
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -27,10 +27,11 @@
 import type { PartQuarantine } from "./createPartQuarantine.js";
 import { createPoolModel } from "./createPoolModel.js";
 import type { Choice, PoolModel } from "./createPoolModel.js";
+import { createRateGranter } from "./createRateGranter.js";
 import { createRefusalHistory } from "./createRefusalHistory.js";
 import { createSendRateLimiter } from "./createSendRateLimiter.js";
 import type { TargetNotices } from "./createTargetNotices.js";
-import { coldGrantRatio, inFlightExpiryMs, shareWindowMs } from "./placementSettings.js";
+import { coldGrantRatio, inFlightExpiryMs, inFlightReportIntervalMs, shareWindowMs } from "./placementSettings.js";
 
 export interface PlacementCoordinatorOptions {
     readonly router: string;
@@ -64,7 +65,9 @@
 type AdmittedChoice = Choice & Pick<PlacementReplyMessage, "usedRatio">;
 
 /** Reason for a refusal, and the figures behind it. */
-type Refusal = Pick<PlacementReplyMessage, "waitMs" | "maxWaitMs" | "usedRatio"> & { readonly refusal: RefusalReason; };
+type Refusal = Pick<PlacementReplyMessage, "waitMs" | "maxWaitMs" | "usedRatio" | "retryAfterMs"> & {
+    readonly refusal: RefusalReason;
+};
 
 const expiryIntervalMs = 250;
 
@@ -77,6 +80,7 @@
     const { view, quarantine, targetNotices } = opts;
     const pools = new Map<string, CoordinatedPool>();
     const coldRateLimiter = createSendRateLimiter();
+    const rateGranter = createRateGranter(targetNotices);
     const refusalHistory = createRefusalHistory();
     let expireAt = Infinity;
     let effects: PlacementEffect[] = [];
@@ -135,10 +139,16 @@
         );
         if (usableTargets.length === 0) return { refusal: "noTarget" };
         const cost = computeCost(request.prompt);
-        const candidates = wanted.filter(entry => maySendTo(entry, now));
+        const isGranted = rateGranter.createFilter(pool.service, wanted, cost, now);
+        const candidates = wanted.filter(entry => maySendTo(entry, now) && isGranted(entry));
         const { workspace } = request;
         const usedRatio = workspace === undefined ? 0 : pool.fairShares.getUsedRatio(workspace, now);
         if (workspace !== undefined) pool.fairShares.recordDemand(workspace, cost, now);
+        if (wanted.length > 0 && !wanted.some(isGranted)) {
+            refusalHistory.recordRefusal(request, now);
+            const retryAfterMs = rateGranter.computeReturnMs(pool.service, wanted, request.timeLeftMs, now);
+            return { refusal: "limited", retryAfterMs, usedRatio };
+        }
         const isLateRetry = (refusalHistory.getWaitedMs(request, now) ?? 0) > request.latencyTargetMs;
         const prefillMs = (request.prompt?.promptTokens ?? 0) / pool.priorPrefillRate;
         const maxWaitMs = computeMaxWaitMs(view, pool.service, { usedRatio, isLateRetry, prefillMs });
@@ -158,6 +168,7 @@
         const entry = view.getTarget(choice.target);
         if (entry === undefined) return;
         if (view.getColdRemainingMs(choice.target, now) > 0) coldRateLimiter.tryTake(choice.target, Infinity, now);
+        rateGranter.take(entry, now);
         pool.model.assign(entry, {
             requestId: request.requestId,
             target: choice.target,
@@ -201,7 +212,7 @@
             requestId,
             service,
             ...placement,
-            retryAfterMs: "refusal" in placement ? retryAfterMs : undefined,
+            retryAfterMs: "refusal" in placement ? placement.retryAfterMs ?? retryAfterMs : undefined,
             quarantinedParts: states.length === 0 ? undefined : states,
         });
     };
@@ -226,7 +237,10 @@
         const startedAt = started ? now : undefined;
         const expiresAt = now + inFlightExpiryMs;
         const isCharged = pool.model.getAssignment(requestId) !== undefined || ageMs > shareWindowMs;
+        const isKnown = pool.model.getAssignment(requestId) !== undefined;
         pool.model.assign(entry, { requestId, target, ...sizes, assignedAt, startedAt, expiresAt });
+        // Older ones have used capacity that is available again.
+        if (!isKnown && ageMs < inFlightReportIntervalMs) rateGranter.take(entry, now);
         const { workspace } = attempt;
         if (isCharged || workspace === undefined) return;
         // Its entry router placed it locally, or another router was the coordinator.
--- a/packages/placement/src/createSendRateLimiter.ts
+++ b/packages/placement/src/createSendRateLimiter.ts
@@ -1,18 +1,18 @@
 /** Sliding-window rate limit for sends to targets. */
 
 export interface SendRateLimiter {
-    /** Records a send unless the number of sends within the last second would exceed `limit`. */
+    /** Records a send unless the number of sends within the window would exceed `limit`. */
     readonly tryTake: (target: string, limit: number, now: number) => boolean;
     /** Whether `tryTake` would succeed. */
     readonly hasCapacity: (target: string, limit: number, now: number) => boolean;
 }
 
-const windowMs = 1_000;
+const defaultWindowMs = 1_000;
 
 /** Added to the window, because network jitter can reduce the interval between sends. */
 const jitterMs = 100;
 
-export function createSendRateLimiter(): SendRateLimiter {
+export function createSendRateLimiter(windowMs = defaultWindowMs): SendRateLimiter {
     const sends = new Map<string, number[]>();
 
     const listRecent = (target: string, now: number): number[] => {
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -94,6 +94,8 @@
     readonly pools: Map<string, EntryPool>;
     readonly coordinators: CoordinatorSelector;
     readonly coldRateLimiter: SendRateLimiter;
+    /** Sends to targets with a rate limit that no coordinator has granted. */
+    readonly localRateLimiter: SendRateLimiter;
     /** Time at which the last notice about each target was sent to a coordinator. */
     readonly noticeSentAt: Map<string, number>;
     /** Time at which the drain started. */
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -4,6 +4,7 @@
 import type { PlacementReplyMessage, PlacementRequest, RefusalReason } from "@rhubarbwheel/types/placement";
 import type { RouterMessageEvent } from "@rhubarbwheel/types/placement-events";
 import { computeCost, computeMaxWaitMs, defaultAdmissionInput } from "./admission.js";
+import { computeShare } from "./computeShare.js";
 import { listSharedPartIds } from "./createPartQuarantine.js";
 import {
     computeTimeLeftMs,
@@ -15,7 +16,7 @@
     type Placement,
 } from "./entryState.js";
 import { getOrCreatePool } from "./getOrCreatePool.js";
-import { computePauseMs, isWanted } from "./handleTargetNotice.js";
+import { computePauseMs, hasLocalRate, isWanted, takeLocalRate } from "./handleTargetNotice.js";
 import { lateReplyWaitRatio, placementRetryMs, placementTimeoutMs } from "./placementSettings.js";
 import { reportInFlightAttempts } from "./reportInFlightAttempts.js";
 
@@ -31,18 +32,10 @@
 /** Maximum number of routers that are assumed to add as much load as this one during local placement. */
 const maxAssumedRouters = 4;
 
-/**
- * This router's share of the rate limit of a cold target. The shares of all routers add up to the limit, so that it
- * holds while routers cannot reach each other.
- */
+/** This router's share of the rate limit of a cold target. */
 export function computeColdLimitShare(context: EntryContext, target: TargetEntry): number {
     const perSecond = context.view.getPool(target.service)?.coldRequestsPerSecond ?? 0;
-    if (perSecond === 0) return Infinity;
-    const routerNames = context.view.listRouters().map(entry => entry.router).sort();
-    const limit = Math.floor(context.computeColdLimit(perSecond));
-    const count = Math.max(1, routerNames.length);
-    const rank = Math.max(0, routerNames.indexOf(context.router));
-    return Math.floor(limit / count) + (rank < limit % count ? 1 : 0);
+    return perSecond === 0 ? Infinity : computeShare(context, Math.floor(context.computeColdLimit(perSecond)));
 }
 
 function maySendTo(context: EntryContext, target: TargetEntry): boolean {
@@ -150,6 +143,7 @@
     const usableTargets = context.view.listUsableTargets(request.service, request.regions);
     const candidates = usableTargets.filter(target =>
         !request.excluded.includes(target.target) && isWanted(context, target) && maySendTo(context, target)
+        && hasLocalRate(context, target)
     );
     const choice = pool?.model.choose(request, {
         candidates,
@@ -174,10 +168,13 @@
     const getRefusal = (): RefusalReason => {
         if (isPartQuarantined) return "partQuarantined";
         if (usableTargets.length === 0) return "noTarget";
+        if (!usableTargets.some(target => isWanted(context, target) && hasLocalRate(context, target))) return "limited";
         return isShareUsed ? "shareUsed" : "overloaded";
     };
     const refusal = getRefusal();
     const refusedPlacement = { refusal, retryAfterMs: computeRetryAfterMs(request.timeLeftMs) } as const;
+    const chosen = isAllowed && choice !== undefined ? context.view.getTarget(choice.target) : undefined;
+    if (chosen !== undefined) takeLocalRate(context, chosen);
     applyPlacement(context, entry, isAllowed ? choice ?? refusedPlacement : refusedPlacement);
     // The coordinator may only be slow, and must account for this attempt.
     if (entry.attempt !== undefined) reportInFlightAttempts(context, [entry]);
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -106,5 +106,11 @@
 /** Fraction of a cold target's rate limit that the coordinator uses; the rest is left for local placement. */
 export const coldGrantRatio = 0.8;
 
+/** Part of a target's rate limit that the routers may use beside the coordinator, while it does not reply to them. */
+export const localRateRatio = 0.25;
+
+/** Window of the routers' shares; a longer one lets each router use a share of less than one request a second. */
+export const localRateWindowMs = 4_000;
+
 /** Time after the start of a drain during which requests on open connections are still accepted. */
 export const drainAcceptMs = 1_500;
--- a/packages/placement/test/handleTargetNotice.test.ts
+++ b/packages/placement/test/handleTargetNotice.test.ts
@@ -103,4 +103,21 @@
     assert.equal(listSent({ rateLimit: 4, isLeaving: true }, 1_300), [{ ...message, isLeaving: true, rateLimit: 4 }]);
 });
 
+// Guards against LIMIT while no coordinator replies: each router would use the whole limit.
+test("the shares of all routers without a coordinator are a quarter of the limit", () => {
+    let sum = 0;
+    for (const router of ["r1", "r2", "r3", "r4", "r5"]) {
+        const harness = createHarness(1, 5, router);
+        notice(harness, "target-1", { rateLimit: 8 }, 0);
+        for (let now = 10; now < 4_000; now += 10) {
+            const effects = [
+                ...(now % 100 === 0 ? harness.route(createRoutedRequest(), now) : []),
+                ...harness.reduce({ type: "wake", now }),
+            ];
+            sum += effects.filter(effect => effect.type === "startAttempt").length;
+        }
+    }
+    assert.ok(sum >= 1 && sum <= 8, `${sum} requests in 4 s`);
+});
+
 test.run();
