Accept calls in a drain only for a quarter of the grace period

Report to the operators: in a planned stop, requests that came late in the grace were passed on, and cut with no answer at its end (LOST).

Cause: a draining router accepted calls for 1.5 s whatever the grace period. With one of 3 s, a call that takes 1.8 s and is accepted then ends after it.

Why this works: what is accepted last has three quarters of the grace period to finish. Sites with 6 s or more keep the 1.5 s.

--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -13,7 +13,12 @@
 import { getOrCreatePool } from "./getOrCreatePool.js";
 import { endTimedOut, handleAttemptFinished, handleAttemptStarted, handleCallerGone } from "./handleAttemptEvents.js";
 import { handleTargetNoticed } from "./handleTargetNotice.js";
-import { drainAcceptMs, inFlightReportIntervalMs, localRateWindowMs } from "./placementSettings.js";
+import {
+    drainAcceptRatio,
+    inFlightReportIntervalMs,
+    localRateWindowMs,
+    maxDrainAcceptMs,
+} from "./placementSettings.js";
 import { checkPendingPlacement, handleReply, placeRequest } from "./placeRequest.js";
 import { reportInFlightAttempts } from "./reportInFlightAttempts.js";
 
@@ -35,8 +40,12 @@
     };
     context.requests.set(request.requestId, entry);
     const { drainingSince } = context;
-    if (drainingSince !== undefined && now > drainingSince + drainAcceptMs)
+    if (
+        drainingSince !== undefined
+        && now > drainingSince + Math.min(maxDrainAcceptMs, context.getShutdownGraceMs() * drainAcceptRatio)
+    ) {
         return failRequest(context, entry, "DRAINING", otherRouterRetryAfterMs);
+    }
     getOrCreatePool(context, request.service)?.retryBudget.recordRequest(now);
     placeRequest(context, entry);
 }
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -35,6 +35,8 @@
     readonly computeColdLimit: (coldRequestsPerSecond: number) => number;
     /** Random number in [0, 1). */
     readonly random: () => number;
+    /** Time from the start of a drain until open requests are cut off. */
+    readonly getShutdownGraceMs: () => number;
     readonly quarantine: PartQuarantine;
     readonly targetNotices: TargetNotices;
 }
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -112,5 +112,8 @@
 /** Window of the routers' shares; a longer one lets each router use a share of less than one request a second. */
 export const localRateWindowMs = 4_000;
 
-/** Time after the start of a drain during which requests on open connections are still accepted. */
-export const drainAcceptMs = 1_500;
+/** Maximum time after the start of a drain during which requests on open connections are still accepted. */
+export const maxDrainAcceptMs = 1_500;
+
+/** Maximum fraction of the grace period for the same; what is accepted last needs the rest to finish. */
+export const drainAcceptRatio = 0.25;
--- a/packages/placement/test/entryHarness.ts
+++ b/packages/placement/test/entryHarness.ts
@@ -44,6 +44,7 @@
         getRetryPolicy: () => ({ ratio: 0.2, reserve: opts.reserve ?? 100, windowMs: 10_000 }),
         computeColdLimit: perSecond => perSecond * 1.5 + 5,
         random: () => 0,
+        getShutdownGraceMs: () => 8_000,
         quarantine: createPartQuarantine(),
         targetNotices,
     });
