Bound the age of what a router does not watch by a property

For any order of reports, losses, suspensions and lists, with wake-ups that are late by up to 400 ms, what a router does not watch was confirmed within the maximum age, plus the lateness and one deferral (2,000 schedules of up to 60 steps).

--- a/packages/fleet-view/test/createRelaySelector.test.ts
+++ b/packages/fleet-view/test/createRelaySelector.test.ts
@@ -193,6 +193,20 @@
     assert.is(harness.isWatching(), true);
 });
 
+// Guards against CONFIG: confirmations that become too old between two checks.
+test("a router watches the store as soon as the confirmations are too old", () => {
+    for (let phaseMs = 0; phaseMs < 250; phaseMs += 50) {
+        const harness = findFollower(createNames(6));
+        harness.advance(phaseMs, () => harness.listRelays().forEach(relay => harness.report(relay)));
+        const confirmedAt = harness.getNow();
+        const report = () =>
+            harness.listRelays().forEach(relay => harness.report(relay, harness.getNow() - confirmedAt));
+        for (let count = 0; count < 4; count++) harness.advance(450, report);
+        harness.advance(maxAgeMs.configuration + 20 - 4 * 450);
+        assert.is(harness.isWatching(), true);
+    }
+});
+
 // Guards against a busy router that takes its own delay for the silence of its relays, and then burdens the store.
 test("a router that was busy itself reads what has arrived before it suspects its relays", () => {
     const harness = findFollower(createNames(6));
@@ -275,4 +289,44 @@
     );
 });
 
+// Guards against CONFIG: a change must take effect in time whatever the relays do, and however late the wake-ups are.
+test("what is not watched was confirmed within its maximum age, lateness apart", () => {
+    const stepArbitrary = fc.record({
+        verb: fc.constantFrom("report", "report", "report", "report", "lose", "jump", "list", "none"),
+        index: fc.integer({ min: 0, max: 5 }),
+        ageMs: fc.oneof(
+            { weight: 4, arbitrary: fc.constantFrom(1_700, 1_800, 1_900) },
+            fc.integer({ min: 0, max: 1_800 }),
+        ),
+        ms: fc.integer({ min: 10, max: 900 }),
+    });
+    const lateMsArbitrary = fc.constantFrom(0, 10, 140, 160, 400);
+    fc.assert(
+        fc.property(fc.nat(5), lateMsArbitrary, fc.array(stepArbitrary, { maxLength: 60 }), (self, lateMs, steps) => {
+            const names = createNames(6);
+            const harness = startHarness(names[self]!, names);
+            harness.list();
+            // A late check is deferred once by 150 ms, and is then late again.
+            const boundMs = maxAgeMs.configuration + 1 + (lateMs > 150 ? 150 + 2 * lateMs : lateMs);
+            /** Time as of which the configuration is known to be current: first that of the own list. */
+            let confirmedAt = 0;
+            for (const { verb, index, ageMs, ms } of steps) {
+                const relay = names[index]!;
+                if (verb === "report") {
+                    if (harness.listRelays().includes(relay))
+                        confirmedAt = Math.max(confirmedAt, harness.getNow() - ageMs);
+                    harness.report(relay, ageMs);
+                }
+                else if (verb === "lose") harness.lose(relay);
+                else if (verb === "jump") harness.jump();
+                else if (verb === "list") harness.list();
+                harness.advanceLate(ms, lateMs);
+                if (harness.listWatchedKinds().includes("configuration")) confirmedAt = harness.getNow();
+                assert.ok(harness.getNow() - confirmedAt <= boundMs, `${harness.getNow() - confirmedAt} ms`);
+            }
+        }),
+        { seed: 20_261_205, numRuns: 2_000 },
+    );
+});
+
 test.run();
