--- a/packages/fleet-view/src/computeWatchTimes.ts
+++ b/packages/fleet-view/src/computeWatchTimes.ts
@@ -19,7 +19,10 @@
 export const storeWatchSpreadMs = 200;
 
 /** Time for the responses of the store and of the relay, so that a relay is confirmed again before its age is too high. */
-const responseMarginMs = 150;
+const minResponseMarginMs = 150;
+
+/** The same for relays on busy hosts, where the bound allows it. */
+const maxResponseMarginMs = 350;
 
 /** Time from the detection of old confirmations to the response of the store, beyond the random delay. */
 const reactionMs = 300;
@@ -38,11 +41,15 @@
     const maxAgeMs = applyMs - storeWatchSpreadMs - reactionMs;
     const watchTimeoutMs = Math.max(
         minWatchTimeoutMs,
-        Math.min(maxTimes.watchTimeoutMs, maxAgeMs - maxTimes.debounceMs - relayPingIntervalMs - responseMarginMs),
+        Math.min(maxTimes.watchTimeoutMs, maxAgeMs - maxTimes.debounceMs - relayPingIntervalMs - minResponseMarginMs),
     );
+    const confirmationIntervalMs = watchTimeoutMs + maxTimes.debounceMs + relayPingIntervalMs;
     return {
         watchTimeoutMs,
         debounceMs: maxTimes.debounceMs,
-        relayMaxAgeMs: watchTimeoutMs + maxTimes.debounceMs + relayPingIntervalMs + responseMarginMs,
+        relayMaxAgeMs: Math.max(
+            confirmationIntervalMs + minResponseMarginMs,
+            Math.min(maxAgeMs, confirmationIntervalMs + maxResponseMarginMs),
+        ),
     };
 }
