Bound what a router remembers of targets that are gone

Cause: the buckets of targets with a rate limit, and the times at which notices were sent on, were kept for each target that ever was; ids are new with most starts. Found by reading the diff.

--- a/packages/placement/src/createRequestRateLimiter.ts
+++ b/packages/placement/src/createRequestRateLimiter.ts
@@ -1,4 +1,6 @@
 /** Token buckets that grant requests to targets at the rates that they accept. */
+import { maxRememberedTargets } from "./placementSettings.js";
+import { setBounded } from "./setBounded.js";
 
 export interface RequestRateLimiter {
     /** Whether a request may be sent to the target now. */
@@ -31,7 +33,7 @@
     const refill = (target: string, perSecond: number, now: number): Bucket => {
         // Starts empty: the coordinator before this one may just have used up the burst.
         const bucket = buckets.get(target) ?? { tokens: 0, updatedAt: now };
-        buckets.set(target, bucket);
+        setBounded(buckets, target, bucket, maxRememberedTargets);
         const elapsedMs = Math.max(0, now - bucket.updatedAt);
         bucket.tokens = Math.min(computeBurst(perSecond), bucket.tokens + elapsedMs * perSecond / msPerSecond);
         bucket.updatedAt = now;
--- a/packages/placement/src/createTargetNotices.ts
+++ b/packages/placement/src/createTargetNotices.ts
@@ -1,6 +1,8 @@
 /** What targets have said about themselves in responses: that they leave, pause, or take a limited rate of requests. */
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { TargetNotice, TargetNoticeMessage } from "@rhubarbwheel/types/placement";
+import { maxRememberedTargets } from "./placementSettings.js";
+import { setBounded } from "./setBounded.js";
 
 type TargetStart = Pick<TargetEntry, "target" | "startedAtUnixMs">;
 
@@ -35,9 +37,6 @@
     readonly countLimited: () => number;
 }
 
-/** Targets that are remembered; those that are gone leave the map in the order in which they first said something. */
-const maxTargets = 10_000;
-
 /** A target that takes nothing would never get a call in whose response it could name another rate. */
 const minRateLimit = 0.25;
 
@@ -60,9 +59,7 @@
             rateNamedAt: -Infinity,
         };
         states.delete(entry.target);
-        states.set(entry.target, state);
-        const [oldest] = states.keys();
-        if (states.size > maxTargets && oldest !== undefined) states.delete(oldest);
+        setBounded(states, entry.target, state, maxRememberedTargets);
         return state;
     };
 
--- a/packages/placement/src/handleTargetNotice.ts
+++ b/packages/placement/src/handleTargetNotice.ts
@@ -3,7 +3,8 @@
 import type { TargetNoticedEvent } from "@rhubarbwheel/types/placement-events";
 import { computeShare } from "./computeShare.js";
 import { type EntryContext, logEntryEvent } from "./entryState.js";
-import { localRateRatio, localRateWindowMs } from "./placementSettings.js";
+import { localRateRatio, localRateWindowMs, maxRememberedTargets } from "./placementSettings.js";
+import { setBounded } from "./setBounded.js";
 
 /** Interval at which a notice that has not changed is sent again, for a new coordinator or after a lost datagram. */
 const repeatIntervalMs = 1_000;
@@ -23,7 +24,7 @@
         logEntryEvent(context, "targetNoticed", { target, service: entry.service, ...notice });
     const coordinator = context.coordinators.find(entry.service, now);
     if (coordinator === undefined || (!hasChanged && (!isDue || coordinator.router === context.router))) return;
-    noticeSentAt.set(target, now);
+    setBounded(noticeSentAt, target, now, maxRememberedTargets);
     const { router, address } = coordinator;
     const shared = targetNotices.getShared(entry);
     const { startedAtUnixMs } = entry;
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -109,6 +109,9 @@
 /** Part of a target's rate limit that the routers may use beside the coordinator, while it does not reply to them. */
 export const localRateRatio = 0.25;
 
+/** Targets of which a router remembers what they have said; far more than there are at any time. */
+export const maxRememberedTargets = 10_000;
+
 /** Window of the routers' shares; a longer one lets each router use a share of less than one request a second. */
 export const localRateWindowMs = 4_000;
 
--- a/packages/placement/test/createTargetNotices.test.ts
+++ b/packages/placement/test/createTargetNotices.test.ts
@@ -76,4 +76,14 @@
     assert.equal(notices.getShared(target), { isLeaving: false, rateLimit: undefined });
 });
 
+// Guards against memory that grows with every start of a target.
+test("what targets have said that are long gone is forgotten", () => {
+    const notices = createTargetNotices();
+    for (let index = 0; index <= 10_000; index++)
+        notices.record({ target: `t-${index}` }, createNotice({ isLeaving: true }), 0, 10);
+    assert.is(notices.countLeaving(), 10_000);
+    assert.is(notices.isLeaving({ target: "t-0" }), false);
+    assert.is(notices.isLeaving({ target: "t-10000" }), true);
+});
+
 test.run();
