--- a/packages/fleet-view/src/createStoreMirror.ts
+++ b/packages/fleet-view/src/createStoreMirror.ts
@@ -48,7 +48,7 @@
 const maxFailingMs = 500;
 
 /** Field of an event that names the router which relayed it. */
-function formatSource(relay: string | undefined): { readonly relay?: string; } {
+function createSourceField(relay: string | undefined): { readonly relay?: string; } {
     return relay === undefined ? {} : { relay };
 }
 
@@ -87,7 +87,7 @@
         replaceEntries(kind, list);
         kinds[kind].emittedConfirmedAt = confirmedAt;
         const { entries, revision } = list;
-        opts.emit({ type: "viewListed", kind, entries, revision, confirmedAt, ...formatSource(relay) });
+        opts.emit({ type: "viewListed", kind, entries, revision, confirmedAt, ...createSourceField(relay) });
         opts.onUpdated(kind);
     };
 
@@ -105,7 +105,7 @@
         if (changes.length > 0) state.contentRevision = revision;
         state.emittedConfirmedAt = state.confirmedAt;
         const { confirmedAt } = state;
-        opts.emit({ type: "viewChanged", kind, changes, revision, confirmedAt, ...formatSource(relay) });
+        opts.emit({ type: "viewChanged", kind, changes, revision, confirmedAt, ...createSourceField(relay) });
         if (changes.length > 0) opts.onUpdated(kind, changes);
     };
 
