Attribute what a target says to the start that responded

Cause: a notice was recorded for the entry that the view had when the response arrived: for none, if the store had lost the entry meanwhile, or for the start that followed the one which responded.

Why this works: an attempt carries the start of its target, and its notices are recorded for that start; those of an earlier one are ignored.

--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -144,14 +144,15 @@
         });
     };
 
-    const dispatchNotice = (target: string, notice: TargetNotice, sentAt: number): void => {
+    const dispatchNotice = (effect: StartAttemptEffect, notice: TargetNotice, sentAt: number): void => {
+        const { requestId, target, targetStartedAtUnixMs } = effect;
         const isEmpty = !notice.isLeaving && notice.pauseMs === undefined && notice.rateLimit === "none";
         if (isEmpty && !opts.hasRateLimit(target)) return;
-        dispatch({ type: "targetNoticed", target, notice, sentAt });
+        dispatch({ type: "targetNoticed", requestId, target, targetStartedAtUnixMs, notice, sentAt });
     };
 
     const startAttempt = (effect: StartAttemptEffect): void => {
-        const { requestId, attempt, target } = effect;
+        const { requestId, attempt } = effect;
         const sentAt = opts.getNow();
         const call = openCalls.get(requestId);
         if (call === undefined) return dispatchUnsent(effect);
@@ -159,7 +160,7 @@
         const cancel = runAttempt(call, effect, {
             headerCodec: opts.headerCodec,
             connectionPool: opts.connectionPool,
-            onNotice: notice => dispatchNotice(target, notice, sentAt),
+            onNotice: notice => dispatchNotice(effect, notice, sentAt),
             onStarted: load => dispatch({ type: "attemptStarted", requestId, attempt, load }),
             onFinished: outcome => {
                 cancelFunctions.delete(requestId);
--- a/packages/placement/src/createTargetNotices.ts
+++ b/packages/placement/src/createTargetNotices.ts
@@ -49,9 +49,12 @@
         return state?.startedAtUnixMs === startedAtUnixMs ? state : undefined;
     };
 
-    const getOrCreate = (entry: TargetStart): NoticeState => {
+    /** Undefined for a start before the last one that is known. */
+    const getOrCreate = (entry: TargetStart): NoticeState | undefined => {
         const existing = find(entry);
         if (existing !== undefined) return existing;
+        const { startedAtUnixMs: lastStart = -Infinity } = states.get(entry.target) ?? {};
+        if ((entry.startedAtUnixMs ?? -Infinity) < lastStart) return undefined;
         const state: NoticeState = {
             startedAtUnixMs: entry.startedAtUnixMs,
             isLeaving: false,
@@ -85,6 +88,7 @@
     return {
         record: (entry, { isLeaving, pauseMs, rateLimit }, sentAt, now) => {
             const state = getOrCreate(entry);
+            if (state === undefined) return false;
             if (pauseMs !== undefined) state.pausedUntil = Math.max(state.pausedUntil, now + pauseMs);
             if (rateLimit === "unreadable") return applyShared(state, { isLeaving }, -Infinity, now);
             return applyShared(
@@ -94,7 +98,10 @@
                 now,
             );
         },
-        merge: (message, now) => applyShared(getOrCreate(message), message, now - message.ageMs, now),
+        merge: (message, now) => {
+            const state = getOrCreate(message);
+            return state !== undefined && applyShared(state, message, now - message.ageMs, now);
+        },
         isLeaving: entry => getShared(entry).isLeaving,
         getPausedUntil: entry => find(entry)?.pausedUntil ?? -Infinity,
         getRateLimit: entry => find(entry)?.rateLimit,
--- a/packages/placement/src/handleTargetNotice.ts
+++ b/packages/placement/src/handleTargetNotice.ts
@@ -12,27 +12,24 @@
 const msPerSecond = 1_000;
 
 export function handleTargetNoticed(context: EntryContext, event: TargetNoticedEvent): void {
-    const { target, notice, sentAt, now } = event;
-    const entry = context.view.getTarget(target);
-    if (entry === undefined) return;
+    const { target, targetStartedAtUnixMs: startedAtUnixMs, notice, sentAt, now } = event;
     const { targetNotices, noticeSentAt } = context;
-    const isPaused = targetNotices.getPausedUntil(entry) > now;
-    const hasChanged = targetNotices.record(entry, notice, sentAt, now);
+    const start = { target, startedAtUnixMs };
+    const service = context.requests.get(event.requestId)?.request.service ?? context.view.getTarget(target)?.service;
+    const isPaused = targetNotices.getPausedUntil(start) > now;
+    const hasChanged = targetNotices.record(start, notice, sentAt, now);
     const isDue = now - (noticeSentAt.get(target) ?? -Infinity) >= repeatIntervalMs;
     const isNewPause = notice.pauseMs !== undefined && !isPaused;
     if (hasChanged || isNewPause || (isDue && notice.rateLimit === "unreadable"))
-        logEntryEvent(context, "targetNoticed", { target, service: entry.service, ...notice });
-    const coordinator = context.coordinators.find(entry.service, now);
+        logEntryEvent(context, "targetNoticed", { target, service, ...notice });
+    const coordinator = service === undefined ? undefined : context.coordinators.find(service, now);
     if (coordinator === undefined || (!hasChanged && (!isDue || coordinator.router === context.router))) return;
     setBounded(noticeSentAt, target, now, maxRememberedTargets);
     const { router, address } = coordinator;
-    const shared = targetNotices.getShared(entry);
-    const { startedAtUnixMs } = entry;
     const message = {
         type: "targetNotice",
-        target,
-        startedAtUnixMs,
-        ...shared,
+        ...start,
+        ...targetNotices.getShared(start),
         ageMs: now - sentAt,
         isAnnounced: false,
     } as const;
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -273,6 +273,7 @@
         requestId,
         attempt: entry.attempts,
         target: target.target,
+        targetStartedAtUnixMs: target.startedAtUnixMs,
         address: target.address,
         prefixSourceAddress: prefixSource === undefined ? undefined : context.view.getTarget(prefixSource)?.address,
         workspace,
--- a/packages/placement/test/createTargetNotices.test.ts
+++ b/packages/placement/test/createTargetNotices.test.ts
@@ -76,6 +76,17 @@
     assert.equal(notices.getShared(target), { isLeaving: false, rateLimit: undefined });
 });
 
+// Guards against a late response of a target that has started again since.
+test("a response of an earlier start says nothing about the present one", () => {
+    const notices = createTargetNotices();
+    notices.record(restarted, createNotice({ rateLimit: 4 }), 90, 100);
+    assert.is(notices.record(target, createNotice({ isLeaving: true, pauseMs: 5_000 }), 20, 110), false);
+    const message = { type: "targetNotice", ...target, isLeaving: true, ageMs: 90, isAnnounced: true } as const;
+    assert.is(notices.merge(message, 110), false);
+    assert.equal(notices.getShared(restarted), { isLeaving: false, rateLimit: 4 });
+    assert.is(notices.getPausedUntil(restarted), -Infinity);
+});
+
 // Guards against memory that grows with every start of a target.
 test("what targets have said that are long gone is forgotten", () => {
     const notices = createTargetNotices();
--- a/packages/placement/test/handleTargetNotice.test.ts
+++ b/packages/placement/test/handleTargetNotice.test.ts
@@ -16,6 +16,7 @@
 function notice(harness: Harness, target: string, more: Partial<TargetNotice>, now: number) {
     return harness.reduce({
         type: "targetNoticed",
+        requestId: "noticed",
         target,
         notice: { isLeaving: false, rateLimit: "none", ...more },
         sentAt: now - 5,
@@ -40,6 +41,22 @@
     }
 });
 
+// Guards against DRAIN: a target that says that it leaves while its entry has vanished in an outage of the store.
+test("a target whose entry comes back after it has said that it leaves gets nothing", () => {
+    const harness = createHarness(2);
+    const [entry] = createTargets(1, { service: "orders", slots: 6 });
+    const change = (changes: readonly { readonly name: string; readonly entry?: typeof entry; }[], now: number) =>
+        harness.reduce({ type: "viewChanged", kind: "targets", changes, revision: now, confirmedAt: now, now });
+    change([{ name: "target-1" }], 100);
+    notice(harness, "target-1", { isLeaving: true }, 200);
+    change([{ name: "target-1", entry }], 300);
+    for (let now = 310; now < 1_000; now += 100) {
+        const attempt = findAttempt(harness.route(createRoutedRequest(), now));
+        assert.is(attempt.target, "target-2");
+        harness.finish(attempt, now + 50, {});
+    }
+});
+
 test("callers are refused at once until the first of all targets wants requests again", () => {
     const harness = createHarness(2);
     notice(harness, "target-1", { pauseMs: 2_500 }, 100);
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -76,7 +76,10 @@
 /** A target has said something about itself in its response to an attempt of this router. */
 export interface TargetNoticedEvent extends TimedEvent {
     readonly type: "targetNoticed";
+    readonly requestId: string;
     readonly target: string;
+    /** Start of the target to which the attempt was sent; it may have started again since. */
+    readonly targetStartedAtUnixMs?: number;
     readonly notice: TargetNotice;
     /** Time at which the attempt was sent. */
     readonly sentAt: number;
@@ -187,6 +190,8 @@
     readonly requestId: string;
     readonly attempt: number;
     readonly target: string;
+    /** Start time of the target, if it reports one. */
+    readonly targetStartedAtUnixMs?: number;
     readonly address: string;
     /** Address of another target that has parts of the prompt cached. */
     readonly prefixSourceAddress?: string;
