Transfer prompt parts from engines that take no more requests

Cause: only candidates were sources of a transfer, and an engine that has taken all that it accepts is none.

Why this works: a transfer is no request to the source. A source still must not leave, nor be cold beyond its rate. The new test fails on the parent.

--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -140,7 +140,9 @@
         if (usableTargets.length === 0) return { refusal: "noTarget" };
         const cost = computeCost(request.prompt);
         const isGranted = rateGranter.createFilter(pool.service, wanted, cost, now);
-        const candidates = wanted.filter(entry => maySendTo(entry, now) && isGranted(entry));
+        // A transfer is no request, so a target that has taken as many as it accepts is a source.
+        const prefixSources = wanted.filter(entry => maySendTo(entry, now));
+        const candidates = prefixSources.filter(isGranted);
         const { workspace } = request;
         const usedRatio = workspace === undefined ? 0 : pool.fairShares.getUsedRatio(workspace, now);
         if (workspace !== undefined) pool.fairShares.recordDemand(workspace, cost, now);
@@ -152,7 +154,7 @@
         const isLateRetry = (refusalHistory.getWaitedMs(request, now) ?? 0) > request.latencyTargetMs;
         const prefillMs = (request.prompt?.promptTokens ?? 0) / pool.priorPrefillRate;
         const maxWaitMs = computeMaxWaitMs(view, pool.service, { usedRatio, isLateRetry, prefillMs });
-        const choice = pool.model.choose(request, { candidates, now, maxWaitMs });
+        const choice = pool.model.choose(request, { candidates, prefixSources, now, maxWaitMs });
         if (choice === undefined) {
             refusalHistory.recordRefusal(request, now);
             logTotals(pool, now);
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -23,6 +23,8 @@
 
 export interface ChoiceOptions {
     readonly candidates: readonly TargetEntry[];
+    /** Targets from which cached parts may be transferred; the candidates if omitted. */
+    readonly prefixSources?: readonly TargetEntry[];
     readonly now: number;
     /** Maximum queueing time of the request at the target. */
     readonly maxWaitMs: number;
@@ -114,7 +116,7 @@
         const { prompt } = request;
         if (prompt === undefined || spec.engine?.prefixTransfer === undefined) return undefined;
         let best: PrefixSource | undefined;
-        for (const entry of choiceOpts.candidates) {
+        for (const entry of choiceOpts.prefixSources ?? choiceOpts.candidates) {
             const model = getOrCreateModel(entry);
             const transferableTokens = model.countTransferableTokens(prompt);
             if (transferableTokens <= (best?.transferableTokens ?? 0) || model.isStalled(choiceOpts.now)) continue;
--- a/packages/placement/test/limitedTargets.test.ts
+++ b/packages/placement/test/limitedTargets.test.ts
@@ -91,6 +91,23 @@
     for (const { target } of runLoad(harness, 20, 2_000, 40)) assert.is(target, "target-1");
 });
 
+// Guards against shared prompt parts that are prefilled again because the engine that has them takes no more requests.
+test("an engine that has taken all that it accepts is a source of prompt parts", () => {
+    const harness = createCoordinatorHarness({
+        pool: enginePool,
+        targets: createTargets(2),
+        routers: createRouterEntries(4),
+    });
+    const first = createRequest("shared");
+    const { target } = harness.requestPlacement(first, 0);
+    harness.sendNotice(first, target!, 200);
+    harness.sendNotice(first, target!, 300, "complete");
+    setRateLimit(harness, target!, 0.25, 400);
+    const reply = harness.requestPlacement(createRequest("shared"), 500);
+    assert.is.not(reply.target, target);
+    assert.is(reply.prefixSource, target);
+});
+
 // Guards against engines that run fewer tokens than they could, because short prompts use up a limit on requests.
 test("an engine with a limited rate gets the long prompts while another engine has no limit", () => {
     const harness = createCoordinatorHarness({
