Read the health of busy targets, so that a cold one is known in an outage of the store

Cause: whether a target is cold was known from its entry in the store only. The target also says it in its health responses, which nothing read.

The coordinator asks a target for its health while the target gets more requests than it would bear cold, three times within the time in which it would get that many, and announces a cold one to all routers. Sends before that count towards its limit. Targets below that rate are not asked.

--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -226,6 +226,14 @@
         }
         else if (event.type === "configurationConfirmed") confirmByRouter(event);
         else if (event.type === "viewInterrupted") recordFailure(event);
+        else if (event.type === "targetHealthRead") {
+            const { target, coldForMs } = event;
+            const startedAtUnixMs = targets.get(target)?.startedAtUnixMs;
+            targets.recordCold({ target, startedAtUnixMs, coldForMs }, event.now);
+        }
+        else if (event.type === "routerMessage") {
+            if (event.message.type === "coldNotice") targets.recordCold(event.message, event.now);
+        }
         else if (event.type === "clockJumped") {
             // The monotonic clock may have stood still for seconds, so ages computed from it are too low.
             for (const kind of viewKinds) kinds[kind].confirmedAt = -Infinity;
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -3,6 +3,7 @@
 import type { ConfirmationReplyMessage, ConfirmationRequestMessage } from "@rhubarbwheel/types/confirmation";
 import type {
     AttemptNoticeMessage,
+    ColdNoticeMessage,
     InFlightAttempt,
     InFlightAttemptsMessage,
     PlacementMessage,
@@ -98,6 +99,11 @@
         ageMs: double,
         isAnnounced: boolean,
     }),
+    coldNotice: struct<WithoutType<ColdNoticeMessage>>({
+        target: string,
+        startedAtUnixMs: optional(integer),
+        coldForMs: double,
+    }),
     confirmationAsk: struct<WithoutType<ConfirmationRequestMessage>>({ sequence: integer }),
     confirmationReply: struct<WithoutType<ConfirmationReplyMessage>>({
         sequence: integer,
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -5,7 +5,6 @@
  */
 import type { FleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import { computeRetryAfterMs } from "@rhubarbwheel/routing/computeRetryAfterMs";
-import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type {
     AttemptNoticeMessage,
     InFlightAttempt,
@@ -21,6 +20,8 @@
     RouterMessageEvent,
 } from "@rhubarbwheel/types/placement-events";
 import { computeCost, computeMaxWaitMs, computePriorPrefillRate } from "./admission.js";
+import { createColdTargetGuard } from "./createColdTargetGuard.js";
+import type { ColdTargetGuardOptions } from "./createColdTargetGuard.js";
 import { createFairShareTracker } from "./createFairShareTracker.js";
 import type { FairShareTracker } from "./createFairShareTracker.js";
 import { listSharedPartIds } from "./createPartQuarantine.js";
@@ -29,15 +30,15 @@
 import type { Choice, PoolModel } from "./createPoolModel.js";
 import { createRateGranter } from "./createRateGranter.js";
 import { createRefusalHistory } from "./createRefusalHistory.js";
-import { createSendRateLimiter } from "./createSendRateLimiter.js";
 import type { TargetNotices } from "./createTargetNotices.js";
-import { coldGrantRatio, inFlightExpiryMs, inFlightReportIntervalMs, shareWindowMs } from "./placementSettings.js";
+import { inFlightExpiryMs, inFlightReportIntervalMs, shareWindowMs } from "./placementSettings.js";
 
 export interface PlacementCoordinatorOptions {
     readonly router: string;
     readonly view: FleetView;
     readonly quarantine: PartQuarantine;
     readonly targetNotices: TargetNotices;
+    readonly computeColdLimit: ColdTargetGuardOptions["computeColdLimit"];
 }
 
 export interface PlacementCoordinator extends PlacementSlice {
@@ -79,7 +80,7 @@
 export function createPlacementCoordinator(opts: PlacementCoordinatorOptions): PlacementCoordinator {
     const { view, quarantine, targetNotices } = opts;
     const pools = new Map<string, CoordinatedPool>();
-    const coldRateLimiter = createSendRateLimiter();
+    const coldTargetGuard = createColdTargetGuard(opts);
     const rateGranter = createRateGranter(targetNotices);
     const refusalHistory = createRefusalHistory();
     let expireAt = Infinity;
@@ -108,12 +109,6 @@
         return pool;
     };
 
-    const maySendTo = (entry: TargetEntry, now: number): boolean => {
-        if (view.getColdRemainingMs(entry.target, now) <= 0) return true;
-        const limit = (view.getPool(entry.service)?.coldRequestsPerSecond ?? 0) * coldGrantRatio;
-        return limit === 0 || coldRateLimiter.hasCapacity(entry.target, limit, now);
-    };
-
     const logTotals = (pool: CoordinatedPool, now: number): void => {
         if (now < pool.logTotalsAt) return;
         pool.logTotalsAt = now + totalsLogIntervalMs;
@@ -141,7 +136,7 @@
         const cost = computeCost(request.prompt);
         const isGranted = rateGranter.createFilter(pool.service, wanted, cost, now);
         // A transfer is no request, so a target that has taken as many as it accepts is a source.
-        const prefixSources = wanted.filter(entry => maySendTo(entry, now));
+        const prefixSources = wanted.filter(entry => coldTargetGuard.maySendTo(entry, now));
         const candidates = prefixSources.filter(isGranted);
         const { workspace } = request;
         const usedRatio = workspace === undefined ? 0 : pool.fairShares.getUsedRatio(workspace, now);
@@ -169,7 +164,7 @@
     const assign = (pool: CoordinatedPool, request: PlacementRequest, choice: Choice, now: number): void => {
         const entry = view.getTarget(choice.target);
         if (entry === undefined) return;
-        if (view.getColdRemainingMs(choice.target, now) > 0) coldRateLimiter.tryTake(choice.target, Infinity, now);
+        effects.push(...coldTargetGuard.recordSend(entry, now));
         rateGranter.take(entry, now);
         pool.model.assign(entry, {
             requestId: request.requestId,
@@ -242,7 +237,10 @@
         const isKnown = pool.model.getAssignment(requestId) !== undefined;
         pool.model.assign(entry, { requestId, target, ...sizes, assignedAt, startedAt, expiresAt });
         // Older ones have used capacity that is available again.
-        if (!isKnown && ageMs < inFlightReportIntervalMs) rateGranter.take(entry, now);
+        if (!isKnown && ageMs < inFlightReportIntervalMs) {
+            effects.push(...coldTargetGuard.recordSend(entry, now));
+            rateGranter.take(entry, now);
+        }
         const { workspace } = attempt;
         if (isCharged || workspace === undefined) return;
         // Its entry router placed it locally, or another router was the coordinator.
@@ -287,6 +285,7 @@
             effects = [];
             if (event.type === "routerMessage") handleMessage(event);
             else if (event.type === "keptPartsRead") addCachedParts(event);
+            else if (event.type === "targetHealthRead") effects.push(...coldTargetGuard.handleHealthRead(event));
             if (event.now >= expireAt) expire(event.now);
             return effects;
         },
--- a/packages/placement/src/createSendRateLimiter.ts
+++ b/packages/placement/src/createSendRateLimiter.ts
@@ -5,6 +5,8 @@
     readonly tryTake: (target: string, limit: number, now: number) => boolean;
     /** Whether `tryTake` would succeed. */
     readonly hasCapacity: (target: string, limit: number, now: number) => boolean;
+    /** Number of sends within the window. */
+    readonly count: (target: string, now: number) => number;
 }
 
 const defaultWindowMs = 1_000;
@@ -31,5 +33,6 @@
             return true;
         },
         hasCapacity: (target, limit, now) => listRecent(target, now).length < limit,
+        count: (target, now) => listRecent(target, now).length,
     };
 }
--- a/packages/placement/test/coordinatorHarness.ts
+++ b/packages/placement/test/coordinatorHarness.ts
@@ -15,6 +15,7 @@
         view,
         quarantine: createPartQuarantine(),
         targetNotices,
+        computeColdLimit: perSecond => perSecond * 1.5 + 5,
     });
     const reduce = (event: PlacementEvent): readonly PlacementEffect[] => {
         view.reduce(event);
--- a/packages/placement/test/quarantine.test.ts
+++ b/packages/placement/test/quarantine.test.ts
@@ -21,6 +21,7 @@
         view,
         quarantine,
         targetNotices: createTargetNotices(),
+        computeColdLimit: perSecond => perSecond,
     });
     const { countAssigned } = coordinator;
     const tracker = createQuarantineTracker({ router: "r1", view, quarantine, countAssigned });
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -38,7 +38,8 @@
     const quarantine = createPartQuarantine();
     const targetNotices = createTargetNotices();
     const noticeTracker = createTargetNoticeTracker({ router, view, targetNotices });
-    const coordinator = createPlacementCoordinator({ router, view, quarantine, targetNotices });
+    const { computeColdLimit } = opts.entry;
+    const coordinator = createPlacementCoordinator({ router, view, quarantine, targetNotices, computeColdLimit });
     const { countAssigned } = coordinator;
     const quarantineTracker = createQuarantineTracker({ router, view, quarantine, countAssigned });
     const entry = createEntryRouter({ ...opts.entry, view, quarantine, targetNotices, random: opts.random });
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -136,4 +136,16 @@
         message: "A target said in a response that it leaves, pauses, or accepts another rate of requests.",
         fields: ["target", "service", "isLeaving", "pauseMs", "rateLimit"],
     },
+    1717: {
+        name: "targetCold",
+        level: "info",
+        message: "A target said in a health response that it is cold; all routers limit what they send to it.",
+        fields: ["target", "service", "coldForMs"],
+    },
+    1718: {
+        name: "targetHealthUnknown",
+        level: "info",
+        message: "The health of a busy target could not be read; whether it is cold is known from the store only.",
+        fields: ["service", "target", "problem"],
+    },
 };
--- a/packages/types/src/fleet.ts
+++ b/packages/types/src/fleet.ts
@@ -57,6 +57,8 @@
     readonly maxConnections: number;
     /** Rate limit of a cold target over all routers; 0 if the service has no cold starts. */
     readonly coldRequestsPerSecond: number;
+    /** Path at which a target reports its health, such as how long it stays cold; omitted if it reports none. */
+    readonly healthPath?: string;
     /** Omitted for plain services. */
     readonly engine?: EngineSpec;
 }
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -170,6 +170,14 @@
     readonly parts: readonly PromptPart[];
 }
 
+/** Result of `readTargetHealth`: how long the target stays cold, 0 if it is not. */
+export interface TargetHealthReadEvent extends TimedEvent {
+    readonly type: "targetHealthRead";
+    readonly service: string;
+    readonly target: string;
+    readonly coldForMs: number;
+}
+
 /** Monotonic and wall clock have diverged: the host was suspended, or the wall clock was set. */
 export interface ClockJumpedEvent extends TimedEvent {
     readonly type: "clockJumped";
@@ -192,6 +200,7 @@
     | ConfigurationConfirmedEvent
     | ClockJumpedEvent
     | KeptPartsReadEvent
+    | TargetHealthReadEvent
     | DrainRequestedEvent;
 
 export interface StartAttemptEffect {
@@ -246,6 +255,15 @@
     readonly address: string;
 }
 
+/** Requests the health of a target. */
+export interface ReadTargetHealthEffect {
+    readonly type: "readTargetHealth";
+    readonly service: string;
+    readonly target: string;
+    readonly address: string;
+    readonly path: string;
+}
+
 /** Registers this router in the store again. */
 export interface AnnounceRouterEffect {
     readonly type: "announceRouter";
@@ -285,6 +303,7 @@
     | BreakAnswerEffect
     | SendToRouterEffect
     | ReadKeptPartsEffect
+    | ReadTargetHealthEffect
     | AnnounceRouterEffect
     | RemoveRouterEffect
     | ConnectRelaysEffect
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -122,6 +122,15 @@
     readonly isAnnounced: boolean;
 }
 
+/** Coordinator to all routers: a target has said in a health response that it is cold. */
+export interface ColdNoticeMessage {
+    readonly type: "coldNotice";
+    readonly target: string;
+    /** Start time of the target, if it reports one. */
+    readonly startedAtUnixMs?: number;
+    readonly coldForMs: number;
+}
+
 /** Load that a target reported in a response. */
 export interface ReportedLoad {
     readonly running: number;
@@ -176,5 +185,6 @@
     | InFlightAttemptsMessage
     | QuarantineNoticeMessage
     | TargetNoticeMessage
+    | ColdNoticeMessage
     | ConfirmationRequestMessage
     | ConfirmationReplyMessage;
