Add rhubarbwheel check, which checks a configuration before it is sent

Problems that concern several resources, such as a credential or a model that two of them have, were accepted and found only by callers. The package configuration-check finds them without network, with the validation, the matching of routes and the order of owners that the routers use, and compares a file with the configuration in force.

--- a/packages/cli/src/cliContext.ts
+++ b/packages/cli/src/cliContext.ts
@@ -9,6 +9,8 @@
     readonly writeError: (text: string) => void;
     /** Returns the content of a file; `-` is standard input. */
     readonly readFile: (path: string) => string;
+    /** Like `readFile`, but without decoding, and at most one byte more than `maxBytes`. */
+    readonly readBytes: (path: string, maxBytes: number) => Uint8Array;
     readonly wait: (durationMs: number) => Promise<void>;
     /** Aborted when the operator interrupts the command. */
     readonly signal: AbortSignal;
--- a/packages/cli/src/commands/writeCompletion.ts
+++ b/packages/cli/src/commands/writeCompletion.ts
@@ -9,14 +9,14 @@
     local choices=""
     COMPREPLY=()
     case "$previous" in
-        -f|--file|--token-file)
+        -f|--file|--token-file|--against|check)
             mapfile -t COMPREPLY < <(compgen -f -- "$current")
             return ;;
-        --output) choices="json table names" ;;
+        -o|--output) choices="json table names" ;;
     esac
     if [[ -z "$choices" ]]; then
         if [[ "$current" == -* ]]; then
-            choices="--router --token-file --output --help --file --wait --timeout"
+            choices="--router --token-file --output --against --help --file --wait --timeout"
         elif (( COMP_CWORD == 1 )); then
             choices="${commands.join(" ")}"
         elif (( COMP_CWORD == 2 )); then
--- a/packages/cli/src/renderTable.ts
+++ b/packages/cli/src/renderTable.ts
@@ -3,9 +3,13 @@
 type Cell = string | number | undefined;
 
 /** Replaces control characters, which could otherwise send escape sequences to the operator's terminal. */
-function formatCell(cell: Cell): string {
+export function replaceControlCharacters(text: string): string {
     // eslint-disable-next-line no-control-regex -- these are the characters to replace
-    return cell === undefined || cell === "" ? "-" : String(cell).replace(/[\u0000-\u001f\u007f-\u009f]/g, "?");
+    return text.replace(/[\u0000-\u001f\u007f-\u009f]/g, "?");
+}
+
+function formatCell(cell: Cell): string {
+    return cell === undefined || cell === "" ? "-" : replaceControlCharacters(String(cell));
 }
 
 export function renderTable(headings: readonly string[], rows: readonly (readonly Cell[])[]): string {
--- a/packages/cli/src/runCli.ts
+++ b/packages/cli/src/runCli.ts
@@ -6,6 +6,7 @@
 import { CliError, createUsageError, exitCodes } from "./cliError.js";
 import type { ExitCode } from "./cliError.js";
 import { applyResources } from "./commands/applyResources.js";
+import { checkFile } from "./commands/checkFile.js";
 import { deleteResource } from "./commands/deleteResource.js";
 import { getResource } from "./commands/getResource.js";
 import { listResources } from "./commands/listResources.js";
@@ -13,6 +14,7 @@
 import { watchResources } from "./commands/watchResources.js";
 import { writeCompletion } from "./commands/writeCompletion.js";
 import { createOperatorClient } from "./operatorClient.js";
+import { readBoundedFile } from "./readBoundedFile.js";
 import type { OutputFormat } from "./renderResources.js";
 
 type Environment = Readonly<Record<string, string | undefined>>;
@@ -29,6 +31,7 @@
 const help = `Usage: rhubarbwheel COMMAND [flags]
 
 Commands:
+  check FILE               Check the resources in a JSON file; "-" is standard input. Nothing is sent.
   apply -f FILE [--wait]   Create or update the resources in a JSON file; "-" is standard input.
   get KIND [NAME]          Show one resource, or all of a kind.
   list KIND                Show all resources of a kind.
@@ -42,7 +45,8 @@
 Flags:
   --router URL,...         Routers to try in turn. Also RHUBARBWHEEL_ROUTER.
   --token-file FILE        File with the operator token. RHUBARBWHEEL_OPERATOR_TOKEN may hold the token instead.
-  --output FORMAT          json, table or names. Default table.
+  -o, --output FORMAT      json, table or names. Default table. check prints text by default.
+  --against SOURCE         Also report differences from this configuration: URLs of routers, or a file.
   -f, --file FILE          File to apply.
   --wait                   Wait until the change is in force on all routers.
   --timeout SECONDS        Timeout of --wait. Default 30.
@@ -50,12 +54,14 @@
 
 Exit codes: 0 done, 1 refused or invalid, 2 wrong usage, 3 conflict with another change, 4 not run, 5 unknown whether
 the change took effect or is in force.
+Exit codes of check: 0 no findings, 1 findings, 2 wrong usage, or a configuration that cannot be read.
 `;
 
 const flags = {
     router: { type: "string" },
     "token-file": { type: "string" },
-    output: { type: "string" },
+    output: { type: "string", short: "o" },
+    against: { type: "string" },
     file: { type: "string", short: "f" },
     wait: { type: "boolean" },
     timeout: { type: "string" },
@@ -64,8 +70,7 @@
 
 export async function runCli(argv: readonly string[], environment: Environment, io: CliIo): Promise<ExitCode> {
     try {
-        await runCommand(argv, environment, io);
-        return exitCodes.ok;
+        return await runCommand(argv, environment, io) ?? exitCodes.ok;
     }
     catch (error) {
         const cliError = error instanceof CliError ? error : convertUnexpectedError(error, io.signal.aborted);
@@ -74,29 +79,48 @@
     }
 }
 
-async function runCommand(argv: readonly string[], environment: Environment, io: CliIo): Promise<void> {
+/** Returns an exit code other than 0 that is not an error. */
+async function runCommand(
+    argv: readonly string[],
+    environment: Environment,
+    io: CliIo,
+): Promise<ExitCode | undefined> {
     const { values, positionals: [name = "", ...positionals] } = parseArguments(argv);
-    if (values.help) return io.writeOutput(help);
+    if (values.help) {
+        io.writeOutput(help);
+        return;
+    }
     if (name === "completion") {
-        const names = [...Object.keys(commands), "completion"];
-        return writeCompletion(positionals, names, io.writeOutput);
+        writeCompletion(positionals, ["check", ...Object.keys(commands), "completion"], io.writeOutput);
+        return;
+    }
+    const createClient = (routers: string | undefined) =>
+        createOperatorClient({
+            routers: parseRouters(routers),
+            token: readToken(values["token-file"], environment.RHUBARBWHEEL_OPERATOR_TOKEN, io),
+            signal: io.signal,
+        });
+    if (name === "check") {
+        return await checkFile({
+            io,
+            files: values.file === undefined ? positionals : [values.file, ...positionals],
+            output: parseOutputFormat(values.output),
+            createClient,
+            ...(values.against === undefined ? {} : { against: values.against }),
+        });
     }
     const run = Object.hasOwn(commands, name) ? commands[name] : undefined;
     if (run === undefined) throw createUsageError(name === "" ? "Name a command." : `There is no command ${name}.`);
-    const client = createOperatorClient({
-        routers: parseRouters(values.router ?? environment.RHUBARBWHEEL_ROUTER),
-        token: readToken(values["token-file"], environment.RHUBARBWHEEL_OPERATOR_TOKEN, io),
-        signal: io.signal,
-    });
     await run({
         io,
-        client,
+        client: createClient(values.router ?? environment.RHUBARBWHEEL_ROUTER),
         output: parseOutputFormat(values.output),
         positionals,
         wait: values.wait ?? false,
         timeoutMs: parseTimeoutMs(values.timeout),
         ...(values.file === undefined ? {} : { file: values.file }),
     });
+    return undefined;
 }
 
 function parseArguments(argv: readonly string[]) {
@@ -163,6 +187,7 @@
         writeOutput: text => void process.stdout.write(text),
         writeError: text => void process.stderr.write(text),
         readFile: path => readFileSync(path === "-" ? 0 : path, "utf8"),
+        readBytes: readBoundedFile,
         wait: durationMs =>
             waitFor(durationMs, undefined, { signal: interruptController.signal }).catch(() => undefined),
         signal: interruptController.signal,
--- a/packages/cli/test/fakeRouter.ts
+++ b/packages/cli/test/fakeRouter.ts
@@ -107,7 +107,7 @@
     argv: string,
     opts: {
         routers?: string;
-        files?: Record<string, string>;
+        files?: Record<string, string | Uint8Array>;
         token?: string;
         onWait?: () => void;
         signal?: AbortSignal;
@@ -115,14 +115,16 @@
 ): Promise<CliRunResult> {
     let [output, errors] = ["", ""];
     const environment = { RHUBARBWHEEL_ROUTER: opts.routers, RHUBARBWHEEL_OPERATOR_TOKEN: opts.token ?? token };
+    const readBytes = (path: string): Buffer => {
+        const content = opts.files?.[path];
+        if (content === undefined) throw Object.assign(new Error(`no such file: ${path}`), { code: "ENOENT" });
+        return Buffer.from(content);
+    };
     const exitCode = await runCli(argv.split(" ").filter(part => part !== ""), environment, {
         writeOutput: text => (output += text),
         writeError: text => (errors += text),
-        readFile: path => {
-            const content = opts.files?.[path];
-            if (content === undefined) throw Object.assign(new Error(`no such file: ${path}`), { code: "ENOENT" });
-            return content;
-        },
+        readFile: path => readBytes(path).toString("utf8"),
+        readBytes,
         wait: () => Promise.resolve(opts.onWait?.()),
         signal: opts.signal ?? new AbortController().signal,
     });
--- a/packages/http-server/src/checkRequest.ts
+++ b/packages/http-server/src/checkRequest.ts
@@ -42,7 +42,8 @@
         throw createHeaderError("\"content-length\" and \"transfer-encoding\" are mutually exclusive.");
 }
 
-function checkPath(url: string): void {
+/** Throws a `RequestError` if no call with this path, with or without a query, is accepted. */
+export function checkPath(url: string): void {
     if (!url.startsWith("/") || url.startsWith("//")) throw createPathError("The request target must be a path.");
     if (!/^[\u0021-\u007e]*$/.test(url) || /[\\#]/.test(url))
         throw createPathError("The path contains a character that is not allowed.");
--- a/packages/http-server/src/createConfigurationIndex.ts
+++ b/packages/http-server/src/createConfigurationIndex.ts
@@ -1,5 +1,6 @@
 /** Indexes workspaces by credential and services by model; the maps are built once per configuration revision. */
 import type { NamedService } from "@rhubarbwheel/types/events";
+import type { ResourceOf } from "@rhubarbwheel/types/resources";
 import { createHash } from "node:crypto";
 import type { HttpConfiguration } from "./httpServerOptions.js";
 
@@ -21,7 +22,10 @@
     const getCurrentMaps = (): IndexMaps => {
         const revision = configuration.getRevision();
         if (revision !== indexedRevision) {
-            maps = { workspaces: indexCredentials(configuration), models: indexModels(configuration) };
+            maps = {
+                workspaces: indexCredentials(configuration.listResources("workspaces")),
+                models: indexModels(configuration.listServices()),
+            };
             indexedRevision = revision;
         }
         return maps;
@@ -38,9 +42,12 @@
     return [...items].sort((left, right) => left.name < right.name ? -1 : 1);
 }
 
-function indexCredentials(configuration: HttpConfiguration): Map<string, string> {
+type CredentialOwner = Pick<ResourceOf<"workspaces">, "name" | "spec" | "deleted">;
+
+/** Maps each credential hash to the name of the workspace that calls with it belong to. */
+export function indexCredentials(resources: readonly CredentialOwner[]): ReadonlyMap<string, string> {
     const workspaces = new Map<string, string>();
-    for (const resource of sortByName(configuration.listResources("workspaces"))) {
+    for (const resource of sortByName(resources)) {
         if (resource.deleted) continue;
         for (const hash of resource.spec.credentialHashes)
             if (!workspaces.has(hash)) workspaces.set(hash, resource.name);
@@ -48,9 +55,12 @@
     return workspaces;
 }
 
-function indexModels(configuration: HttpConfiguration): Map<string, NamedService> {
-    const models = new Map<string, NamedService>();
-    for (const service of sortByName(configuration.listServices())) {
+/** Maps each model to the service that calls for it go to. */
+export function indexModels<T extends Pick<NamedService, "name" | "spec">>(
+    services: readonly T[],
+): ReadonlyMap<string, T> {
+    const models = new Map<string, T>();
+    for (const service of sortByName(services)) {
         if (service.spec.kind !== "model") continue;
         for (const model of service.spec.models ?? [])
             if (!models.has(model)) models.set(model, service);
