--- a/packages/cli/src/commands/checkFile.ts
+++ b/packages/cli/src/commands/checkFile.ts
@@ -2,6 +2,7 @@
 import { checkConfiguration, validateEntries } from "@rhubarbwheel/configuration-check/checkConfiguration";
 import { compareConfigurations } from "@rhubarbwheel/configuration-check/compareConfigurations";
 import type { ConfigurationEntry, ParsedEntry } from "@rhubarbwheel/configuration-check/finding";
+import { formatCount } from "@rhubarbwheel/configuration-check/formatCount";
 import type { CliIo } from "../cliContext.js";
 import { resourceKinds } from "../cliContext.js";
 import { CliError, createUsageError, type ExitCode, exitCodes } from "../cliError.js";
@@ -51,12 +52,26 @@
 }
 
 async function readCurrent(opts: CheckFileOptions, against: string): Promise<readonly ConfigurationEntry[]> {
-    const entries = /^https?:\/\//.test(against)
-        ? await readFromRouters(opts.createClient(against), against)
-        : readConfigurationFile(opts.io, against).entries;
+    if (/^https?:\/\//.test(against)) {
+        const entries = await readFromRouters(opts.createClient(against), against);
+        return filterValidEntries(opts, against, entries, 0);
+    }
+    const { entries, findings } = readConfigurationFile(opts.io, against);
+    const dropped = findings.filter(({ code }) => code === "RESOURCE_INVALID" || code === "RESOURCE_DUPLICATE");
+    return filterValidEntries(opts, against, entries, dropped.length);
+}
+
+/** `droppedCount`: resources that are not in `entries`, because they have no kind, name or spec, or are repeated. */
+function filterValidEntries(
+    { io }: CheckFileOptions,
+    against: string,
+    entries: readonly ParsedEntry[],
+    droppedCount: number,
+): readonly ConfigurationEntry[] {
     const { validEntries } = validateEntries(entries);
-    const ignoredCount = entries.length - validEntries.length;
-    if (ignoredCount > 0) opts.io.writeError(`${ignoredCount} resources of ${against} are not valid and are ignored\n`);
+    const ignoredCount = entries.length - validEntries.length + droppedCount;
+    if (ignoredCount > 0)
+        io.writeError(`${formatCount(ignoredCount, "resource")} of ${against} not valid, thus ignored\n`);
     return validEntries;
 }
 
--- a/packages/cli/src/renderCheck.ts
+++ b/packages/cli/src/renderCheck.ts
@@ -1,5 +1,6 @@
 /** Renders the result of `check` as text or JSON. */
 import type { Comparison, Difference } from "@rhubarbwheel/configuration-check/compareConfigurations";
+import { formatCount } from "@rhubarbwheel/configuration-check/formatCount";
 import type { LocatedFinding } from "./readConfigurationFile.js";
 import { replaceControlCharacters } from "./renderTable.js";
 
@@ -28,11 +29,16 @@
     const { findings, file } = result;
     const lines = findings.slice(0, maxPrintedFindings).flatMap(finding => renderFinding(file, finding));
     if (findings.length > maxPrintedFindings)
-        lines.push(`and ${findings.length - maxPrintedFindings} more findings, see -o json`);
+        lines.push(`and ${formatCount(findings.length - maxPrintedFindings, "more finding")}, see -o json`);
     if (result.comparison !== undefined) lines.push(...renderComparison(result.comparison, result.against ?? ""));
     const errorCount = countErrors(findings);
     const warningCount = findings.length - errorCount;
-    lines.push(`${file}: ${result.resourceCount} resources, ${errorCount} errors, ${warningCount} warnings`);
+    const counts = [
+        formatCount(result.resourceCount, "resource"),
+        formatCount(errorCount, "error"),
+        formatCount(warningCount, "warning"),
+    ];
+    lines.push(`${file}: ${counts.join(", ")}`);
     return lines.map(line => `${replaceControlCharacters(line)}\n`).join("");
 }
 
@@ -49,7 +55,7 @@
 
 function renderComparison(comparison: Comparison, against: string): readonly string[] {
     const notCompared = Object.entries(comparison.notCompared)
-        .map(([kind, count]) => `    ${count} ${kind} not compared, because the file has none`);
+        .map(([kind, count]) => `    ${kind}: ${count} in force not compared, because the file has none`);
     if (comparison.differences.length === 0) return [`No differences from ${against}`, ...notCompared];
     return [`Differences from ${against}:`, ...comparison.differences.flatMap(renderDifference), ...notCompared];
 }
