--- a/packages/configuration-check/src/checkConfiguration.ts
+++ b/packages/configuration-check/src/checkConfiguration.ts
@@ -10,13 +10,16 @@
     readonly validEntries: readonly ConfigurationEntry[];
 }
 
-/** `apply` deletes nothing, so entries in force that are not in the file stay beside those of the file. */
+/**
+ * `apply` deletes nothing, so entries in force that are not in the file stay beside those of the file. They come first:
+ * of two entries that share an address, the finding is about the later one, which is the one that can be corrected.
+ */
 export function mergeEntries(
     entries: readonly ConfigurationEntry[],
     current: readonly ConfigurationEntry[],
 ): readonly ConfigurationEntry[] {
     const replaced = new Set(entries.map(formatEntry));
-    return [...entries, ...current.filter(entry => !replaced.has(formatEntry(entry)))];
+    return [...current.filter(entry => !replaced.has(formatEntry(entry))), ...entries];
 }
 
 function validateEntry(entry: ParsedEntry): readonly Finding[] {
--- a/packages/configuration-check/test/checkConfiguration.test.ts
+++ b/packages/configuration-check/test/checkConfiguration.test.ts
@@ -203,6 +203,12 @@
     );
 });
 
+// Guards against a finding about a resource in force that was shared before, in place of the one in the file.
+test("a shared address is reported at the service of the file", () => {
+    const expected = "warning TARGET_ADDRESS_SHARED services/b spec.targets[0].address";
+    assert.equal(listFindings([service("b", { targetLimit: 9 })], [service("a"), service("b")]), [expected]);
+});
+
 // Guards against a comparison of all pairs, which takes minutes for a resource of the maximum size.
 test("20,000 routes are checked with work that grows with their number", () => {
     const prefixes = Array.from({ length: 20_000 }, (_, index) => `GET /r/${index}`);
