--- a/packages/cli/src/commands/checkFile.ts
+++ b/packages/cli/src/commands/checkFile.ts
@@ -58,7 +58,9 @@
     }
     const { entries, findings } = readConfigurationFile(opts.io, against);
     const dropped = findings.filter(({ code }) => code === "RESOURCE_INVALID" || code === "RESOURCE_DUPLICATE");
-    return filterValidEntries(opts, against, entries, dropped.length);
+    // Paths in this document are not places in the checked file.
+    const inForce = entries.map(({ kind, name, spec }) => ({ kind, name, spec }));
+    return filterValidEntries(opts, against, inForce, dropped.length);
 }
 
 /** `droppedCount`: resources that are not in `entries`, because they have no kind, name or spec, or are repeated. */
--- a/packages/cli/test/checkFile.test.ts
+++ b/packages/cli/test/checkFile.test.ts
@@ -162,4 +162,12 @@
     assert.match(output, /No differences from g\n/);
 });
 
+// Guards against findings about the other file that are reported with places in this one.
+test("--against a file reports no finding that the other file has already", async () => {
+    const files = { f: clean, g: JSON.stringify([workspace]) };
+    const { exitCode, output } = await runTestCli("check f --against g", { files });
+    assert.is(exitCode, 0);
+    assert.match(output, /\nf: 1 resource, 0 errors, 0 warnings\n$/);
+});
+
 test.run();
