List no refused resource of a file as removed

Only the valid resources of the file were compared with those in force. A resource that the validation refused was listed as removed, or its kind as missing from the file, besides its error.

--- a/packages/cli/src/commands/checkFile.ts
+++ b/packages/cli/src/commands/checkFile.ts
@@ -32,7 +32,10 @@
     const current = against === undefined ? undefined : await readCurrent(opts, against);
     const checked = checkConfiguration(source.entries, { ...(current === undefined ? {} : { current }) });
     const findings = [...source.findings, ...checked.findings.map(source.addPosition)].sort(comparePositions);
-    const comparison = current === undefined ? undefined : compareConfigurations(checked.validEntries, current);
+    const { validEntries, invalidEntries } = checked;
+    const comparison = current === undefined
+        ? undefined
+        : compareConfigurations(validEntries, current, { invalidEntries });
     const result = {
         file,
         resourceCount: source.entries.length,
--- a/packages/cli/test/checkFile.test.ts
+++ b/packages/cli/test/checkFile.test.ts
@@ -170,4 +170,13 @@
     assert.match(output, /\nf: 1 resource, 0 errors, 0 warnings\n$/);
 });
 
+// Guards against a refused resource of the file that is reported as removed, although it is there.
+test("--against does not list a refused resource as removed", async () => {
+    const refused = { ...workspace, spec: { share: 0, credentialHashes: [] } };
+    const files = { f: JSON.stringify([domain, refused]), g: JSON.stringify([domain, workspace]) };
+    const { exitCode, output } = await runTestCli("check f --against g", { files });
+    assert.is(exitCode, 1);
+    assert.match(output, /FIELD_INVALID workspaces\/quotes spec.share: .*\n.*\nNo differences from g\nf: 2 resources/);
+});
+
 test.run();
--- a/packages/configuration-check/src/checkConfiguration.ts
+++ b/packages/configuration-check/src/checkConfiguration.ts
@@ -8,6 +8,7 @@
     readonly findings: readonly Finding[];
     /** The entries that the fleet accepts. */
     readonly validEntries: readonly ConfigurationEntry[];
+    readonly invalidEntries: readonly ParsedEntry[];
 }
 
 /**
@@ -39,12 +40,14 @@
 export function validateEntries(entries: readonly ParsedEntry[]): CheckedConfiguration {
     const findings: Finding[] = [];
     const validEntries: ConfigurationEntry[] = [];
+    const invalidEntries: ParsedEntry[] = [];
     for (const entry of entries) {
         const problems = validateEntry(entry);
         findings.push(...problems);
         if (problems.length === 0) validEntries.push(entry as ConfigurationEntry);
+        else invalidEntries.push(entry);
     }
-    return { findings, validEntries };
+    return { findings, validEntries, invalidEntries };
 }
 
 function checkTogether(entries: readonly ConfigurationEntry[]): readonly Finding[] {
@@ -61,10 +64,10 @@
     opts: { readonly current?: readonly ConfigurationEntry[]; } = {},
 ): CheckedConfiguration {
     const current = opts.current ?? [];
-    const { findings, validEntries } = validateEntries(entries);
+    const { findings, validEntries, invalidEntries } = validateEntries(entries);
     // Findings that entries outside of the file have already are not caused by this change.
     const known = new Set(checkTogether(current).map(formatKey));
     const together = checkTogether(mergeEntries(validEntries, current))
         .filter(finding => finding.path !== undefined || !known.has(formatKey(finding)));
-    return { findings: [...findings, ...together], validEntries };
+    return { findings: [...findings, ...together], validEntries, invalidEntries };
 }
--- a/packages/configuration-check/src/compareConfigurations.ts
+++ b/packages/configuration-check/src/compareConfigurations.ts
@@ -1,7 +1,7 @@
 /** Compares the entries of a file with those in force. */
 import type { ResourceKind } from "@rhubarbwheel/types/resources";
 import { isDeepStrictEqual } from "node:util";
-import { type ConfigurationEntry, formatEntry } from "./finding.js";
+import { type ConfigurationEntry, formatEntry, type ParsedEntry } from "./finding.js";
 import { listChangeEffects } from "./listChangeEffects.js";
 
 export interface Difference {
@@ -21,16 +21,24 @@
     readonly notCompared: Readonly<Partial<Record<ResourceKind, number>>>;
 }
 
+export interface CompareOptions {
+    /** Entries of the file that the fleet refuses. They are findings, and neither removed nor changed. */
+    readonly invalidEntries?: readonly ParsedEntry[];
+}
+
 export function compareConfigurations(
     entries: readonly ConfigurationEntry[],
     current: readonly ConfigurationEntry[],
+    opts: CompareOptions = {},
 ): Comparison {
+    const invalidEntries = opts.invalidEntries ?? [];
+    const invalidKeys = new Set(invalidEntries.map(formatEntry));
     const desired = indexEntries(entries);
     const inForce = indexEntries(current);
-    const kinds = new Set(entries.map(entry => entry.kind));
+    const kinds = new Set([...entries, ...invalidEntries].map(entry => entry.kind));
     const notCompared: Partial<Record<ResourceKind, number>> = {};
     for (const { kind } of current) if (!kinds.has(kind)) notCompared[kind] = (notCompared[kind] ?? 0) + 1;
-    const keys = [...new Set([...desired.keys(), ...inForce.keys()])].sort();
+    const keys = [...new Set([...desired.keys(), ...inForce.keys()])].filter(key => !invalidKeys.has(key)).sort();
     const differences = keys.flatMap(key => {
         const after = desired.get(key);
         const before = inForce.get(key);
