Move reading and output of checks to configuration-check

The check of the users' platform needs the same encoding rules, positions, comparison of entries and output as the command line tool. They move to the package that both use; behavior is unchanged.

--- a/packages/cli/src/commands/checkFile.ts
+++ b/packages/cli/src/commands/checkFile.ts
@@ -3,12 +3,13 @@
 import { compareConfigurations } from "@rhubarbwheel/configuration-check/compareConfigurations";
 import type { ConfigurationEntry, ParsedEntry } from "@rhubarbwheel/configuration-check/finding";
 import { formatCount } from "@rhubarbwheel/configuration-check/formatCount";
+import { comparePositions } from "@rhubarbwheel/configuration-check/parseJsonDocument";
+import { renderCheckAsJson, renderCheckAsText } from "@rhubarbwheel/configuration-check/renderCheck";
 import type { CliIo } from "../cliContext.js";
 import { resourceKinds } from "../cliContext.js";
 import { CliError, createUsageError, type ExitCode, exitCodes } from "../cliError.js";
 import type { OperatorClient } from "../operatorClient.js";
-import { createUnreadableError, type LocatedFinding, readConfigurationFile } from "../readConfigurationFile.js";
-import { renderCheckAsJson, renderCheckAsText } from "../renderCheck.js";
+import { createUnreadableError, readConfigurationFile } from "../readConfigurationFile.js";
 import type { OutputFormat } from "../renderResources.js";
 
 export interface CheckFileOptions {
@@ -47,13 +48,6 @@
     return findings.length === 0 ? exitCodes.ok : exitCodes.refused;
 }
 
-/** Sorts findings by their position; those about entries that are in force come last. */
-function comparePositions(left: LocatedFinding, right: LocatedFinding): number {
-    if (left.line === undefined || right.line === undefined)
-        return Number(left.line === undefined) - Number(right.line === undefined);
-    return left.line - right.line || (left.column ?? 0) - (right.column ?? 0);
-}
-
 async function readCurrent(opts: CheckFileOptions, against: string): Promise<readonly ConfigurationEntry[]> {
     if (/^https?:\/\//.test(against)) {
         const entries = await readFromRouters(opts.createClient(against), against);
--- a/packages/cli/src/renderTable.ts
+++ b/packages/cli/src/renderTable.ts
@@ -1,13 +1,8 @@
 /** Renders a table with columns padded by spaces. */
+import { replaceControlCharacters } from "@rhubarbwheel/configuration-check/replaceControlCharacters";
 
 type Cell = string | number | undefined;
 
-/** Replaces control characters, which could otherwise send escape sequences to the operator's terminal. */
-export function replaceControlCharacters(text: string): string {
-    // eslint-disable-next-line no-control-regex -- these are the characters to replace
-    return text.replace(/[\u0000-\u001f\u007f-\u009f]/g, "?");
-}
-
 function formatCell(cell: Cell): string {
     return cell === undefined || cell === "" ? "-" : replaceControlCharacters(String(cell));
 }
--- a/packages/cli/src/runCli.ts
+++ b/packages/cli/src/runCli.ts
@@ -1,4 +1,5 @@
 /** Command line tool for operators: parses the arguments, runs one command and returns the exit code. */
+import { readBoundedFile } from "@rhubarbwheel/configuration-check/readBoundedFile";
 import { readFileSync } from "node:fs";
 import { setTimeout as waitFor } from "node:timers/promises";
 import { parseArgs } from "node:util";
@@ -14,7 +15,6 @@
 import { watchResources } from "./commands/watchResources.js";
 import { writeCompletion } from "./commands/writeCompletion.js";
 import { createOperatorClient } from "./operatorClient.js";
-import { readBoundedFile } from "./readBoundedFile.js";
 import type { OutputFormat } from "./renderResources.js";
 
 type Environment = Readonly<Record<string, string | undefined>>;
--- a/packages/cli/src/renderCheck.ts
+++ b/packages/configuration-check/src/renderCheck.ts
@@ -1,8 +1,8 @@
-/** Renders the result of `check` as text or JSON. */
-import type { Comparison, Difference } from "@rhubarbwheel/configuration-check/compareConfigurations";
-import { formatCount } from "@rhubarbwheel/configuration-check/formatCount";
-import type { LocatedFinding } from "./readConfigurationFile.js";
-import { replaceControlCharacters } from "./renderTable.js";
+/** Renders the result of a check as text or JSON. */
+import type { Difference } from "./compareEntries.js";
+import { formatCount } from "./formatCount.js";
+import type { LocatedFinding } from "./parseJsonDocument.js";
+import { replaceControlCharacters } from "./replaceControlCharacters.js";
 
 export interface CheckResult {
     readonly file: string;
@@ -11,7 +11,13 @@
     readonly resourceCount: number;
     /** Only with `--against`. */
     readonly against?: string;
-    readonly comparison?: Comparison;
+    readonly comparison?: RenderedComparison;
+}
+
+export interface RenderedComparison {
+    readonly differences: readonly Difference[];
+    /** Number of entries in force by kind that were not compared. */
+    readonly notCompared: Readonly<Record<string, number>>;
 }
 
 /** More findings than this have a common cause; JSON has all of them. */
@@ -53,7 +59,7 @@
     return [`${location}: ${severity} ${code} ${subject}: ${message}`, `    hint: ${hint}`];
 }
 
-function renderComparison(comparison: Comparison, against: string): readonly string[] {
+function renderComparison(comparison: RenderedComparison, against: string): readonly string[] {
     const notCompared = Object.entries(comparison.notCompared)
         .map(([kind, count]) => `    ${kind}: ${count} in force not compared, because the file has none`);
     if (comparison.differences.length === 0) return [`No differences from ${against}`, ...notCompared];
