--- a/packages/configuration-check/src/finding.ts
+++ b/packages/configuration-check/src/finding.ts
@@ -19,15 +19,20 @@
     readonly hint: string;
 }
 
-/** An entry with a known kind, a name and a spec that was not validated. */
-export interface ParsedEntry {
-    readonly kind: ResourceKind;
+/** What a finding is about. */
+export interface EntryLocation {
+    readonly kind: string;
     readonly name: string;
-    readonly spec: unknown;
     /** Path in the document, for example `resources[3]`; omitted for an entry in force. */
     readonly path?: string;
 }
 
+/** An entry with a known kind, a name and a spec that was not validated. */
+export interface ParsedEntry extends EntryLocation {
+    readonly kind: ResourceKind;
+    readonly spec: unknown;
+}
+
 export interface EntryOf<K extends ResourceKind> extends ParsedEntry {
     readonly kind: K;
     readonly spec: ResourceSpecs[K];
@@ -36,7 +41,7 @@
 /** An entry whose spec the fleet accepts. */
 export type ConfigurationEntry = { [K in ResourceKind]: EntryOf<K>; }[ResourceKind];
 
-export function formatEntry(entry: Pick<ParsedEntry, "kind" | "name">): string {
+export function formatEntry(entry: Pick<EntryLocation, "kind" | "name">): string {
     return `${entry.kind}/${entry.name}`;
 }
 
@@ -46,7 +51,7 @@
 }
 
 export function createFinding(
-    entry: ParsedEntry,
+    entry: EntryLocation,
     field: string,
     finding: Pick<Finding, "code" | "severity" | "message" | "hint">,
 ): Finding {
