Find positions in a file of one line without counting it again

Each finding counted the characters from the start of its line. Lines and surrogate pairs are indexed once. The test with 20,000 positions covers it.

--- a/packages/configuration-check/src/findJsonOffsets.ts
+++ b/packages/configuration-check/src/findJsonOffsets.ts
@@ -136,18 +136,33 @@
     readonly column: number;
 }
 
-/** Converts offsets of one text; a search per offset would be slow for a long file with many findings. */
+/**
+ * Converts offsets of one text. Neither lines nor the characters of a line are counted again for each offset, which would
+ * be slow for many findings in a file that is a single line.
+ */
 export function createPositionFinder(text: string): (offset: number) => TextPosition {
-    const lineStarts = [0];
-    for (let index = text.indexOf("\n"); index >= 0; index = text.indexOf("\n", index + 1)) lineStarts.push(index + 1);
+    const lineStarts = [0, ...listOffsets(text, /\n/g).map(offset => offset + 1)];
+    // A character of two code units counts as one column once both are before the offset.
+    const pairOffsets = listOffsets(text, /[\ud800-\udbff][\udc00-\udfff]/g);
     return offset => {
-        let [low, high] = [0, lineStarts.length - 1];
-        while (low < high) {
-            const middle = Math.ceil((low + high) / 2);
-            if ((lineStarts[middle] ?? 0) <= offset) low = middle;
-            else high = middle - 1;
-        }
-        const start = lineStarts[low] ?? 0;
-        return { line: low + 1, column: [...text.slice(start, offset)].length + 1 };
+        const line = countUpTo(lineStarts, offset);
+        const start = lineStarts[line - 1] ?? 0;
+        const pairs = countUpTo(pairOffsets, offset - 2) - countUpTo(pairOffsets, start - 2);
+        return { line, column: offset - start - pairs + 1 };
     };
 }
+
+function listOffsets(text: string, pattern: RegExp): readonly number[] {
+    return Array.from(text.matchAll(pattern), match => match.index);
+}
+
+/** Counts the sorted numbers that are not greater than `limit`. */
+function countUpTo(numbers: readonly number[], limit: number): number {
+    let [low, high] = [0, numbers.length];
+    while (low < high) {
+        const middle = Math.floor((low + high) / 2);
+        if ((numbers[middle] ?? Infinity) <= limit) low = middle + 1;
+        else high = middle;
+    }
+    return low;
+}
--- a/packages/configuration-check/test/findJsonOffsets.property.test.ts
+++ b/packages/configuration-check/test/findJsonOffsets.property.test.ts
@@ -86,4 +86,11 @@
     );
 });
 
+// Guards against a count from the start of the line for each finding, which took 80 s for 8,000 findings in 0.7 MB.
+test("20,000 positions in a single line of 4 MB are found with work that grows with their number", () => {
+    const findPosition = createPositionFinder("x".repeat(4_000_000));
+    for (let offset = 0; offset < 4_000_000; offset += 200)
+        assert.is(findPosition(offset).column, offset + 1);
+});
+
 test.run();
