Keep the list of resource kinds in one place

The command line tool and the parser of checked files each had the list of kinds and the rule for their singular.

--- a/packages/cli/src/cliContext.ts
+++ b/packages/cli/src/cliContext.ts
@@ -1,4 +1,5 @@
 /** Arguments and I/O functions that `runCli` passes to a command. Tests replace the I/O functions. */
+import { findKind, resourceKinds } from "@rhubarbwheel/configuration-check/parseEntries";
 import type { ResourceKind } from "@rhubarbwheel/types/resources";
 import { createUsageError } from "./cliError.js";
 import type { OperatorClient } from "./operatorClient.js";
@@ -27,11 +28,9 @@
     readonly timeoutMs: number;
 }
 
-export const resourceKinds = ["workspaces", "services", "failuredomains"] as const satisfies readonly ResourceKind[];
-
 /** Also accepts the singular. */
 export function parseKind(text: string | undefined): ResourceKind {
-    const kind = resourceKinds.find(name => name === text || name === `${text}s`);
+    const kind = findKind(text);
     if (kind === undefined) throw createUsageError(`Name one of the kinds ${resourceKinds.join(", ")}.`);
     return kind;
 }
--- a/packages/cli/src/commands/checkFile.ts
+++ b/packages/cli/src/commands/checkFile.ts
@@ -3,10 +3,10 @@
 import { compareConfigurations } from "@rhubarbwheel/configuration-check/compareConfigurations";
 import type { ConfigurationEntry, ParsedEntry } from "@rhubarbwheel/configuration-check/finding";
 import { formatCount } from "@rhubarbwheel/configuration-check/formatCount";
+import { resourceKinds } from "@rhubarbwheel/configuration-check/parseEntries";
 import { comparePositions } from "@rhubarbwheel/configuration-check/parseJsonDocument";
 import { renderCheckAsJson, renderCheckAsText } from "@rhubarbwheel/configuration-check/renderCheck";
 import type { CliIo } from "../cliContext.js";
-import { resourceKinds } from "../cliContext.js";
 import { CliError, createUsageError, type ExitCode, exitCodes } from "../cliError.js";
 import type { OperatorClient } from "../operatorClient.js";
 import { createUnreadableError, readConfigurationFile } from "../readConfigurationFile.js";
--- a/packages/cli/src/commands/writeCompletion.ts
+++ b/packages/cli/src/commands/writeCompletion.ts
@@ -1,5 +1,5 @@
 /** `completion bash`: prints a script that completes commands, kinds and names of resources. */
-import { resourceKinds } from "../cliContext.js";
+import { resourceKinds } from "@rhubarbwheel/configuration-check/parseEntries";
 import { createUsageError } from "../cliError.js";
 
 const renderBashScript = (commands: readonly string[]) =>
--- a/packages/configuration-check/src/parseEntries.ts
+++ b/packages/configuration-check/src/parseEntries.ts
@@ -9,16 +9,16 @@
     readonly findings: readonly Finding[];
 }
 
-const kinds: readonly ResourceKind[] = ["workspaces", "services", "failuredomains"];
+export const resourceKinds = ["workspaces", "services", "failuredomains"] as const satisfies readonly ResourceKind[];
 
 /** `get --output json` prints the version and the revision, so that its output can be edited and checked. */
 const knownFields = new Set(["kind", "name", "spec", "version", "revision", "deleted"]);
 
 const structureHint = "Write {\"kind\": ..., \"name\": ..., \"spec\": {...}} or a list of these.";
 
-/** Accepts the singular, as `apply` does. */
-function findKind(kind: unknown): ResourceKind | undefined {
-    return kinds.find(known => known === kind || known === `${String(kind)}s`);
+/** Also accepts the singular. */
+export function findKind(kind: unknown): ResourceKind | undefined {
+    return resourceKinds.find(known => known === kind || known === `${String(kind)}s`);
 }
 
 export function parseEntries(document: unknown): ParsedEntries {
@@ -69,7 +69,7 @@
 function findStructureProblem(item: unknown): { readonly field: string; readonly message: string; } | undefined {
     if (!isRecord(item)) return { field: "", message: "The resource is not an object." };
     if (findKind(item["kind"]) === undefined)
-        return { field: "kind", message: `"kind" is none of ${kinds.join(", ")}.` };
+        return { field: "kind", message: `"kind" is none of ${resourceKinds.join(", ")}.` };
     if (typeof item["name"] !== "string" || item["name"] === "")
         return { field: "name", message: "\"name\" is missing or not a text." };
     if (!isRecord(item["spec"])) return { field: "spec", message: "\"spec\" is missing or not an object." };
