--- a/packages/cli/src/commands/checkFile.ts
+++ b/packages/cli/src/commands/checkFile.ts
@@ -3,12 +3,13 @@
 import { compareConfigurations } from "@rhubarbwheel/configuration-check/compareConfigurations";
 import type { ConfigurationEntry, ParsedEntry } from "@rhubarbwheel/configuration-check/finding";
 import { formatCount } from "@rhubarbwheel/configuration-check/formatCount";
+import { resourceKinds } from "@rhubarbwheel/configuration-check/parseEntries";
+import { comparePositions } from "@rhubarbwheel/configuration-check/parseJsonDocument";
+import { renderCheckAsJson, renderCheckAsText } from "@rhubarbwheel/configuration-check/renderCheck";
 import type { CliIo } from "../cliContext.js";
-import { resourceKinds } from "../cliContext.js";
 import { CliError, createUsageError, type ExitCode, exitCodes } from "../cliError.js";
 import type { OperatorClient } from "../operatorClient.js";
-import { createUnreadableError, type LocatedFinding, readConfigurationFile } from "../readConfigurationFile.js";
-import { renderCheckAsJson, renderCheckAsText } from "../renderCheck.js";
+import { createUnreadableError, readConfigurationFile } from "../readConfigurationFile.js";
 import type { OutputFormat } from "../renderResources.js";
 
 export interface CheckFileOptions {
@@ -32,7 +33,10 @@
     const current = against === undefined ? undefined : await readCurrent(opts, against);
     const checked = checkConfiguration(source.entries, { ...(current === undefined ? {} : { current }) });
     const findings = [...source.findings, ...checked.findings.map(source.addPosition)].sort(comparePositions);
-    const comparison = current === undefined ? undefined : compareConfigurations(checked.validEntries, current);
+    const { validEntries, invalidEntries } = checked;
+    const comparison = current === undefined
+        ? undefined
+        : compareConfigurations(validEntries, current, { invalidEntries });
     const result = {
         file,
         resourceCount: source.entries.length,
@@ -44,13 +48,6 @@
     return findings.length === 0 ? exitCodes.ok : exitCodes.refused;
 }
 
-/** Sorts findings by their position; those about entries that are in force come last. */
-function comparePositions(left: LocatedFinding, right: LocatedFinding): number {
-    if (left.line === undefined || right.line === undefined)
-        return Number(left.line === undefined) - Number(right.line === undefined);
-    return left.line - right.line || (left.column ?? 0) - (right.column ?? 0);
-}
-
 async function readCurrent(opts: CheckFileOptions, against: string): Promise<readonly ConfigurationEntry[]> {
     if (/^https?:\/\//.test(against)) {
         const entries = await readFromRouters(opts.createClient(against), against);
@@ -58,7 +55,9 @@
     }
     const { entries, findings } = readConfigurationFile(opts.io, against);
     const dropped = findings.filter(({ code }) => code === "RESOURCE_INVALID" || code === "RESOURCE_DUPLICATE");
-    return filterValidEntries(opts, against, entries, dropped.length);
+    // Paths in this document are not places in the checked file.
+    const inForce = entries.map(({ kind, name, spec }) => ({ kind, name, spec }));
+    return filterValidEntries(opts, against, inForce, dropped.length);
 }
 
 /** `droppedCount`: resources that are not in `entries`, because they have no kind, name or spec, or are repeated. */
