--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -6,7 +6,7 @@
 import type { RouteTable } from "@rhubarbwheel/routing/createRouteTable";
 import type { LogEffect } from "@rhubarbwheel/types/effects";
 import type { FleetConfiguration, PoolSpec, RouterEntry, TargetEntry, ViewKind } from "@rhubarbwheel/types/fleet";
-import { viewKinds } from "@rhubarbwheel/types/fleet";
+import { viewKinds, viewKindsWithRollouts } from "@rhubarbwheel/types/fleet";
 import type {
     ConfigurationConfirmedEvent,
     PlacementEffect,
@@ -17,7 +17,11 @@
     ViewInterruptedEvent,
     ViewListedEvent,
 } from "@rhubarbwheel/types/placement-events";
+import type { RolloutEntry } from "@rhubarbwheel/types/rollout";
+import { createRolloutView } from "./createRolloutView.js";
+import type { RolloutQueries } from "./createRolloutView.js";
 import { createTargetList } from "./createTargetList.js";
+import type { VersionFilterOptions } from "./createVersionFilter.js";
 import { getEntryName } from "./entryNames.js";
 
 export interface FleetViewOptions {
@@ -28,6 +32,8 @@
     /** Maximum time since the store was last known to be unavailable for which a target without entry is used. */
     readonly maxLapseMs: number;
     readonly getRegion: (failureDomain: string) => string | undefined;
+    /** Set if this router follows the orders to roll out versions. */
+    readonly rollouts?: VersionFilterOptions;
 }
 
 /** `unknown`: no configuration has been read yet. `unconfirmed`: it is older than the maximum age for credentials. */
@@ -41,7 +47,14 @@
     readonly getCredentialFreshness: (now: number) => CredentialFreshness;
     /** Targets of the service that may receive new requests, limited to `regions` if given. */
     readonly listUsableTargets: (service: string, regions?: readonly string[]) => readonly TargetEntry[];
+    /** Targets that may receive requests only if the coordinator of the service grants them. */
+    readonly listCanaryTargets: (service: string, regions?: readonly string[]) => readonly TargetEntry[];
+    /** Whether a target may receive a request for which the coordinator has chosen it. */
     readonly isUsable: (target: string) => boolean;
+    /** Whether the orders allow the version of the target, whatever its state. */
+    readonly isVersionAllowed: (target: TargetEntry) => boolean;
+    /** Orders to roll out versions; omitted if this router does not follow them. */
+    readonly rollouts?: RolloutQueries;
     readonly getTarget: (target: string) => TargetEntry | undefined;
     readonly getColdRemainingMs: (target: string, now: number) => number;
     /** Returns the same array until a router changes. */
@@ -75,12 +88,14 @@
 }
 
 export function createFleetView(opts: FleetViewOptions): FleetView {
-    const kinds = Object.fromEntries(viewKinds.map(kind => [kind, {
+    const followedKinds = opts.rollouts === undefined ? viewKinds : viewKindsWithRollouts;
+    const kinds = Object.fromEntries(viewKindsWithRollouts.map(kind => [kind, {
         revision: 0,
         confirmedAt: -Infinity,
         known: false,
     }])) as unknown as Readonly<Record<ViewKind, KindState>>;
     const targets = createTargetList();
+    const rollouts = opts.rollouts === undefined ? undefined : createRolloutView(opts.rollouts);
     /** Time at which the last request was sent whose failure was that of the store. */
     let outageSeenAt = -Infinity;
     /** Time of the first response after the last request without one; undefined before it. */
@@ -126,10 +141,11 @@
         const before = targets.get(entry.target);
         targets.put(entry, now);
         const isSame = before?.state === entry.state && before.address === entry.address
-            && before.startedAtUnixMs === entry.startedAtUnixMs && (before.coldForMs > 0) === (entry.coldForMs > 0);
+            && before.startedAtUnixMs === entry.startedAtUnixMs && before.version === entry.version
+            && (before.coldForMs > 0) === (entry.coldForMs > 0);
         if (isSame) return;
-        const { target, service, address, failureDomain, state, coldForMs } = entry;
-        log("targetEntryChanged", { target, service, address, failureDomain, state, coldForMs });
+        const { target, service, address, failureDomain, state, coldForMs, version } = entry;
+        log("targetEntryChanged", { target, service, address, failureDomain, state, coldForMs, version });
     };
 
     /** Time until which targets without an entry are used, because live ones cannot renew entries in an outage. */
@@ -169,6 +185,7 @@
             else putTarget(entry as TargetEntry, event.now);
         }
         else if (kind === "closedDomains") setDomainClosed(name, entry !== undefined);
+        else if (kind === "rollouts") rollouts?.applyChange(name, entry as RolloutEntry | undefined);
         else if (entry === undefined) routers.delete(name);
         else routers.set(name, entry as RouterEntry);
     };
@@ -176,6 +193,7 @@
     const listNames = (kind: ViewKind): readonly string[] => {
         if (kind === "targets") return targets.listNames();
         if (kind === "closedDomains") return [...closedDomains];
+        if (kind === "rollouts") return rollouts?.listServices() ?? [];
         return kind === "routers" ? [...routers.keys()] : [];
     };
 
@@ -220,26 +238,40 @@
             if (event.type === "viewListed") applyList(event);
             else for (const change of event.changes) applyChange(event.kind, change, event);
             const isUnchanged = event.type === "viewChanged" && event.changes.length === 0;
-            if (event.kind === "targets" && !isUnchanged) targets.rebuildIndex();
+            if (event.kind === "targets" && !isUnchanged) {
+                targets.rebuildIndex();
+                rollouts?.applyTargets(targets.listAll(), event.now);
+            }
             if (event.kind === "routers" && !isUnchanged) routerList = [...routers.values()];
             confirm(event);
         }
         else if (event.type === "configurationConfirmed") confirmByRouter(event);
+        else if (event.type === "rolloutStatusWritten") rollouts?.applyWrite(event);
         else if (event.type === "viewInterrupted") recordFailure(event);
         else if (event.type === "clockJumped") {
             // The monotonic clock may have stood still for seconds, so ages computed from it are too low.
-            for (const kind of viewKinds) kinds[kind].confirmedAt = -Infinity;
+            for (const kind of viewKindsWithRollouts) kinds[kind].confirmedAt = -Infinity;
             log("clockJumped", { byMs: Math.round(event.byMs) });
         }
     };
 
     const isOpen = (target: TargetEntry): boolean => !closedDomains.has(target.failureDomain);
 
+    const listOpen = (service: string, regions?: readonly string[]): readonly TargetEntry[] =>
+        targets.listReady(service).filter(target =>
+            isOpen(target)
+            && (regions === undefined || regions.includes(opts.getRegion(target.failureDomain) ?? ""))
+        );
+
+    const isVersionAllowed = (target: TargetEntry): boolean =>
+        rollouts === undefined || rollouts.isUsable(target) || rollouts.isCanary(target);
+
     return {
         reduce: event => {
             effects = [];
             handleEvent(event);
             removeLapsedTargets(event.now);
+            if (rollouts !== undefined) effects.push(...rollouts.takeEffects(event.now));
             return effects;
         },
         getWakeAt: () => targets.hasLapsed() ? getGraceEndsAt() : Infinity,
@@ -251,19 +283,22 @@
             if (!kinds.configuration.known) return "unknown";
             return now - kinds.configuration.confirmedAt <= opts.getMaxCredentialAgeMs() ? "current" : "unconfirmed";
         },
-        listUsableTargets: (service, regions) =>
-            targets.listReady(service).filter(target =>
-                isOpen(target)
-                && (regions === undefined || regions.includes(opts.getRegion(target.failureDomain) ?? ""))
-            ),
+        listUsableTargets: (service, regions) => {
+            const open = listOpen(service, regions);
+            return rollouts === undefined ? open : open.filter(rollouts.isUsable);
+        },
+        listCanaryTargets: (service, regions) =>
+            rollouts === undefined ? [] : listOpen(service, regions).filter(rollouts.isCanary),
         isUsable: name => {
             const target = targets.get(name);
-            return target?.state === "ready" && isOpen(target);
+            return target?.state === "ready" && isOpen(target) && isVersionAllowed(target);
         },
+        isVersionAllowed,
+        rollouts,
         getTarget: targets.get,
         getColdRemainingMs: targets.getColdRemainingMs,
         listRouters: () => routerList,
         getAgeMs: (kind, now) => now - kinds[kind].confirmedAt,
-        isComplete: () => viewKinds.every(kind => kinds[kind].known),
+        isComplete: () => followedKinds.every(kind => kinds[kind].known),
     };
 }
--- a/packages/fleet-view/src/createRelaySelector.ts
+++ b/packages/fleet-view/src/createRelaySelector.ts
@@ -17,6 +17,8 @@
     readonly view: Pick<FleetView, "listRouters">;
     /** Maximum age of each kind at a relay whose watches of the store succeed. */
     readonly getMaxAgeMs: (kind: ViewKind) => number;
+    /** Kinds that this router follows; `viewKinds` if omitted. */
+    readonly kinds?: readonly ViewKind[];
 }
 
 /** Event numbers of the relay selector's log events. */
@@ -58,7 +60,7 @@
 }
 
 export function createRelaySelector(opts: RelaySelectorOptions): PlacementSlice {
-    const { router, failureDomain, view } = opts;
+    const { router, failureDomain, view, kinds: followedKinds = viewKinds } = opts;
     let routerList: readonly RouterEntry[] | undefined;
     /** Routers of the failure domain that rank above this one, best first; empty if this one is not listed. */
     let ranked: readonly RouterEntry[] = [];
@@ -116,13 +118,13 @@
 
     /** Earliest time at which the best confirmation of a kind becomes too old; Infinity if all are now. */
     const getNextExpiry = (now: number): number => {
-        const expiries = viewKinds.map(kind => Math.max(...relays.map(relay => getExpiry(relay, kind))));
+        const expiries = followedKinds.map(kind => Math.max(...relays.map(relay => getExpiry(relay, kind))));
         return Math.min(...expiries.filter(expiry => expiry >= now));
     };
 
     const updateWatching = (now: number): void => {
         if (settledAt === undefined || now < settledAt) return;
-        const kinds = viewKinds.filter(kind => !relays.some(relay => isConfirmed(relay, kind, now)));
+        const kinds = followedKinds.filter(kind => !relays.some(relay => isConfirmed(relay, kind, now)));
         if (kinds.join() === watchedKinds.join()) return;
         watchedKinds = kinds;
         const overdueMs = Math.round(now - (overdueSince ?? now));
--- /dev/null
+++ b/packages/fleet-view/src/createRolloutView.ts
@@ -0,0 +1,111 @@
+/** Orders to roll out versions as a router knows them, and the targets that they allow. */
+import type { TargetEntry } from "@rhubarbwheel/types/fleet";
+import type { PlacementEffect, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/placement-events";
+import type { RolloutEntry } from "@rhubarbwheel/types/rollout";
+import { createVersionFilter, getVersion } from "./createVersionFilter.js";
+import type { VersionFilterOptions } from "./createVersionFilter.js";
+import { getRunningPhase } from "./rolloutOrders.js";
+
+/** Event numbers of the log events about orders. */
+export const rolloutViewEvents = { rolloutOrderChanged: 1730, versionHeld: 1731 } as const;
+
+export interface RolloutQueries {
+    readonly getOrder: (service: string) => RolloutEntry | undefined;
+    /** Orders that have not ended. */
+    readonly listRunning: () => readonly RolloutEntry[];
+    /** Versions in use that an order for `targetVersion` replaces. */
+    readonly listReplacedVersions: (service: string, targetVersion: string) => readonly string[];
+    /** Registered targets of these versions, whatever their state. */
+    readonly listTargetsOf: (service: string, versions: readonly string[]) => readonly TargetEntry[];
+}
+
+export function createRolloutView(opts: VersionFilterOptions) {
+    const filter = createVersionFilter(opts);
+    let targets: readonly TargetEntry[] = [];
+    /** Time of the last event. */
+    let lastNow = 0;
+    /** Revisions of orders that were applied from the response to a write, and that the store has yet to report. */
+    const writtenRevisions = new Map<string, number>();
+    let effects: PlacementEffect[] = [];
+
+    const putOrder = (order: RolloutEntry): void => {
+        const before = filter.getOrder(order.service);
+        filter.putOrder(order);
+        const isSame = before?.revision === order.revision
+            && JSON.stringify(before.status) === JSON.stringify(order.status);
+        if (isSame) return;
+        const { service, targetVersion, revision, status } = order;
+        effects.push({
+            type: "log",
+            event: rolloutViewEvents.rolloutOrderChanged,
+            fields: {
+                service,
+                version: targetVersion,
+                revision,
+                state: status?.state,
+                phase: status?.phase,
+                statusVersion: status?.targetVersion,
+                replaced: status?.replacedVersions.join(","),
+            },
+        });
+    };
+
+    const removeOrder = (service: string): void => {
+        const order = filter.getOrder(service);
+        if (order === undefined) return;
+        filter.removeOrder(service);
+        effects.push({
+            type: "log",
+            event: rolloutViewEvents.rolloutOrderChanged,
+            fields: { service, version: order.targetVersion, revision: order.revision, state: "removed" },
+        });
+    };
+
+    const isUsed = (target: TargetEntry, use: "usable" | "canary"): boolean =>
+        filter.getUse(target.service, getVersion(target), lastNow) === use;
+
+    return {
+        applyChange: (service: string, order: RolloutEntry | undefined): void => {
+            const writtenRevision = writtenRevisions.get(service);
+            // The response to a write may overtake the watch, which then reports earlier states.
+            if (order !== undefined && writtenRevision !== undefined && order.revision < writtenRevision) return;
+            writtenRevisions.delete(service);
+            if (order === undefined) removeOrder(service);
+            else putOrder(order);
+        },
+        /** Applies the order that the store returned to a write, or the status that it has accepted. */
+        applyWrite: ({ service, result, revision, status, entry }: RolloutStatusWrittenEvent): void => {
+            const known = filter.getOrder(service);
+            const isAccepted = result === "ok" && known?.revision === revision;
+            const next = entry ?? (isAccepted ? { ...known, status } : undefined);
+            if (next === undefined || known === undefined || next.revision < known.revision) return;
+            writtenRevisions.set(service, next.revision);
+            putOrder(next);
+        },
+        applyTargets: (listed: readonly TargetEntry[], now: number): void => {
+            targets = listed;
+            for (const { service, version } of filter.setTargets(listed, now)) {
+                const fields = { service, version, heldForMs: opts.getHoldMs() };
+                effects.push({ type: "log", event: rolloutViewEvents.versionHeld, fields });
+            }
+        },
+        /** Returns the log effects since the last call. */
+        takeEffects: (now: number): readonly PlacementEffect[] => {
+            lastNow = now;
+            const taken = effects;
+            effects = [];
+            return taken;
+        },
+        listServices: (): readonly string[] => filter.listOrders().map(({ service }) => service),
+        isUsable: (target: TargetEntry): boolean => isUsed(target, "usable"),
+        isCanary: (target: TargetEntry): boolean => isUsed(target, "canary"),
+        getOrder: filter.getOrder,
+        listRunning: () => filter.listOrders().filter(order => getRunningPhase(order) !== undefined),
+        listReplacedVersions: (service: string, targetVersion: string) =>
+            filter.listReplacedVersions(service, targetVersion, lastNow),
+        listTargetsOf: (service: string, versions: readonly string[]) =>
+            targets.filter(target => target.service === service && versions.includes(getVersion(target))),
+    };
+}
+
+export type RolloutView = ReturnType<typeof createRolloutView>;
--- a/packages/fleet-view/src/createStoreMirror.ts
+++ b/packages/fleet-view/src/createStoreMirror.ts
@@ -4,7 +4,7 @@
  * ever goes back to an earlier revision.
  */
 import type { ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
-import { viewKinds } from "@rhubarbwheel/types/fleet";
+import { viewKindsWithRollouts } from "@rhubarbwheel/types/fleet";
 import type { ViewChange } from "@rhubarbwheel/types/placement-events";
 import type {
     RelayedChanges,
@@ -53,7 +53,7 @@
 }
 
 export function createStoreMirror(opts: StoreMirrorOptions) {
-    const kinds = Object.fromEntries(viewKinds.map(kind => [kind, {
+    const kinds = Object.fromEntries(viewKindsWithRollouts.map(kind => [kind, {
         entries: new Map(),
         contentRevision: 0,
         advancedAt: -Infinity,
@@ -160,7 +160,7 @@
         },
         /** Marks all kinds as unconfirmed, because the monotonic clock may have stood still. */
         expireConfirmations: (): void => {
-            for (const kind of viewKinds) {
+            for (const kind of viewKindsWithRollouts) {
                 kinds[kind].confirmedAt = -Infinity;
                 kinds[kind].emittedConfirmedAt = -Infinity;
             }
--- a/packages/fleet-view/src/createTargetList.ts
+++ b/packages/fleet-view/src/createTargetList.ts
@@ -50,6 +50,7 @@
         rebuildIndex,
         getColdRemainingMs,
         listNames: () => [...targets.keys()],
+        listAll: (): readonly TargetEntry[] => [...targets.values()].map(({ entry }) => entry),
         get: (name: string) => targets.get(name)?.entry,
         /** Targets of a service in state `ready`. */
         listReady: (service: string): readonly TargetEntry[] => byService.get(service) ?? [],
--- a/packages/peer-protocol/src/createRelayClient.ts
+++ b/packages/peer-protocol/src/createRelayClient.ts
@@ -20,6 +20,8 @@
     readonly router: string;
     readonly sink: RelaySink;
     readonly getNow: () => number;
+    /** Version of the frames; a relay of another version refuses the connection. `relayProtocolVersion` if omitted. */
+    readonly protocolVersion?: number;
     /** Interval between requests for a confirmation. */
     readonly pingIntervalMs: number;
     /** Called before a reply is handled, so that a suspension of this host is noticed before times are compared. */
@@ -37,7 +39,7 @@
 }
 
 function openRelayConnection(entry: RouterEntry, opts: RelayClientOptions): RelayConnection {
-    const { sink } = opts;
+    const { sink, protocolVersion: version = relayProtocolVersion } = opts;
     const key = entry.relayKey ?? "";
     const { host, port } = splitAddress(entry.address);
     const socket = connect(port, host);
@@ -117,7 +119,7 @@
 
     socket.setNoDelay(true);
     socket.once("connect", () => {
-        socket.write(encodeFrame({ type: "hello", version: relayProtocolVersion, router: opts.router, nonce }));
+        socket.write(encodeFrame({ type: "hello", version, router: opts.router, nonce }));
     });
     socket.on("error", error => failConnection((error as NodeJS.ErrnoException).code ?? error.message));
     socket.once("close", () => failConnection("closed"));
--- a/packages/peer-protocol/src/createRelayServer.ts
+++ b/packages/peer-protocol/src/createRelayServer.ts
@@ -1,6 +1,6 @@
 /** Relays the store's entries to other routers over TCP: a list of each kind first, then the changes as they arrive. */
 import type { ViewKind } from "@rhubarbwheel/types/fleet";
-import { viewKinds } from "@rhubarbwheel/types/fleet";
+import { viewKindsWithRollouts } from "@rhubarbwheel/types/fleet";
 import type { ViewChange } from "@rhubarbwheel/types/placement-events";
 import type { RelaySource } from "@rhubarbwheel/types/relay";
 import { createServer } from "node:net";
@@ -24,6 +24,8 @@
     /** Address to bind, `ip:port`. */
     readonly listen: string;
     readonly source: RelaySource;
+    /** Version of the frames; followers of another one are refused. `relayProtocolVersion` if omitted. */
+    readonly protocolVersion?: number;
     readonly getNow: () => number;
     /** Called before a reply, so that a suspension of the host is noticed before ages are computed. */
     readonly checkClocks: () => void;
@@ -50,7 +52,7 @@
 }
 
 export function createRelayServer(opts: RelayServerOptions) {
-    const { source } = opts;
+    const { source, protocolVersion = relayProtocolVersion } = opts;
     const followers = new Set<Follower>();
     const sockets = new Set<Socket>();
     /** The last encoded changes: most followers have been sent the same revision before. */
@@ -70,7 +72,7 @@
 
     const sendPong = (follower: Follower, sequence: number): void => {
         opts.checkClocks();
-        const kinds = viewKinds.flatMap(kind => {
+        const kinds = viewKindsWithRollouts.flatMap(kind => {
             const confirmation = source.getConfirmation(kind);
             if (confirmation === undefined || follower.sent[kind] === undefined) return [];
             const ageMs = opts.getNow() - confirmation.confirmedAt;
@@ -85,7 +87,7 @@
         const nonce = createNonce();
         let router = "";
         return frame => {
-            if (frame.type === "hello" && router === "" && frame.version === relayProtocolVersion) {
+            if (frame.type === "hello" && router === "" && frame.version === protocolVersion) {
                 router = frame.router;
                 const signature = signNonce(opts.key, "relay", opts.router, frame.nonce);
                 write(socket, encodeFrame({ type: "welcome", nonce, signature }));
@@ -109,7 +111,7 @@
             follower = joined;
             followers.add(joined);
             socket.setTimeout(idleTimeoutMs);
-            for (const kind of viewKinds) sendList(joined, kind);
+            for (const kind of viewKindsWithRollouts) sendList(joined, kind);
         });
         sockets.add(socket);
         socket.setNoDelay(true);
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -58,6 +58,7 @@
     failureDomain: string,
     excluded: list(string),
     quarantinedParts: optional(wrappedList(quarantinedPart)),
+    route: optional(string),
 });
 
 const attemptResult = stringEnum(["complete", "rejected", "failed", "broken", "unsent", "cancelled", "misdirected"]);
--- a/packages/peer-protocol/src/relayFrames.ts
+++ b/packages/peer-protocol/src/relayFrames.ts
@@ -3,7 +3,7 @@
  * read the store, which holds the relay's key, before anything else is sent.
  */
 import type { ViewKind } from "@rhubarbwheel/types/fleet";
-import { viewKinds } from "@rhubarbwheel/types/fleet";
+import { viewKindsWithRollouts } from "@rhubarbwheel/types/fleet";
 import type { RelayedChanges, RelayedList } from "@rhubarbwheel/types/relay";
 import { createHmac, randomBytes } from "node:crypto";
 import type { Socket } from "node:net";
@@ -13,10 +13,13 @@
 /** Routers of another version watch the store themselves, because entries are relayed as decoded by this one. */
 export const relayProtocolVersion = 1;
 
+/** Version in a deployment with rollouts: followers must get the versions of targets and the orders. */
+export const rolloutsRelayProtocolVersion = 2;
+
 /** Maximum length of a line: many times the largest list of a kind. */
 const maxLineChars = 32 * 1024 * 1024;
 
-const kindSchema = v.picklist(viewKinds);
+const kindSchema = v.picklist(viewKindsWithRollouts);
 const revisionSchema = v.pipe(v.number(), v.integer());
 const textSchema = v.pipe(v.string(), v.maxLength(200));
 
--- a/packages/types/src/fleet.ts
+++ b/packages/types/src/fleet.ts
@@ -1,4 +1,5 @@
 /** A router's view of the fleet: routes, pools of targets, workspaces and other routers. Durations are in ms. */
+import type { RolloutEntry } from "./rollout.js";
 
 /**
  * Retry safety of a route's calls: `idempotent` calls may run more than once, `nonIdempotent` ones run at most once. A
@@ -103,6 +104,8 @@
     readonly coldForMs: number;
     /** Start time of the target, if it reports one. */
     readonly startedAtUnixMs?: number;
+    /** Version of the software that it runs, if the target states one. */
+    readonly version?: string;
 }
 
 /** A router's own registration in the store. */
@@ -128,8 +131,13 @@
     readonly targets: TargetEntry;
     readonly closedDomains: ClosedDomainEntry;
     readonly routers: RouterEntry;
+    readonly rollouts: RolloutEntry;
 }
 
 export type ViewKind = keyof ViewEntries;
 
+/** Kinds that every router follows. */
 export const viewKinds: readonly ViewKind[] = ["configuration", "targets", "closedDomains", "routers"];
+
+/** Kinds that routers follow in a deployment with rollouts. */
+export const viewKindsWithRollouts: readonly ViewKind[] = [...viewKinds, "rollouts"];
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -10,6 +10,7 @@
     ReportedLoad,
     TargetNotice,
 } from "./placement.js";
+import type { RolloutEntry, RolloutStatus } from "./rollout.js";
 
 /** Metadata of a call for the reducer; the forwarder keeps headers and body. */
 export interface RoutedRequest {
@@ -170,6 +171,23 @@
     readonly parts: readonly PromptPart[];
 }
 
+/** `conflict`: the order has changed since `revision`. `unavailable`: the status may have been written. */
+export type RolloutWriteResult = "ok" | "conflict" | "unavailable";
+
+/** Result of `writeRolloutStatus`. */
+export interface RolloutStatusWrittenEvent extends TimedEvent {
+    readonly type: "rolloutStatusWritten";
+    readonly service: string;
+    readonly result: RolloutWriteResult;
+    /** Revision on which the write was conditional. */
+    readonly revision: number;
+    readonly status: RolloutStatus;
+    /** The order as the store returned it. */
+    readonly entry?: RolloutEntry;
+    /** Short reason for logs. */
+    readonly reason?: string;
+}
+
 /** Monotonic and wall clock have diverged: the host was suspended, or the wall clock was set. */
 export interface ClockJumpedEvent extends TimedEvent {
     readonly type: "clockJumped";
@@ -192,6 +210,7 @@
     | ConfigurationConfirmedEvent
     | ClockJumpedEvent
     | KeptPartsReadEvent
+    | RolloutStatusWrittenEvent
     | DrainRequestedEvent;
 
 export interface StartAttemptEffect {
@@ -246,6 +265,14 @@
     readonly address: string;
 }
 
+/** Writes the status of an order if the order's revision in the store is still `revision`. */
+export interface WriteRolloutStatusEffect {
+    readonly type: "writeRolloutStatus";
+    readonly service: string;
+    readonly revision: number;
+    readonly status: RolloutStatus;
+}
+
 /** Registers this router in the store again. */
 export interface AnnounceRouterEffect {
     readonly type: "announceRouter";
@@ -285,6 +312,7 @@
     | BreakAnswerEffect
     | SendToRouterEffect
     | ReadKeptPartsEffect
+    | WriteRolloutStatusEffect
     | AnnounceRouterEffect
     | RemoveRouterEffect
     | ConnectRelaysEffect
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -48,6 +48,8 @@
     readonly excluded: readonly string[];
     /** Parts of the prompt that are or were quarantined, as known to the entry router. */
     readonly quarantinedParts?: readonly QuarantinedPart[];
+    /** Name of the route; only while an order to roll out a version of the service is running. */
+    readonly route?: string;
 }
 
 /** Entry router to coordinator: requests a target. */
