--- /dev/null
+++ b/packages/rollout/src/createRolloutEvidence.ts
@@ -0,0 +1,84 @@
+/** Evidence about a new version, per route and over all routes, and the sums of its sequential tests. */
+import type { PlacedAttemptResult } from "@rhubarbwheel/types/placement";
+import { createRouteEvidence, type RouteEvidence, type RouteRatios, type RouteTotals } from "./createRouteEvidence.js";
+import { intervalMs } from "./rolloutSettings.js";
+import { runSequentialTest, type SequentialTestResult } from "./runSequentialTest.js";
+
+export interface RolloutOutcome {
+    readonly route: string;
+    readonly isNewVersion: boolean;
+    readonly result: PlacedAttemptResult;
+    /** Time from the send to the first part of the response, or to the end without one. */
+    readonly latencyMs: number;
+    /** Whether the target was cold or had just started, so that its latency says nothing. */
+    readonly isWarmingUp: boolean;
+}
+
+/** Results of the tests for one route, or for all together. */
+export interface RolloutTests {
+    readonly failures: SequentialTestResult;
+    readonly slowness: SequentialTestResult;
+}
+
+export interface RolloutEvidenceStore {
+    /** `elapsedMs`: time since the order. `isCompared`: both versions get requests. */
+    readonly record: (outcome: RolloutOutcome, elapsedMs: number, isCompared: boolean) => void;
+    /** Tests per route. */
+    readonly evaluateRoutes: () => ReadonlyMap<string, RolloutTests>;
+    /** Tests over all routes, from the last `evaluateRoutes`. */
+    readonly getPooled: () => RolloutTests;
+    readonly listTotals: () => ReadonlyMap<string, RouteTotals>;
+    /** Responses of the new version, failures among them. */
+    readonly countNewResponses: () => number;
+}
+
+type Ratios = readonly (number | undefined)[];
+
+function addRatios(all: readonly Ratios[]): Ratios {
+    const length = Math.max(0, ...all.map(ratios => ratios.length));
+    return Array.from({ length }, (_, index) => {
+        const present = all.flatMap(ratios => ratios[index] ?? []);
+        return present.length === 0 ? undefined : present.reduce((sum, ratio) => sum + ratio, 0);
+    });
+}
+
+function runTests(ratios: RouteRatios): RolloutTests {
+    return { failures: runSequentialTest(ratios.failures), slowness: runSequentialTest(ratios.slowness) };
+}
+
+export function createRolloutEvidence(): RolloutEvidenceStore {
+    const routes = new Map<string, RouteEvidence>();
+    let pooled = runTests({ failures: [], slowness: [] });
+    let newResponses = 0;
+
+    const getOrCreateRoute = (name: string): RouteEvidence => {
+        const known = routes.get(name);
+        if (known !== undefined) return known;
+        const created = createRouteEvidence();
+        routes.set(name, created);
+        return created;
+    };
+
+    return {
+        record: ({ route, isNewVersion, result, latencyMs, isWarmingUp }, elapsedMs, isCompared) => {
+            const isFailure = result === "failed" || result === "broken";
+            // Other results say nothing about the version: the call did not run, or its caller ended it.
+            if (!isFailure && result !== "complete") return;
+            if (isNewVersion) newResponses++;
+            const interval = Math.floor(Math.max(0, elapsedMs - latencyMs) / intervalMs);
+            const hasLatency = !isFailure && !isWarmingUp;
+            getOrCreateRoute(route).record({ isNewVersion, isFailure, latencyMs, hasLatency }, interval, isCompared);
+        },
+        evaluateRoutes: () => {
+            const ratios = [...routes].map(([name, evidence]) => [name, evidence.evaluate()] as const);
+            pooled = runTests({
+                failures: addRatios(ratios.map(([, { failures }]) => failures)),
+                slowness: addRatios(ratios.map(([, { slowness }]) => slowness)),
+            });
+            return new Map(ratios.map(([name, routeRatios]) => [name, runTests(routeRatios)]));
+        },
+        getPooled: () => pooled,
+        listTotals: () => new Map([...routes].map(([name, evidence]) => [name, evidence.getTotals()])),
+        countNewResponses: () => newResponses,
+    };
+}
--- /dev/null
+++ b/packages/rollout/src/rolloutSettings.ts
@@ -0,0 +1,114 @@
+/** Constants of rollouts. Fractions of a duration refer to `durationMs` of the order. */
+
+/** Fraction of `exposeShare` that canaries use; the rest is left for requests in flight and for the shift. */
+export const canaryShareRatio = 0.8;
+
+/** Fraction of `exposeSlack` that canaries use, so that two coordinators at once stay within the slack. */
+export const canarySlackRatio = 0.5;
+
+/**
+ * Share of the requests that are canaries during a burst. Canaries are sent in bursts, because an even 8% would leave
+ * the new targets of a small pool without the load under which some versions fail.
+ */
+export const canaryBurstShare = 0.3;
+
+/** Share during bursts if the budget is larger than the requests of a cycle; the old version must stay comparable. */
+export const maxCanaryBurstShare = 0.5;
+
+/** Time between the starts of two bursts: a fraction of the duration, within limits. */
+export const burstCycleRatio = 1 / 8;
+export const minBurstCycleMs = 1_000;
+export const maxBurstCycleMs = 2_000;
+
+/** Length of the intervals in which both versions are compared. */
+export const intervalMs = 250;
+
+/** Intervals before and after one whose responses of the old version are its baseline too. */
+export const baselineNeighbours = 2;
+
+/** Latencies kept per interval, version and route; at 930 requests a second an interval has about 230. */
+export const maxLatenciesPerInterval = 256;
+
+/** Responses of the old version from which a baseline is taken; with fewer, the most recent ones of the route are used. */
+export const minBaselineLatencies = 10;
+export const maxRecentLatencies = 100;
+
+/** A response is slow if it exceeds both this quantile and this multiple of the median of the old version. */
+export const slowQuantile = 0.9;
+export const slowMedianRatio = 2;
+
+/** What a test compares: the rate of the old version with the same rate raised by `excess` (of what is left to 1). */
+export interface TestSettings {
+    /** Least rate assumed for the old version: a single event must not decide. */
+    readonly minRate: number;
+    /** The same when there are no simultaneous responses of the old version to compare with. */
+    readonly minRateUncompared: number;
+    /** Rate and weight in responses of the assumption that holds before anything is known. */
+    readonly priorRate: number;
+    readonly priorWeight: number;
+    readonly excess: number;
+}
+
+/** A version that fails 10% is bad, so the alternative lies below that. */
+export const failureTest: TestSettings = {
+    minRate: 0.002,
+    minRateUncompared: 0.02,
+    priorRate: 0.005,
+    priorWeight: 100,
+    excess: 0.08,
+};
+
+/** By definition up to 10% of the old version's responses are slow. */
+export const slownessTest: TestSettings = {
+    minRate: 0.02,
+    minRateUncompared: 0.05,
+    priorRate: 0.1,
+    priorWeight: 20,
+    excess: 0.2,
+};
+
+/** Logarithm of the likelihood ratio at which a version is bad: error rate exp(-8) = 0.0003 per test. */
+export const badThreshold = 8;
+
+/** The same when the verdict is due and there is no time for more evidence. */
+export const badThresholdWhenDue = 5.5;
+
+/** At this ratio, a verdict before it is due waits for more evidence. */
+export const suspicionThreshold = 2;
+
+/** An interval counts at most this much, so that one short fault, such as a lost host, is not a verdict. */
+export const maxIntervalRatio = badThreshold / 3;
+
+/** Limits of the test's sum: a version that turns bad late has no more credit than this, one that recovers no more debt. */
+export const minTestSum = -4;
+export const maxTestSum = badThreshold + 4;
+
+/** Intervals after which a sum in favour of the new version restarts at zero. */
+export const restartIntervals = 8;
+
+/** Logarithm of the likelihood ratio at which a version is good before the verdict is due: exp(-5.3) = 0.005. */
+export const goodThreshold = -5.3;
+
+/** A version that is bad only later must show it: no verdict for it before this fraction. */
+export const earliestGoodRatio = 0.5;
+export const verdictDueRatio = 0.65;
+
+/** Time that a coordinator has observed before its verdict, if it took the order over late. */
+export const minObservedRatio = 0.15;
+export const maxObservedRatio = 0.25;
+
+/** Responses of the new version without which it is rolled back; 30% failures go unseen in 12 with 1.4%. */
+export const minCanaryResponses = 12;
+
+/** Part of the duration for which the new version is observed after the shift, unless the deadline is near. */
+export const observedShiftRatio = 0.15;
+export const latestCompleteRatio = 0.93;
+
+/**
+ * After the shift there is nothing to compare with. Slowness that lasts less than this may have hit the old version too;
+ * faults of the network or the hosts that the fleet rides out are shorter.
+ */
+export const slownessPersistMs = 2_500;
+
+/** Shortest time between two evaluations of the evidence, for the sake of processor time. */
+export const evaluationIntervalMs = 50;
--- /dev/null
+++ b/packages/rollout/src/runSequentialTest.ts
@@ -0,0 +1,51 @@
+/**
+ * Wald's sequential probability ratio test over successive intervals. Its sum restarts at zero every few intervals while
+ * it favours the new version (Page's test), so that a version that turns bad late is detected as fast as one that was
+ * bad from the start.
+ */
+import { maxIntervalRatio, maxTestSum, minTestSum, restartIntervals, type TestSettings } from "./rolloutSettings.js";
+
+/** Responses of one version, and those among them that failed or were slow. */
+export interface EventCount {
+    readonly responses: number;
+    readonly events: number;
+}
+
+/** Logarithm of the likelihood ratio of "as bad as `rate` plus the excess" to "as good as `rate`". */
+export function computeLogRatio(count: EventCount, rate: number, settings: TestSettings): number {
+    const badRate = rate + (1 - rate) * settings.excess;
+    const quiet = count.responses - count.events;
+    return count.events * Math.log(badRate / rate) + quiet * Math.log((1 - badRate) / (1 - rate));
+}
+
+/**
+ * Rate of the old version in an interval: the greater of its rate so far and its rate about this time. Faults that hit
+ * both versions raise the latter.
+ */
+export function computeBaselineRate(total: EventCount, local: EventCount, settings: TestSettings): number {
+    const { priorRate, priorWeight, minRate, minRateUncompared } = settings;
+    const overall = (total.events + priorRate * priorWeight) / (total.responses + priorWeight);
+    // One event is no sign of a fault that hits both versions; its rate among few responses would hide all else.
+    const recent = local.events >= 2 ? (local.events + 1) / (local.responses + 2) : 0;
+    return Math.min(0.9, Math.max(overall, recent, local.responses === 0 ? minRateUncompared : minRate));
+}
+
+export interface SequentialTestResult {
+    /** Sum at the last interval. */
+    readonly sum: number;
+    /** Sum over all intervals without restarts and limits. */
+    readonly plainSum: number;
+}
+
+/** `ratios`: one per interval in order; `undefined` where there is no response. */
+export function runSequentialTest(ratios: readonly (number | undefined)[]): SequentialTestResult {
+    let sum = 0;
+    let plainSum = 0;
+    for (const [index, ratio] of ratios.entries()) {
+        if (index % restartIntervals === 0) sum = Math.max(0, sum);
+        if (ratio === undefined) continue;
+        plainSum += ratio;
+        sum = Math.min(maxTestSum, Math.max(minTestSum, sum + Math.min(ratio, maxIntervalRatio)));
+    }
+    return { sum, plainSum };
+}
