Carry out rollouts at the coordinator

The coordinator of a service grants canaries, collects the outcomes and writes the status of the order conditionally. All existing tests of fleet-view, placement, peer-protocol and telemetry pass.

--- a/packages/fleet-view/test/relaySelectorHarness.ts
+++ b/packages/fleet-view/test/relaySelectorHarness.ts
@@ -6,7 +6,13 @@
 
 type EventWithoutNow = PlacementEvent extends infer E ? E extends PlacementEvent ? Omit<E, "now"> : never : never;
 
-export const maxAgeMs = { configuration: 2_000, targets: 2_000, closedDomains: 3_000, routers: 10_000, rollouts: 2_000 };
+export const maxAgeMs = {
+    configuration: 2_000,
+    targets: 2_000,
+    closedDomains: 3_000,
+    routers: 10_000,
+    rollouts: 2_000,
+};
 
 function createRouterEntry(name: string, overrides: Partial<RouterEntry> = {}): RouterEntry {
     return {
--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -1,5 +1,6 @@
 /** Slice of the entry router, which handles each request from its arrival to its end. */
 import { otherRouterRetryAfterMs } from "@rhubarbwheel/routing/computeRetryAfterMs";
+import type { RouterEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementEvent, PlacementSlice, RequestRoutedEvent } from "@rhubarbwheel/types/placement-events";
 import { createCoordinatorSelector } from "./createCoordinatorSelector.js";
 import { createSendRateLimiter } from "./createSendRateLimiter.js";
@@ -25,6 +26,8 @@
 export interface EntryRouter extends PlacementSlice {
     readonly countRequests: () => number;
     readonly hasRequest: (requestId: string) => boolean;
+    /** Router to which the placement requests of the service are sent; `undefined` if none is registered. */
+    readonly findCoordinator: (service: string, now: number) => RouterEntry | undefined;
 }
 
 function handleRequestRouted(context: EntryContext, { request, now }: RequestRoutedEvent): void {
@@ -122,6 +125,7 @@
         },
         getWakeAt: () => Math.min(dueAt, reportAt),
         countRequests: () => context.requests.size,
+        findCoordinator: context.coordinators.find,
         hasRequest: requestId => context.requests.has(requestId),
     };
 }
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -21,6 +21,7 @@
     RouterMessageEvent,
 } from "@rhubarbwheel/types/placement-events";
 import { computeCost, computeMaxWaitMs, computePriorPrefillRate } from "./admission.js";
+import { chooseCanary } from "./chooseCanary.js";
 import { createFairShareTracker } from "./createFairShareTracker.js";
 import type { FairShareTracker } from "./createFairShareTracker.js";
 import { listSharedPartIds } from "./createPartQuarantine.js";
@@ -29,6 +30,7 @@
 import type { Choice, PoolModel } from "./createPoolModel.js";
 import { createRateGranter } from "./createRateGranter.js";
 import { createRefusalHistory } from "./createRefusalHistory.js";
+import type { CanarySelector } from "./createRolloutCoordinator.js";
 import { createSendRateLimiter } from "./createSendRateLimiter.js";
 import type { TargetNotices } from "./createTargetNotices.js";
 import { coldGrantRatio, inFlightExpiryMs, inFlightReportIntervalMs, shareWindowMs } from "./placementSettings.js";
@@ -38,6 +40,8 @@
     readonly view: FleetView;
     readonly quarantine: PartQuarantine;
     readonly targetNotices: TargetNotices;
+    /** Omitted if this router does not follow orders to roll out versions. */
+    readonly canaries?: CanarySelector;
 }
 
 export interface PlacementCoordinator extends PlacementSlice {
@@ -77,7 +81,7 @@
 }
 
 export function createPlacementCoordinator(opts: PlacementCoordinatorOptions): PlacementCoordinator {
-    const { view, quarantine, targetNotices } = opts;
+    const { view, quarantine, targetNotices, canaries } = opts;
     const pools = new Map<string, CoordinatedPool>();
     const coldRateLimiter = createSendRateLimiter();
     const rateGranter = createRateGranter(targetNotices);
@@ -128,6 +132,23 @@
         effects.push({ type: "log", event: coordinatorLogEvents.sharesContended, fields });
     };
 
+    const findCanary = (
+        pool: CoordinatedPool,
+        request: PlacementRequest,
+        maxWaitMs: number,
+        now: number,
+    ): Choice | undefined => {
+        if (canaries === undefined) return undefined;
+        const cost = computeCost(request.prompt);
+        const createFilter = (targets: readonly TargetEntry[]) => {
+            const isGranted = rateGranter.createFilter(pool.service, targets, cost, now);
+            return (entry: TargetEntry): boolean =>
+                !request.excluded.includes(entry.target) && !targetNotices.isLeaving(entry) && maySendTo(entry, now)
+                && isGranted(entry);
+        };
+        return chooseCanary(request, { canaries, model: pool.model, createFilter, maxWaitMs, now });
+    };
+
     const choosePlacement = (
         pool: CoordinatedPool,
         request: PlacementRequest,
@@ -154,7 +175,8 @@
         const isLateRetry = (refusalHistory.getWaitedMs(request, now) ?? 0) > request.latencyTargetMs;
         const prefillMs = (request.prompt?.promptTokens ?? 0) / pool.priorPrefillRate;
         const maxWaitMs = computeMaxWaitMs(view, pool.service, { usedRatio, isLateRetry, prefillMs });
-        const choice = pool.model.choose(request, { candidates, prefixSources, now, maxWaitMs });
+        const choice = findCanary(pool, request, maxWaitMs, now)
+            ?? pool.model.choose(request, { candidates, prefixSources, now, maxWaitMs });
         if (choice === undefined) {
             refusalHistory.recordRefusal(request, now);
             logTotals(pool, now);
@@ -171,6 +193,7 @@
         if (entry === undefined) return;
         if (view.getColdRemainingMs(choice.target, now) > 0) coldRateLimiter.tryTake(choice.target, Infinity, now);
         rateGranter.take(entry, now);
+        canaries?.recordPlacement(request, entry, choice, now);
         pool.model.assign(entry, {
             requestId: request.requestId,
             target: choice.target,
--- /dev/null
+++ b/packages/placement/src/createRolloutStatusWriter.ts
@@ -0,0 +1,55 @@
+/** Writes the status of one order: one write at a time, conditional on the revision, with retries. */
+import type { RolloutDecision } from "@rhubarbwheel/rollout/createRolloutDecider";
+import type { PlacementEffect, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/placement-events";
+import type { RolloutEntry, RolloutStatus } from "@rhubarbwheel/types/rollout";
+
+/** Backoff after the first failed write; doubles with each further failure. */
+const minBackoffMs = 100;
+
+/** Maximum backoff: a verdict must reach a store that has recovered within a fraction of the bound for a rollback. */
+const maxBackoffMs = 1_000;
+
+export function createRolloutStatusWriter() {
+    let decision: RolloutDecision = "wait";
+    let wanted: RolloutStatus | undefined;
+    let isWriting = false;
+    let failures = 0;
+    let retryAt = -Infinity;
+    /** Revision of the last conflict; a write on a newer one need not wait. */
+    let refusedRevision = Infinity;
+
+    return {
+        /** Returns whether the decision is new. */
+        setDecision: (next: RolloutDecision): boolean => {
+            const isNew = next !== decision && next !== "wait";
+            decision = next;
+            return isNew;
+        },
+        /** Sets the status to be written; `undefined` if the present one is right. */
+        want: (status: RolloutStatus | undefined): void => {
+            wanted = status;
+        },
+        /** Returns the effect of a write that is due. */
+        write: ({ service, revision }: RolloutEntry, now: number): readonly PlacementEffect[] => {
+            if (wanted === undefined || isWriting) return [];
+            if (now < retryAt && revision <= refusedRevision) return [];
+            isWriting = true;
+            return [{ type: "writeRolloutStatus", service, revision, status: wanted }];
+        },
+        /** Returns the time until the write is tried again; `undefined` if it succeeded. */
+        handleResult: ({ result, revision, now }: RolloutStatusWrittenEvent): number | undefined => {
+            isWriting = false;
+            if (result === "ok") {
+                failures = 0;
+                return undefined;
+            }
+            const backoffMs = Math.min(maxBackoffMs, minBackoffMs * 2 ** failures);
+            failures += 1;
+            retryAt = now + backoffMs;
+            refusedRevision = result === "conflict" ? revision : Infinity;
+            return backoffMs;
+        },
+    };
+}
+
+export type RolloutStatusWriter = ReturnType<typeof createRolloutStatusWriter>;
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -1,4 +1,5 @@
 /** Places requests on targets: by the coordinator of the pool, or locally if it does not reply in time. */
+import { getRunningPhase } from "@rhubarbwheel/fleet-view/rolloutOrders";
 import { computeRetryAfterMs, otherRouterRetryAfterMs } from "@rhubarbwheel/routing/computeRetryAfterMs";
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementReplyMessage, PlacementRequest, RefusalReason } from "@rhubarbwheel/types/placement";
@@ -63,9 +64,16 @@
         failureDomain: context.failureDomain,
         excluded: [...entry.excluded, ...unwanted.map(({ target }) => target)],
         quarantinedParts: quarantinedParts.length === 0 ? undefined : quarantinedParts,
+        ...(isRollingOut(context, service) ? { route: entry.request.route } : {}),
     };
 }
 
+/** Whether the coordinator needs the routes of requests to compare two versions. */
+function isRollingOut({ view }: EntryContext, service: string): boolean {
+    const order = view.rollouts?.getOrder(service);
+    return order !== undefined && getRunningPhase(order) !== undefined;
+}
+
 function sendPlacementRequest(context: EntryContext, entry: EntryRequest, router: string, address: string): void {
     const { pendingPlacement } = entry;
     if (pendingPlacement === undefined) return;
@@ -213,6 +221,9 @@
     if (!mayUse || !tryTakeColdSend(context, targetEntry)) {
         if (entry.excluded.includes(target)) return handleRefusal(context, entry, { refusal: "noTarget" });
         entry.excluded.push(target);
+        // The coordinator's view of the rollout differs from this router's; its next choice would not be allowed either.
+        if (targetEntry !== undefined && !context.view.isVersionAllowed(targetEntry))
+            return placeLocally(context, entry, createPlacementRequest(context, entry, []), "version is not allowed");
         return placeRequest(context, entry);
     }
     startAttempt(context, entry, targetEntry, placement);
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -5,13 +5,17 @@
 import { createRelaySelector } from "@rhubarbwheel/fleet-view/createRelaySelector";
 import type { RelaySelectorOptions } from "@rhubarbwheel/fleet-view/createRelaySelector";
 import { createRouterFailureDetector } from "@rhubarbwheel/fleet-view/createRouterFailureDetector";
+import type { VersionFilterOptions } from "@rhubarbwheel/fleet-view/createVersionFilter";
 import { createEntryRouter } from "@rhubarbwheel/placement/createEntryRouter";
 import { createPartQuarantine } from "@rhubarbwheel/placement/createPartQuarantine";
 import { createPlacementCoordinator } from "@rhubarbwheel/placement/createPlacementCoordinator";
 import { createQuarantineTracker } from "@rhubarbwheel/placement/createQuarantineTracker";
+import { createRolloutCoordinator } from "@rhubarbwheel/placement/createRolloutCoordinator";
+import type { RolloutCoordinatorOptions } from "@rhubarbwheel/placement/createRolloutCoordinator";
 import { createTargetNotices } from "@rhubarbwheel/placement/createTargetNotices";
 import { createTargetNoticeTracker } from "@rhubarbwheel/placement/createTargetNoticeTracker";
 import type { EntryRouterOptions } from "@rhubarbwheel/placement/entryState";
+import { viewKinds, viewKindsWithRollouts } from "@rhubarbwheel/types/fleet";
 import type { PlacementEffect, PlacementEvent, PlacementSlice } from "@rhubarbwheel/types/placement-events";
 import { reduceOverSlices } from "./reduceOverSlices.js";
 
@@ -19,6 +23,8 @@
     readonly view: FleetViewOptions;
     readonly entry: Omit<EntryRouterOptions, "view" | "random" | "quarantine" | "targetNotices">;
     readonly relay: Pick<RelaySelectorOptions, "getMaxAgeMs">;
+    /** Set if this router follows orders to roll out versions. */
+    readonly rollouts?: VersionFilterOptions & Pick<RolloutCoordinatorOptions, "getBounds" | "getWallClockTime">;
     /** Random number in [0, 1). */
     readonly random: () => number;
 }
@@ -31,14 +37,34 @@
 
 export function createPlacementReducer(opts: PlacementReducerOptions) {
     const { router, failureDomain } = opts.entry;
-    const view = createFleetView(opts.view);
+    const view = createFleetView({ ...opts.view, rollouts: opts.rollouts });
     const confirmer = createConfigurationConfirmer({ router, view, random: opts.random });
     const failureDetector = createRouterFailureDetector({ router, view });
-    const relaySelector = createRelaySelector({ ...opts.relay, router, failureDomain, view });
+    const relaySelector = createRelaySelector({
+        ...opts.relay,
+        router,
+        failureDomain,
+        view,
+        kinds: opts.rollouts === undefined ? viewKinds : viewKindsWithRollouts,
+    });
     const quarantine = createPartQuarantine();
     const targetNotices = createTargetNotices();
     const noticeTracker = createTargetNoticeTracker({ router, view, targetNotices });
-    const coordinator = createPlacementCoordinator({ router, view, quarantine, targetNotices });
+    const rolloutCoordinator = opts.rollouts === undefined ? undefined : createRolloutCoordinator({
+        ...opts.rollouts,
+        router,
+        view,
+        findCoordinator: (service, now) => entry.findCoordinator(service, now),
+        countAssigned: (service, target, assignedBefore) => countAssigned(service, target, assignedBefore),
+        random: opts.random,
+    });
+    const coordinator = createPlacementCoordinator({
+        router,
+        view,
+        quarantine,
+        targetNotices,
+        canaries: rolloutCoordinator,
+    });
     const { countAssigned } = coordinator;
     const quarantineTracker = createQuarantineTracker({ router, view, quarantine, countAssigned });
     const entry = createEntryRouter({ ...opts.entry, view, quarantine, targetNotices, random: opts.random });
@@ -51,6 +77,7 @@
         coordinator,
         // Follows the coordinator, which has then removed the attempts that have ended.
         quarantineTracker,
+        ...(rolloutCoordinator === undefined ? [] : [rolloutCoordinator]),
         entry,
     ];
 
@@ -66,6 +93,7 @@
         view,
         entry,
         targetNotices,
+        rolloutCoordinator,
     };
 }
 
--- a/packages/telemetry/src/events/fleetViewEvents.ts
+++ b/packages/telemetry/src/events/fleetViewEvents.ts
@@ -18,7 +18,7 @@
         name: "targetEntryChanged",
         level: "info",
         message: "A target appeared, or its state, address or start time changed.",
-        fields: ["target", "service", "address", "failureDomain", "state", "coldForMs"],
+        fields: ["target", "service", "address", "failureDomain", "state", "coldForMs", "version"],
     },
     1603: {
         name: "targetRemoved",
