--- a/packages/rollout/src/createCanaryBudget.ts
+++ b/packages/rollout/src/createCanaryBudget.ts
@@ -64,7 +64,10 @@
             const credit = computeCredit(elapsedMs);
             if (credit < 1) isBursting = false;
             if (!isBursting) return false;
-            const share = Math.min(maxCanaryBurstShare, Math.max(canaryBurstShare, credit / (requestsInLastCycle + 1)));
+            const share = Math.min(
+                maxCanaryBurstShare,
+                Math.max(canaryBurstShare, 2 * credit / (requestsInLastCycle + 1)),
+            );
             if (opts.random() >= share) return false;
             taken++;
             return true;
--- a/packages/rollout/src/createRolloutDecider.ts
+++ b/packages/rollout/src/createRolloutDecider.ts
@@ -6,6 +6,7 @@
 import {
     badThreshold,
     badThresholdWhenDue,
+    completeRatio,
     earliestGoodRatio,
     evaluationIntervalMs,
     goodThreshold,
@@ -13,7 +14,6 @@
     maxObservedRatio,
     minCanaryResponses,
     minObservedRatio,
-    observedShiftRatio,
     slownessPersistMs,
     suspicionThreshold,
     verdictDueRatio,
@@ -140,8 +140,8 @@
             if (isLate || elapsedMs - slowSinceMs >= slownessPersistMs) setDecision("rollBack", "slowness");
             return;
         }
-        const observedMs = Math.min(shiftedAtMs + observedShiftRatio * durationMs, latestCompleteRatio * durationMs);
-        if (elapsedMs < Math.max(shiftedAtMs + applyMs, observedMs) || inFlightAtOld > 0) return;
+        const observedUntilMs = Math.max(shiftedAtMs + applyMs, completeRatio * durationMs);
+        if (elapsedMs < observedUntilMs || inFlightAtOld > 0) return;
         setDecision("complete", "good");
     };
 
@@ -153,7 +153,7 @@
         returnCanary: () => {
             if (phase === "observing") budget.return();
         },
-        recordOutcome: (outcome, now) => evidence.record(outcome, now - orderedAt, phase === "observing"),
+        recordOutcome: (outcome, now) => evidence.record(outcome, now - orderedAt),
         decide: (now, inFlightAtOld) => {
             if (decision === "rollBack" || decision === "complete") return decision;
             evaluate(now);
--- a/packages/rollout/src/createRolloutEvidence.ts
+++ b/packages/rollout/src/createRolloutEvidence.ts
@@ -21,8 +21,8 @@
 }
 
 export interface RolloutEvidenceStore {
-    /** `elapsedMs`: time since the order. `isCompared`: both versions get requests. */
-    readonly record: (outcome: RolloutOutcome, elapsedMs: number, isCompared: boolean) => void;
+    /** `elapsedMs`: time since the order. */
+    readonly record: (outcome: RolloutOutcome, elapsedMs: number) => void;
     /** Tests per route. */
     readonly evaluateRoutes: () => ReadonlyMap<string, RolloutTests>;
     /** Tests over all routes, from the last `evaluateRoutes`. */
@@ -60,14 +60,14 @@
     };
 
     return {
-        record: ({ route, isNewVersion, result, latencyMs, isWarmingUp }, elapsedMs, isCompared) => {
+        record: ({ route, isNewVersion, result, latencyMs, isWarmingUp }, elapsedMs) => {
             const isFailure = result === "failed" || result === "broken";
             // Other results say nothing about the version: the call did not run, or its caller ended it.
             if (!isFailure && result !== "complete") return;
             if (isNewVersion) newResponses++;
             const interval = Math.floor(Math.max(0, elapsedMs - latencyMs) / intervalMs);
             const hasLatency = !isFailure && !isWarmingUp;
-            getOrCreateRoute(route).record({ isNewVersion, isFailure, latencyMs, hasLatency }, interval, isCompared);
+            getOrCreateRoute(route).record({ isNewVersion, isFailure, latencyMs, hasLatency }, interval);
         },
         evaluateRoutes: () => {
             const ratios = [...routes].map(([name, evidence]) => [name, evidence.evaluate()] as const);
--- a/packages/rollout/src/createRouteEvidence.ts
+++ b/packages/rollout/src/createRouteEvidence.ts
@@ -3,11 +3,12 @@
  * both versions shows in the same interval for both, however late the responses are.
  */
 import {
+    baselineLatencies,
     baselineNeighbours,
     failureTest,
     maxLatenciesPerInterval,
-    maxRecentLatencies,
     minBaselineLatencies,
+    minUncomparedFailureRate,
     slowMedianRatio,
     slownessTest,
     slowQuantile,
@@ -23,8 +24,8 @@
 }
 
 export interface RouteEvidence {
-    /** `interval`: number of the interval in which the request was sent. `isCompared`: both versions get requests. */
-    readonly record: (response: RouteResponse, interval: number, isCompared: boolean) => void;
+    /** `interval`: number of the interval in which the request was sent. */
+    readonly record: (response: RouteResponse, interval: number) => void;
     /** Per interval, logarithms of likelihood ratios; `undefined` where the new version has no response. */
     readonly evaluate: () => RouteRatios;
     readonly getTotals: () => RouteTotals;
@@ -97,7 +98,6 @@
 
 export function createRouteEvidence(): RouteEvidence {
     const intervals: Interval[] = [];
-    const recentLatencies: number[] = [];
 
     const getOrCreateInterval = (index: number): Interval => {
         while (intervals.length <= index) intervals.push(createInterval());
@@ -117,31 +117,47 @@
         return totals;
     };
 
-    const evaluateFailures = (interval: Interval, neighbours: readonly Interval[], total: EventCount): void => {
+    /** Latencies of the old version about the time of an interval. */
+    const listBaselineLatencies = (index: number): readonly number[] => {
+        const latencies = listNeighbours(index).flatMap(({ old }) => old.latencies);
+        for (let distance = baselineNeighbours + 1; latencies.length < baselineLatencies; distance++) {
+            if (distance > index && distance >= intervals.length - index) break;
+            latencies.push(...intervals[index - distance]?.old.latencies ?? []);
+            latencies.push(...intervals[index + distance]?.old.latencies ?? []);
+        }
+        return latencies;
+    };
+
+    const evaluateFailures = (interval: Interval, index: number, total: EventCount): void => {
         interval.failureRatio = undefined;
         if (interval.new.responses === 0) return;
-        const local = {
-            responses: neighbours.reduce((sum, { old }) => sum + old.responses, 0),
-            events: neighbours.reduce((sum, { old }) => sum + old.failures, 0),
-        };
-        const rate = computeBaselineRate(total, local, failureTest);
+        const neighbours = listNeighbours(index);
+        const responses = neighbours.reduce((sum, { old }) => sum + old.responses, 0);
+        const failures = neighbours.reduce((sum, { old }) => sum + old.failures, 0);
+        // One failure is no sign of a fault that hits both versions; its rate among few responses would hide all else.
+        const rateIfCompared = failures >= 2 ? (failures + 1) / (responses + 2) : 0;
+        const localRate = responses === 0 ? minUncomparedFailureRate : rateIfCompared;
+        const rate = computeBaselineRate(total, localRate, failureTest);
         const count = { responses: interval.new.responses, events: interval.new.failures };
         interval.failureRatio = computeLogRatio(count, rate, failureTest);
     };
 
-    const evaluateSlowness = (interval: Interval, neighbours: readonly Interval[], total: EventCount): void => {
+    const evaluateSlowness = (interval: Interval, index: number, total: EventCount): void => {
         interval.slowRatio = undefined;
         interval.slowOld = interval.slowNew = noEvents;
-        const localLatencies = neighbours.flatMap(({ old }) => old.latencies);
-        const limit = computeSlowLimit(
-            localLatencies.length >= minBaselineLatencies ? localLatencies : recentLatencies,
-        );
+        if (interval.new.latencies.length === 0) return;
+        const baseline = listBaselineLatencies(index);
+        const limit = computeSlowLimit(baseline);
         if (limit === undefined) return;
+        // Of n latencies, those above the k-th greatest are k - 1, but of further ones the expected fraction is k / (n + 1).
+        const localRate = (countSlow(baseline, limit).events + 1) / (baseline.length + 1);
         interval.slowOld = countSlow(interval.old.latencies, limit);
-        if (interval.new.latencies.length === 0) return;
-        const rate = computeBaselineRate(total, countSlow(localLatencies, limit), slownessTest);
         interval.slowNew = countSlow(interval.new.latencies, limit);
-        interval.slowRatio = computeLogRatio(interval.slowNew, rate, slownessTest);
+        interval.slowRatio = computeLogRatio(
+            interval.slowNew,
+            computeBaselineRate(total, localRate, slownessTest),
+            slownessTest,
+        );
     };
 
     const evaluateChanged = (): void => {
@@ -154,29 +170,24 @@
         for (const [index, interval] of intervals.entries()) {
             if (!interval.hasChanged) continue;
             interval.hasChanged = false;
-            const neighbours = listNeighbours(index);
-            evaluateFailures(interval, neighbours, failureTotal);
-            evaluateSlowness(interval, neighbours, slowTotal);
+            evaluateFailures(interval, index, failureTotal);
+            evaluateSlowness(interval, index, slowTotal);
         }
     };
 
-    const recordLatency = (latencyMs: number, isNewVersion: boolean, interval: Interval, isCompared: boolean): void => {
+    const recordLatency = (latencyMs: number, isNewVersion: boolean, interval: Interval): void => {
         const sample = isNewVersion ? interval.new : interval.old;
         sample.latencies[sample.latencyCount % maxLatenciesPerInterval] = latencyMs;
         sample.latencyCount++;
-        // After the shift, only the slowest responses of the old version are still to come.
-        if (isNewVersion || !isCompared) return;
-        recentLatencies.push(latencyMs);
-        if (recentLatencies.length > maxRecentLatencies) recentLatencies.shift();
     };
 
     return {
-        record: ({ isNewVersion, isFailure, latencyMs, hasLatency }, index, isCompared) => {
+        record: ({ isNewVersion, isFailure, latencyMs, hasLatency }, index) => {
             const interval = getOrCreateInterval(index);
             const sample = isNewVersion ? interval.new : interval.old;
             sample.responses++;
             if (isFailure) sample.failures++;
-            if (hasLatency) recordLatency(latencyMs, isNewVersion, interval, isCompared);
+            if (hasLatency) recordLatency(latencyMs, isNewVersion, interval);
             for (const neighbour of listNeighbours(index)) neighbour.hasChanged = true;
         },
         evaluate: () => {
--- a/packages/rollout/src/rolloutSettings.ts
+++ b/packages/rollout/src/rolloutSettings.ts
@@ -26,12 +26,17 @@
 /** Intervals before and after one whose responses of the old version are its baseline too. */
 export const baselineNeighbours = 2;
 
-/** Latencies kept per interval, version and route; at 930 requests a second an interval has about 230. */
-export const maxLatenciesPerInterval = 256;
+/** Latencies kept per interval, version and route: the most recent ones. */
+export const maxLatenciesPerInterval = 64;
 
-/** Responses of the old version from which a baseline is taken; with fewer, the most recent ones of the route are used. */
+/**
+ * Latencies of the old version that a baseline has at least, from more distant intervals if necessary. A quantile of 10
+ * of them is too uncertain: 1 in 20 good versions of a service with 15 requests a second were rolled back.
+ */
+export const baselineLatencies = 40;
+
+/** Latencies of the old version without which nothing counts as slow. */
 export const minBaselineLatencies = 10;
-export const maxRecentLatencies = 100;
 
 /** A response is slow if it exceeds both this quantile and this multiple of the median of the old version. */
 export const slowQuantile = 0.9;
@@ -41,8 +46,6 @@
 export interface TestSettings {
     /** Least rate assumed for the old version: a single event must not decide. */
     readonly minRate: number;
-    /** The same when there are no simultaneous responses of the old version to compare with. */
-    readonly minRateUncompared: number;
     /** Rate and weight in responses of the assumption that holds before anything is known. */
     readonly priorRate: number;
     readonly priorWeight: number;
@@ -52,16 +55,17 @@
 /** A version that fails 10% is bad, so the alternative lies below that. */
 export const failureTest: TestSettings = {
     minRate: 0.002,
-    minRateUncompared: 0.02,
     priorRate: 0.005,
-    priorWeight: 100,
+    priorWeight: 20,
     excess: 0.08,
 };
 
+/** Least failure rate assumed when there are no simultaneous responses of the old version to compare with. */
+export const minUncomparedFailureRate = 0.02;
+
 /** By definition up to 10% of the old version's responses are slow. */
 export const slownessTest: TestSettings = {
     minRate: 0.02,
-    minRateUncompared: 0.05,
     priorRate: 0.1,
     priorWeight: 20,
     excess: 0.2,
@@ -77,10 +81,10 @@
 export const suspicionThreshold = 2;
 
 /** An interval counts at most this much, so that one short fault, such as a lost host, is not a verdict. */
-export const maxIntervalRatio = badThreshold / 3;
+export const maxIntervalRatio = badThreshold / 2;
 
 /** Limits of the test's sum: a version that turns bad late has no more credit than this, one that recovers no more debt. */
-export const minTestSum = -4;
+export const minTestSum = -1;
 export const maxTestSum = badThreshold + 4;
 
 /** Intervals after which a sum in favour of the new version restarts at zero. */
@@ -100,8 +104,13 @@
 /** Responses of the new version without which it is rolled back; 30% failures go unseen in 12 with 1.4%. */
 export const minCanaryResponses = 12;
 
-/** Part of the duration for which the new version is observed after the shift, unless the deadline is near. */
-export const observedShiftRatio = 0.15;
+/**
+ * Until this fraction the new version is observed after the shift: slow responses are late, and there must be time left
+ * for a slow write of the status.
+ */
+export const completeRatio = 0.85;
+
+/** Slowness that still holds at this fraction is the verdict. */
 export const latestCompleteRatio = 0.93;
 
 /**
--- a/packages/rollout/src/runSequentialTest.ts
+++ b/packages/rollout/src/runSequentialTest.ts
@@ -19,15 +19,14 @@
 }
 
 /**
- * Rate of the old version in an interval: the greater of its rate so far and its rate about this time. Faults that hit
- * both versions raise the latter.
+ * Rate of the old version in an interval: the greater of its rate so far, with its standard error, and its rate about this
+ * time. Faults that hit both versions raise the latter.
  */
-export function computeBaselineRate(total: EventCount, local: EventCount, settings: TestSettings): number {
-    const { priorRate, priorWeight, minRate, minRateUncompared } = settings;
-    const overall = (total.events + priorRate * priorWeight) / (total.responses + priorWeight);
-    // One event is no sign of a fault that hits both versions; its rate among few responses would hide all else.
-    const recent = local.events >= 2 ? (local.events + 1) / (local.responses + 2) : 0;
-    return Math.min(0.9, Math.max(overall, recent, local.responses === 0 ? minRateUncompared : minRate));
+export function computeBaselineRate(total: EventCount, localRate: number, settings: TestSettings): number {
+    const { priorRate, priorWeight, minRate } = settings;
+    const { events, responses } = total;
+    const overall = (events + Math.sqrt(events) + priorRate * priorWeight) / (responses + priorWeight);
+    return Math.min(0.9, Math.max(overall, localRate, minRate));
 }
 
 export interface SequentialTestResult {
--- a/packages/rollout/test/rolloutTrials.test.ts
+++ b/packages/rollout/test/rolloutTrials.test.ts
@@ -10,6 +10,7 @@
     {
         name: "two routes, 183/s, 12 s",
         durationMs: 12_000,
+        maxFirstPartMs: 4_000,
         routes: [
             { name: "a", perSecond: 149, firstPartMs: 250 },
             { name: "b", perSecond: 34, firstPartMs: 900 },
@@ -18,6 +19,7 @@
     {
         name: "three routes, 933/s, 8 s",
         durationMs: 8_000,
+        maxFirstPartMs: 2_400,
         routes: [
             { name: "a", perSecond: 429, firstPartMs: 50 },
             { name: "b", perSecond: 254, firstPartMs: 120 },
@@ -27,6 +29,7 @@
     {
         name: "two routes, 15/s, 60 s",
         durationMs: 60_000,
+        maxFirstPartMs: 10_000,
         routes: [
             { name: "a", perSecond: 10, firstPartMs: 500 },
             { name: "b", perSecond: 5, firstPartMs: 2_000 },
@@ -35,6 +38,7 @@
     {
         name: "two routes, 15/s, 8 s",
         durationMs: 8_000,
+        maxFirstPartMs: 2_400,
         routes: [
             { name: "a", perSecond: 10, firstPartMs: 250 },
             { name: "b", perSecond: 5, firstPartMs: 900 },
--- a/packages/rollout/test/runTrial.ts
+++ b/packages/rollout/test/runTrial.ts
@@ -13,6 +13,8 @@
 
 export interface TrialService {
     readonly durationMs: number;
+    /** Longest time to the first part of a response. */
+    readonly maxFirstPartMs: number;
     readonly routes: readonly TrialRoute[];
 }
 
@@ -98,7 +100,8 @@
         const isSlow = random() < (behaviour.slowRate?.(request, episodeMs) ?? 0);
         const spread = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
         const slowFactor = (isSlow ? behaviour.slowFactor ?? 4 : 1) * (isNewVersion && isCold ? 5 : 1);
-        const latencyMs = Math.ceil(route.firstPartMs * Math.exp(0.5 * spread) * slowFactor);
+        const firstPartMs = route.firstPartMs * Math.exp(0.5 * spread) * slowFactor;
+        const latencyMs = Math.ceil(Math.min(service.maxFirstPartMs, firstPartMs));
         const endAt = now + latencyMs;
         const atEnd = outcomes.get(endAt) ?? [];
         outcomes.set(endAt, atEnd);
