--- a/packages/rollout/src/createRouteEvidence.ts
+++ b/packages/rollout/src/createRouteEvidence.ts
@@ -87,7 +87,7 @@
 /** Latency above which a response is slow; `undefined` without latencies to compare with. */
 function computeSlowLimit(latencies: readonly number[]): number | undefined {
     if (latencies.length < minBaselineLatencies) return undefined;
-    const sorted = latencies.toSorted((left, right) => left - right);
+    const sorted = Float64Array.from(latencies).sort();
     const pick = (quantile: number) => sorted[Math.floor(quantile * (sorted.length - 1))]!;
     return Math.max(pick(slowQuantile), slowMedianRatio * pick(0.5));
 }
--- a/packages/rollout/src/rolloutSettings.ts
+++ b/packages/rollout/src/rolloutSettings.ts
@@ -33,13 +33,13 @@
  * Latencies of the old version that a baseline has at least, from more distant intervals if necessary. A quantile of 10
  * of them is too uncertain: 1 in 20 good versions of a service with 15 requests a second were rolled back.
  */
-export const baselineLatencies = 40;
+export const baselineLatencies = 60;
 
 /** Latencies of the old version without which nothing counts as slow. */
 export const minBaselineLatencies = 10;
 
 /** A response is slow if it exceeds both this quantile and this multiple of the median of the old version. */
-export const slowQuantile = 0.9;
+export const slowQuantile = 0.95;
 export const slowMedianRatio = 2;
 
 /** What a test compares: the rate of the old version with the same rate raised by `excess` (of what is left to 1). */
@@ -54,19 +54,19 @@
 
 /** A version that fails 10% is bad, so the alternative lies below that. */
 export const failureTest: TestSettings = {
-    minRate: 0.002,
-    priorRate: 0.005,
-    priorWeight: 20,
+    minRate: 0.003,
+    priorRate: 0.01,
+    priorWeight: 50,
     excess: 0.08,
 };
 
 /** Least failure rate assumed when there are no simultaneous responses of the old version to compare with. */
 export const minUncomparedFailureRate = 0.02;
 
-/** By definition up to 10% of the old version's responses are slow. */
+/** By definition up to 5% of the old version's responses are slow. */
 export const slownessTest: TestSettings = {
     minRate: 0.02,
-    priorRate: 0.1,
+    priorRate: 0.05,
     priorWeight: 20,
     excess: 0.2,
 };
@@ -81,7 +81,7 @@
 export const suspicionThreshold = 2;
 
 /** An interval counts at most this much, so that one short fault, such as a lost host, is not a verdict. */
-export const maxIntervalRatio = badThreshold / 2;
+export const maxIntervalRatio = 0.6 * badThreshold;
 
 /** Limits of the test's sum: a version that turns bad late has no more credit than this, one that recovers no more debt. */
 export const minTestSum = -1;
