--- a/packages/rollout/src/createCanaryBudget.ts
+++ b/packages/rollout/src/createCanaryBudget.ts
@@ -4,6 +4,7 @@
  */
 import {
     burstCycleRatio,
+    burstStartRatio,
     canaryBurstShare,
     canaryShareRatio,
     canarySlackRatio,
@@ -53,7 +54,6 @@
         cycle = currentCycle;
         requestsInLastCycle = requestsInCycle;
         requestsInCycle = 0;
-        isBursting = true;
     };
 
     return {
@@ -63,6 +63,7 @@
             requestsInCycle++;
             const credit = computeCredit(elapsedMs);
             if (credit < 1) isBursting = false;
+            else if (credit >= burstStartRatio * opts.exposeShare * requestsInLastCycle) isBursting = true;
             if (!isBursting) return false;
             const share = Math.min(
                 maxCanaryBurstShare,
--- a/packages/rollout/src/createRolloutEvidence.ts
+++ b/packages/rollout/src/createRolloutEvidence.ts
@@ -35,11 +35,12 @@
 type Ratios = readonly (number | undefined)[];
 
 function addRatios(all: readonly Ratios[]): Ratios {
-    const length = Math.max(0, ...all.map(ratios => ratios.length));
-    return Array.from({ length }, (_, index) => {
-        const present = all.flatMap(ratios => ratios[index] ?? []);
-        return present.length === 0 ? undefined : present.reduce((sum, ratio) => sum + ratio, 0);
-    });
+    const sums: (number | undefined)[] = [];
+    for (const ratios of all) {
+        for (const [index, ratio] of ratios.entries())
+            sums[index] = ratio === undefined ? sums[index] : (sums[index] ?? 0) + ratio;
+    }
+    return sums;
 }
 
 function runTests(ratios: RouteRatios): RolloutTests {
--- a/packages/rollout/src/rolloutSettings.ts
+++ b/packages/rollout/src/rolloutSettings.ts
@@ -15,7 +15,13 @@
 /** Share during bursts if the budget is larger than the requests of a cycle; the old version must stay comparable. */
 export const maxCanaryBurstShare = 0.5;
 
-/** Time between the starts of two bursts: a fraction of the duration, within limits. */
+/**
+ * A burst starts once the budget has grown to this multiple of `exposeShare` of a cycle's requests, so about once per
+ * cycle; with few requests the slack pays for canaries at any time.
+ */
+export const burstStartRatio = 0.9;
+
+/** Cycle of the bursts: a fraction of the duration, within limits. */
 export const burstCycleRatio = 1 / 8;
 export const minBurstCycleMs = 1_000;
 export const maxBurstCycleMs = 2_000;
@@ -68,14 +74,14 @@
     minRate: 0.02,
     priorRate: 0.05,
     priorWeight: 20,
-    excess: 0.2,
+    excess: 0.25,
 };
 
 /** Logarithm of the likelihood ratio at which a version is bad: error rate exp(-8) = 0.0003 per test. */
 export const badThreshold = 8;
 
 /** The same when the verdict is due and there is no time for more evidence. */
-export const badThresholdWhenDue = 5.5;
+export const badThresholdWhenDue = 7;
 
 /** At this ratio, a verdict before it is due waits for more evidence. */
 export const suspicionThreshold = 2;
