--- a/packages/rollout/src/createRolloutEvidence.ts
+++ b/packages/rollout/src/createRolloutEvidence.ts
@@ -12,6 +12,8 @@
     readonly latencyMs: number;
     /** Whether the target was cold or had just started, so that its latency says nothing. */
     readonly isWarmingUp: boolean;
+    /** Of the target. If given, failures of a single failure domain after the shift are not the version's. */
+    readonly failureDomain?: string;
 }
 
 /** Results of the tests for one route, or for all together. */
@@ -61,14 +63,15 @@
     };
 
     return {
-        record: ({ route, isNewVersion, result, latencyMs, isWarmingUp }, elapsedMs) => {
+        record: ({ route, isNewVersion, result, latencyMs, isWarmingUp, failureDomain }, elapsedMs) => {
             const isFailure = result === "failed" || result === "broken";
             // Other results say nothing about the version: the call did not run, or its caller ended it.
             if (!isFailure && result !== "complete") return;
             if (isNewVersion) newResponses++;
             const interval = Math.floor(Math.max(0, elapsedMs - latencyMs) / intervalMs);
             const hasLatency = !isFailure && !isWarmingUp;
-            getOrCreateRoute(route).record({ isNewVersion, isFailure, latencyMs, hasLatency }, interval);
+            const response = { isNewVersion, isFailure, failureDomain, latencyMs, hasLatency };
+            getOrCreateRoute(route).record(response, interval);
         },
         evaluateRoutes: () => {
             const ratios = [...routes].map(([name, evidence]) => [name, evidence.evaluate()] as const);
--- a/packages/rollout/src/createRouteEvidence.ts
+++ b/packages/rollout/src/createRouteEvidence.ts
@@ -18,6 +18,7 @@
 export interface RouteResponse {
     readonly isNewVersion: boolean;
     readonly isFailure: boolean;
+    readonly failureDomain: string | undefined;
     readonly latencyMs: number;
     /** Whether the latency says something about the version. */
     readonly hasLatency: boolean;
@@ -54,6 +55,8 @@
     /** A ring of the most recent ones. */
     readonly latencies: number[];
     latencyCount: number;
+    /** Events are failures. */
+    readonly domains: Map<string, EventCount>;
 }
 
 interface Interval {
@@ -69,7 +72,7 @@
 const noEvents: EventCount = { responses: 0, events: 0 };
 
 function createVersionInterval(): VersionInterval {
-    return { responses: 0, failures: 0, latencies: [], latencyCount: 0 };
+    return { responses: 0, failures: 0, latencies: [], latencyCount: 0, domains: new Map() };
 }
 
 function createInterval(): Interval {
@@ -96,6 +99,22 @@
     return { responses: latencies.length, events: latencies.filter(latency => latency > limit).length };
 }
 
+/**
+ * Failures outside of the failure domain with the most of them, if there are several: a version fails in all domains, a
+ * fault of hosts or links mostly in one.
+ */
+function countOutsideWorstDomain({ responses, failures, domains }: VersionInterval): EventCount {
+    if (domains.size < 2) return { responses, events: failures };
+    let worst = noEvents;
+    for (const count of domains.values()) if (count.events > worst.events) worst = count;
+    return { responses: responses - worst.responses, events: failures - worst.events };
+}
+
+function recordDomain(domains: Map<string, EventCount>, failureDomain: string, isFailure: boolean): void {
+    const { responses, events } = domains.get(failureDomain) ?? noEvents;
+    domains.set(failureDomain, { responses: responses + 1, events: events + (isFailure ? 1 : 0) });
+}
+
 export function createRouteEvidence(): RouteEvidence {
     const intervals: Interval[] = [];
 
@@ -138,7 +157,11 @@
         const rateIfCompared = failures >= 2 ? (failures + 1) / (responses + 2) : 0;
         const localRate = responses === 0 ? minUncomparedFailureRate : rateIfCompared;
         const rate = computeBaselineRate(total, localRate, failureTest);
-        const count = { responses: interval.new.responses, events: interval.new.failures };
+        const { responses: newResponses, failures: newFailures } = interval.new;
+        // Without the old version beside it, only other failure domains tell a fault of the version from one of hosts.
+        const count = responses === 0
+            ? countOutsideWorstDomain(interval.new)
+            : { responses: newResponses, events: newFailures };
         interval.failureRatio = computeLogRatio(count, rate, failureTest);
     };
 
@@ -182,11 +205,12 @@
     };
 
     return {
-        record: ({ isNewVersion, isFailure, latencyMs, hasLatency }, index) => {
+        record: ({ isNewVersion, isFailure, failureDomain, latencyMs, hasLatency }, index) => {
             const interval = getOrCreateInterval(index);
             const sample = isNewVersion ? interval.new : interval.old;
             sample.responses++;
             if (isFailure) sample.failures++;
+            if (failureDomain !== undefined) recordDomain(sample.domains, failureDomain, isFailure);
             if (hasLatency) recordLatency(latencyMs, isNewVersion, interval);
             for (const neighbour of listNeighbours(index)) neighbour.hasChanged = true;
         },
