--- a/packages/rollout/src/createRolloutEvidence.ts
+++ b/packages/rollout/src/createRolloutEvidence.ts
@@ -12,6 +12,8 @@
     readonly latencyMs: number;
     /** Whether the target was cold or had just started, so that its latency says nothing. */
     readonly isWarmingUp: boolean;
+    /** Of the target. If given, failures of a single failure domain after the shift are not the version's. */
+    readonly failureDomain?: string;
 }
 
 /** Results of the tests for one route, or for all together. */
@@ -21,8 +23,8 @@
 }
 
 export interface RolloutEvidenceStore {
-    /** `elapsedMs`: time since the order. `isCompared`: both versions get requests. */
-    readonly record: (outcome: RolloutOutcome, elapsedMs: number, isCompared: boolean) => void;
+    /** `elapsedMs`: time since the order. */
+    readonly record: (outcome: RolloutOutcome, elapsedMs: number) => void;
     /** Tests per route. */
     readonly evaluateRoutes: () => ReadonlyMap<string, RolloutTests>;
     /** Tests over all routes, from the last `evaluateRoutes`. */
@@ -35,11 +37,12 @@
 type Ratios = readonly (number | undefined)[];
 
 function addRatios(all: readonly Ratios[]): Ratios {
-    const length = Math.max(0, ...all.map(ratios => ratios.length));
-    return Array.from({ length }, (_, index) => {
-        const present = all.flatMap(ratios => ratios[index] ?? []);
-        return present.length === 0 ? undefined : present.reduce((sum, ratio) => sum + ratio, 0);
-    });
+    const sums: (number | undefined)[] = [];
+    for (const ratios of all) {
+        for (const [index, ratio] of ratios.entries())
+            sums[index] = ratio === undefined ? sums[index] : (sums[index] ?? 0) + ratio;
+    }
+    return sums;
 }
 
 function runTests(ratios: RouteRatios): RolloutTests {
@@ -60,14 +63,15 @@
     };
 
     return {
-        record: ({ route, isNewVersion, result, latencyMs, isWarmingUp }, elapsedMs, isCompared) => {
+        record: ({ route, isNewVersion, result, latencyMs, isWarmingUp, failureDomain }, elapsedMs) => {
             const isFailure = result === "failed" || result === "broken";
             // Other results say nothing about the version: the call did not run, or its caller ended it.
             if (!isFailure && result !== "complete") return;
             if (isNewVersion) newResponses++;
             const interval = Math.floor(Math.max(0, elapsedMs - latencyMs) / intervalMs);
             const hasLatency = !isFailure && !isWarmingUp;
-            getOrCreateRoute(route).record({ isNewVersion, isFailure, latencyMs, hasLatency }, interval, isCompared);
+            const response = { isNewVersion, isFailure, failureDomain, latencyMs, hasLatency };
+            getOrCreateRoute(route).record(response, interval);
         },
         evaluateRoutes: () => {
             const ratios = [...routes].map(([name, evidence]) => [name, evidence.evaluate()] as const);
--- a/packages/rollout/src/createRouteEvidence.ts
+++ b/packages/rollout/src/createRouteEvidence.ts
@@ -3,11 +3,12 @@
  * both versions shows in the same interval for both, however late the responses are.
  */
 import {
+    baselineLatencies,
     baselineNeighbours,
     failureTest,
     maxLatenciesPerInterval,
-    maxRecentLatencies,
     minBaselineLatencies,
+    minUncomparedFailureRate,
     slowMedianRatio,
     slownessTest,
     slowQuantile,
@@ -17,14 +18,15 @@
 export interface RouteResponse {
     readonly isNewVersion: boolean;
     readonly isFailure: boolean;
+    readonly failureDomain: string | undefined;
     readonly latencyMs: number;
     /** Whether the latency says something about the version. */
     readonly hasLatency: boolean;
 }
 
 export interface RouteEvidence {
-    /** `interval`: number of the interval in which the request was sent. `isCompared`: both versions get requests. */
-    readonly record: (response: RouteResponse, interval: number, isCompared: boolean) => void;
+    /** `interval`: number of the interval in which the request was sent. */
+    readonly record: (response: RouteResponse, interval: number) => void;
     /** Per interval, logarithms of likelihood ratios; `undefined` where the new version has no response. */
     readonly evaluate: () => RouteRatios;
     readonly getTotals: () => RouteTotals;
@@ -53,6 +55,8 @@
     /** A ring of the most recent ones. */
     readonly latencies: number[];
     latencyCount: number;
+    /** Events are failures. */
+    readonly domains: Map<string, EventCount>;
 }
 
 interface Interval {
@@ -68,7 +72,7 @@
 const noEvents: EventCount = { responses: 0, events: 0 };
 
 function createVersionInterval(): VersionInterval {
-    return { responses: 0, failures: 0, latencies: [], latencyCount: 0 };
+    return { responses: 0, failures: 0, latencies: [], latencyCount: 0, domains: new Map() };
 }
 
 function createInterval(): Interval {
@@ -86,7 +90,7 @@
 /** Latency above which a response is slow; `undefined` without latencies to compare with. */
 function computeSlowLimit(latencies: readonly number[]): number | undefined {
     if (latencies.length < minBaselineLatencies) return undefined;
-    const sorted = latencies.toSorted((left, right) => left - right);
+    const sorted = Float64Array.from(latencies).sort();
     const pick = (quantile: number) => sorted[Math.floor(quantile * (sorted.length - 1))]!;
     return Math.max(pick(slowQuantile), slowMedianRatio * pick(0.5));
 }
@@ -95,9 +99,24 @@
     return { responses: latencies.length, events: latencies.filter(latency => latency > limit).length };
 }
 
+/**
+ * Failures outside of the failure domain with the most of them, if there are several: a version fails in all domains, a
+ * fault of hosts or links mostly in one.
+ */
+function countOutsideWorstDomain({ responses, failures, domains }: VersionInterval): EventCount {
+    if (domains.size < 2) return { responses, events: failures };
+    let worst = noEvents;
+    for (const count of domains.values()) if (count.events > worst.events) worst = count;
+    return { responses: responses - worst.responses, events: failures - worst.events };
+}
+
+function recordDomain(domains: Map<string, EventCount>, failureDomain: string, isFailure: boolean): void {
+    const { responses, events } = domains.get(failureDomain) ?? noEvents;
+    domains.set(failureDomain, { responses: responses + 1, events: events + (isFailure ? 1 : 0) });
+}
+
 export function createRouteEvidence(): RouteEvidence {
     const intervals: Interval[] = [];
-    const recentLatencies: number[] = [];
 
     const getOrCreateInterval = (index: number): Interval => {
         while (intervals.length <= index) intervals.push(createInterval());
@@ -117,31 +136,51 @@
         return totals;
     };
 
-    const evaluateFailures = (interval: Interval, neighbours: readonly Interval[], total: EventCount): void => {
+    /** Latencies of the old version about the time of an interval. */
+    const listBaselineLatencies = (index: number): readonly number[] => {
+        const latencies = listNeighbours(index).flatMap(({ old }) => old.latencies);
+        for (let distance = baselineNeighbours + 1; latencies.length < baselineLatencies; distance++) {
+            if (distance > index && distance >= intervals.length - index) break;
+            latencies.push(...intervals[index - distance]?.old.latencies ?? []);
+            latencies.push(...intervals[index + distance]?.old.latencies ?? []);
+        }
+        return latencies;
+    };
+
+    const evaluateFailures = (interval: Interval, index: number, total: EventCount): void => {
         interval.failureRatio = undefined;
         if (interval.new.responses === 0) return;
-        const local = {
-            responses: neighbours.reduce((sum, { old }) => sum + old.responses, 0),
-            events: neighbours.reduce((sum, { old }) => sum + old.failures, 0),
-        };
-        const rate = computeBaselineRate(total, local, failureTest);
-        const count = { responses: interval.new.responses, events: interval.new.failures };
+        const neighbours = listNeighbours(index);
+        const responses = neighbours.reduce((sum, { old }) => sum + old.responses, 0);
+        const failures = neighbours.reduce((sum, { old }) => sum + old.failures, 0);
+        // One failure is no sign of a fault that hits both versions; its rate among few responses would hide all else.
+        const rateIfCompared = failures >= 2 ? (failures + 1) / (responses + 2) : 0;
+        const localRate = responses === 0 ? minUncomparedFailureRate : rateIfCompared;
+        const rate = computeBaselineRate(total, localRate, failureTest);
+        const { responses: newResponses, failures: newFailures } = interval.new;
+        // Without the old version beside it, only other failure domains tell a fault of the version from one of hosts.
+        const count = responses === 0
+            ? countOutsideWorstDomain(interval.new)
+            : { responses: newResponses, events: newFailures };
         interval.failureRatio = computeLogRatio(count, rate, failureTest);
     };
 
-    const evaluateSlowness = (interval: Interval, neighbours: readonly Interval[], total: EventCount): void => {
+    const evaluateSlowness = (interval: Interval, index: number, total: EventCount): void => {
         interval.slowRatio = undefined;
         interval.slowOld = interval.slowNew = noEvents;
-        const localLatencies = neighbours.flatMap(({ old }) => old.latencies);
-        const limit = computeSlowLimit(
-            localLatencies.length >= minBaselineLatencies ? localLatencies : recentLatencies,
-        );
+        if (interval.new.latencies.length === 0) return;
+        const baseline = listBaselineLatencies(index);
+        const limit = computeSlowLimit(baseline);
         if (limit === undefined) return;
+        // Of n latencies, those above the k-th greatest are k - 1, but of further ones the expected fraction is k / (n + 1).
+        const localRate = (countSlow(baseline, limit).events + 1) / (baseline.length + 1);
         interval.slowOld = countSlow(interval.old.latencies, limit);
-        if (interval.new.latencies.length === 0) return;
-        const rate = computeBaselineRate(total, countSlow(localLatencies, limit), slownessTest);
         interval.slowNew = countSlow(interval.new.latencies, limit);
-        interval.slowRatio = computeLogRatio(interval.slowNew, rate, slownessTest);
+        interval.slowRatio = computeLogRatio(
+            interval.slowNew,
+            computeBaselineRate(total, localRate, slownessTest),
+            slownessTest,
+        );
     };
 
     const evaluateChanged = (): void => {
@@ -154,29 +193,25 @@
         for (const [index, interval] of intervals.entries()) {
             if (!interval.hasChanged) continue;
             interval.hasChanged = false;
-            const neighbours = listNeighbours(index);
-            evaluateFailures(interval, neighbours, failureTotal);
-            evaluateSlowness(interval, neighbours, slowTotal);
+            evaluateFailures(interval, index, failureTotal);
+            evaluateSlowness(interval, index, slowTotal);
         }
     };
 
-    const recordLatency = (latencyMs: number, isNewVersion: boolean, interval: Interval, isCompared: boolean): void => {
+    const recordLatency = (latencyMs: number, isNewVersion: boolean, interval: Interval): void => {
         const sample = isNewVersion ? interval.new : interval.old;
         sample.latencies[sample.latencyCount % maxLatenciesPerInterval] = latencyMs;
         sample.latencyCount++;
-        // After the shift, only the slowest responses of the old version are still to come.
-        if (isNewVersion || !isCompared) return;
-        recentLatencies.push(latencyMs);
-        if (recentLatencies.length > maxRecentLatencies) recentLatencies.shift();
     };
 
     return {
-        record: ({ isNewVersion, isFailure, latencyMs, hasLatency }, index, isCompared) => {
+        record: ({ isNewVersion, isFailure, failureDomain, latencyMs, hasLatency }, index) => {
             const interval = getOrCreateInterval(index);
             const sample = isNewVersion ? interval.new : interval.old;
             sample.responses++;
             if (isFailure) sample.failures++;
-            if (hasLatency) recordLatency(latencyMs, isNewVersion, interval, isCompared);
+            if (failureDomain !== undefined) recordDomain(sample.domains, failureDomain, isFailure);
+            if (hasLatency) recordLatency(latencyMs, isNewVersion, interval);
             for (const neighbour of listNeighbours(index)) neighbour.hasChanged = true;
         },
         evaluate: () => {
