--- a/packages/placement/src/createRolloutCoordinator.ts
+++ b/packages/placement/src/createRolloutCoordinator.ts
@@ -219,7 +219,8 @@
         rollout.isBad = decision === "rollBack";
         if (decision === "rollBack") writer.want({ state: "rolledBack", ...common });
         else if (decision === "complete") writer.want({ state: "completed", ...common });
-        else if (decision === "shift") writer.want({ state: "running", phase: "shifting", ...common });
+        else if (decision === "shift" && phase === "observing")
+            writer.want({ state: "running", phase: "shifting", ...common });
         else if (getOwnStatus(order) === undefined) writer.want({ state: "running", phase: "observing", ...common });
         else writer.want(undefined);
         effects.push(...writer.write(order, now));
--- a/packages/placement/src/createRolloutOutcomes.ts
+++ b/packages/placement/src/createRolloutOutcomes.ts
@@ -20,7 +20,7 @@
 }
 
 /** A placed request whose attempt has not ended. */
-interface PlacedRequest extends Pick<RolloutOutcome, "route" | "isNewVersion" | "isWarmingUp"> {
+interface PlacedRequest extends Pick<RolloutOutcome, "route" | "isNewVersion" | "isWarmingUp" | "failureDomain"> {
     readonly target: string;
     readonly placedAt: number;
     readonly timeLeftMs: number;
@@ -60,6 +60,7 @@
                 isNewVersion,
                 isWarmingUp: isCold || Math.abs(ageMs) < warmUpMs,
                 target: target.target,
+                failureDomain: target.failureDomain,
                 placedAt: now,
                 timeLeftMs,
                 expectedMs: prompt === undefined
@@ -76,12 +77,13 @@
             if (request === undefined || request.target !== notice.target || notice.result === undefined)
                 return undefined;
             placed.delete(notice.requestId);
-            const { route, isNewVersion, isWarmingUp, expectedMs } = request;
+            const { route, isNewVersion, isWarmingUp, failureDomain, expectedMs } = request;
             const { latencyMs } = notice;
             return {
                 route,
                 isNewVersion,
                 isWarmingUp,
+                failureDomain,
                 result: getResult(request, notice.result, now),
                 latencyMs: expectedMs === undefined ? latencyMs : latencyMs / expectedMs * normalLatencyMs,
             };
--- a/packages/placement/src/createRolloutStatusWriter.ts
+++ b/packages/placement/src/createRolloutStatusWriter.ts
@@ -3,7 +3,7 @@
 import type { PlacementEffect, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/placement-events";
 import type { RolloutEntry, RolloutStatus } from "@rhubarbwheel/types/rollout";
 
-/** Backoff after the first failed write; doubles with each further failure. */
+/** Backoff after the first failed write, which doubles with each further failure, and time between two writes. */
 const minBackoffMs = 100;
 
 /** Maximum backoff: a verdict must reach a store that has recovered within a fraction of the bound for a rollback. */
@@ -39,14 +39,15 @@
         /** Returns the time until the write is tried again; `undefined` if it succeeded. */
         handleResult: ({ result, revision, now }: RolloutStatusWrittenEvent): number | undefined => {
             isWriting = false;
+            refusedRevision = result === "conflict" ? revision : Infinity;
             if (result === "ok") {
                 failures = 0;
+                retryAt = now + minBackoffMs;
                 return undefined;
             }
             const backoffMs = Math.min(maxBackoffMs, minBackoffMs * 2 ** failures);
             failures += 1;
             retryAt = now + backoffMs;
-            refusedRevision = result === "conflict" ? revision : Infinity;
             return backoffMs;
         },
     };
--- /dev/null
+++ b/packages/placement/test/rolloutCoordinator.test.ts
@@ -0,0 +1,299 @@
+/** Rollouts at coordinators with a fake store and fake deciders, on a fake clock. */
+import { createFleetView } from "@rhubarbwheel/fleet-view/createFleetView";
+import type {
+    RolloutDecider,
+    RolloutDeciderOptions,
+    RolloutDecision,
+} from "@rhubarbwheel/rollout/createRolloutDecider";
+import type { ViewKind } from "@rhubarbwheel/types/fleet";
+import type { PlacementEvent, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/placement-events";
+import type { RolloutEntry } from "@rhubarbwheel/types/rollout";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createRolloutCoordinator } from "../src/createRolloutCoordinator.js";
+import { createRequest, createRouterEntries, createTargets } from "./placementFixtures.js";
+
+const routers = createRouterEntries(2);
+
+const targets = [
+    ...createTargets(4, { service: "orders", version: "v1", startedAtUnixMs: 1 }),
+    ...createTargets(4, { service: "orders", version: "v2", startedAtUnixMs: 2 }).map(entry => ({
+        ...entry,
+        target: `new-${entry.target}`,
+    })),
+];
+
+/** The store: one order with conditional writes. */
+function createFakeStore() {
+    let revision = 10;
+    let order: RolloutEntry | undefined;
+    let isDown = false;
+    const writes: string[] = [];
+    const put = (next: Omit<RolloutEntry, "revision">): void => {
+        revision += 1;
+        order = { ...next, revision };
+    };
+    return {
+        writes,
+        order: (targetVersion: string) =>
+            put({ service: "orders", targetVersion, durationMs: 12_000, createdRevision: revision + 1 }),
+        remove: () => (order = undefined),
+        get: () => order,
+        setDown: (down: boolean) => (isDown = down),
+        write: (
+            { revision: expected, status, ...rest }: Omit<RolloutStatusWrittenEvent, "result" | "type" | "now">,
+        ): Omit<RolloutStatusWrittenEvent, "now"> => {
+            const isConflict = expected !== order?.revision;
+            if (!isDown && order !== undefined && !isConflict) put({ ...order, status });
+            const result = isDown ? "unavailable" : isConflict ? "conflict" : "ok";
+            writes.push(`${status.state} ${status.phase ?? ""} ${result}`.replace(/ +/g, " "));
+            const entry = isDown || order === undefined ? {} : { entry: order };
+            return { type: "rolloutStatusWritten", result, revision: expected, status, ...rest, ...entry };
+        },
+    };
+}
+
+type FakeStore = ReturnType<typeof createFakeStore>;
+
+/** A coordinator with its own view of the store; `r1` coordinates until told otherwise. */
+function createRouter(router: string, store: FakeStore, opts: { readonly wallClockMs?: number; } = {}) {
+    const view = createFleetView({
+        getMaxCredentialAgeMs: () => 4_500,
+        entryRestoreMs: 1_900,
+        maxLapseMs: 2_900,
+        getRegion: () => undefined,
+        rollouts: { getHoldMs: () => 2_000 },
+    });
+    let decision: RolloutDecision = "wait";
+    let inFlight = 0;
+    let coordinatorName = router;
+    const deciders: RolloutDeciderOptions[] = [];
+    const outcomes: string[] = [];
+    const phases: string[] = [];
+    let returned = 0;
+    const createDecider = (deciderOpts: RolloutDeciderOptions): RolloutDecider => {
+        deciders.push(deciderOpts);
+        return {
+            tryTakeCanary: () => true,
+            returnCanary: () => (returned += 1),
+            recordOutcome: ({ route, isNewVersion, result }) =>
+                outcomes.push(`${route} ${isNewVersion ? "new" : "old"} ${result}`),
+            decide: (_now, inFlightAtOld) => decision === "complete" && inFlightAtOld > 0 ? "wait" : decision,
+            setPhase: phase => phases.push(phase),
+            getEvidence: () => ({
+                decision,
+                requests: 0,
+                canaries: 0,
+                failureSum: 0,
+                slownessSum: 0,
+                routes: new Map(),
+            }),
+        };
+    };
+    const coordinator = createRolloutCoordinator({
+        router,
+        view,
+        findCoordinator: () => routers.find(entry => entry.router === coordinatorName),
+        countAssigned: (_service, target) => target === "target-1" ? inFlight : 0,
+        getBounds: () => ({ exposeShare: 0.1, exposeSlack: 50, applyMs: 2_000 }),
+        getWallClockTime: () => opts.wallClockMs ?? 1_000_000,
+        random: () => 0,
+        createDecider,
+    });
+    /** Reduces an event; writes are answered at once unless `isKilled`. */
+    const reduce = (event: PlacementEvent, isKilled = false): void => {
+        view.reduce(event);
+        for (const effect of coordinator.reduce(event)) {
+            if (effect.type !== "writeRolloutStatus") continue;
+            if (isKilled) return;
+            const { service, revision, status } = effect;
+            reduce({ ...store.write({ service, revision, status }), now: event.now });
+        }
+    };
+    let listRevision = 0;
+    const list = (kind: ViewKind, entries: readonly unknown[], now: number): void =>
+        reduce({
+            type: "viewListed",
+            kind,
+            entries: entries as never,
+            revision: ++listRevision,
+            confirmedAt: now,
+            now,
+        });
+    list("configuration", [{ version: 1, routes: [], pools: [{ service: "orders" }] }], 0);
+    list("targets", targets, 0);
+    list("closedDomains", [], 0);
+    list("routers", routers, 0);
+    return {
+        view,
+        coordinator,
+        deciders,
+        outcomes,
+        phases,
+        reduce,
+        countReturned: () => returned,
+        setDecision: (next: RolloutDecision) => (decision = next),
+        setInFlight: (count: number) => (inFlight = count),
+        setCoordinator: (name: string) => (coordinatorName = name),
+        readStore: (now: number) => list("rollouts", store.get() === undefined ? [] : [store.get()], now),
+        wake: (now: number, isKilled = false) => reduce({ type: "wake", now }, isKilled),
+        countCanaryTargets: (now: number) =>
+            coordinator.takeCanaryTargets(createRequest("x", { service: "orders" }), now).length,
+    };
+}
+
+function startRollout() {
+    const store = createFakeStore();
+    const router = createRouter("r1", store);
+    store.order("v2");
+    router.readStore(1_000);
+    return { store, router };
+}
+
+test("a good version is observed, shifted to when the store has accepted, and completed when old calls have ended", () => {
+    const { store, router } = startRollout();
+    assert.equal(store.get()?.status, {
+        state: "running",
+        phase: "observing",
+        targetVersion: "v2",
+        replacedVersions: ["v1"],
+        startedAtUnixMs: 1_000_000,
+    });
+    assert.is(router.countCanaryTargets(1_100), 1);
+    router.setDecision("shift");
+    router.wake(2_000);
+    assert.is(router.phases.at(-1), "shifting");
+    assert.is(router.countCanaryTargets(2_100), 0);
+    assert.ok(router.view.listUsableTargets("orders").every(({ version }) => version === "v2"));
+    router.setInFlight(1);
+    router.setDecision("complete");
+    router.wake(5_000);
+    assert.is(store.get()?.status?.state, "running");
+    router.setInFlight(0);
+    router.wake(5_100);
+    assert.equal(store.writes, ["running observing ok", "running shifting ok", "completed ok"]);
+    assert.is(router.coordinator.countActive(), 0);
+    assert.is(router.coordinator.getWakeAt(), Infinity);
+});
+
+// Guards against a verdict that is lost with its decider, and against a new clock for the next one.
+test("a decider that is killed between verdict and write is followed by one that observes in the remaining time", () => {
+    const { store, router } = startRollout();
+    router.setDecision("rollBack");
+    router.wake(2_000, true);
+    assert.is(store.get()?.status?.state, "running");
+    const next = createRouter("r2", store, { wallClockMs: 1_004_000 });
+    next.readStore(5_000);
+    assert.equal(next.deciders.map(({ elapsedMs, phase }) => ({ elapsedMs, phase })), [
+        { elapsedMs: 4_000, phase: "observing" },
+    ]);
+    next.setDecision("rollBack");
+    next.wake(6_000);
+    assert.is(store.get()?.status?.state, "rolledBack");
+});
+
+// Guards against canaries that go on while a bad verdict cannot be written, and against retries that stop or hurry.
+test("a bad verdict holds while the store is down, and is written when it returns", () => {
+    const { store, router } = startRollout();
+    store.setDown(true);
+    router.setDecision("rollBack");
+    for (let now = 2_000; now < 7_000; now += 100) router.wake(now);
+    assert.is(router.countCanaryTargets(7_000), 0);
+    const attempts = store.writes.filter(write => write.endsWith("unavailable")).length;
+    assert.ok(attempts >= 6 && attempts <= 9, `${attempts} attempts in 5 s`);
+    router.setDecision("wait");
+    store.setDown(false);
+    router.wake(8_000);
+    assert.is(store.get()?.status?.state, "rolledBack");
+});
+
+test("canaries continue within their share while the store is down without a verdict", () => {
+    const { store, router } = startRollout();
+    store.setDown(true);
+    router.wake(3_000);
+    assert.is(router.countCanaryTargets(3_000), 1);
+});
+
+// Guards against a decider that writes over the decision of another one.
+test("of two deciders, the second to write gets a conflict and applies the order that it returns", () => {
+    const { store, router } = startRollout();
+    const other = createRouter("r2", store);
+    other.readStore(1_500);
+    router.setDecision("rollBack");
+    router.wake(2_000);
+    other.setDecision("shift");
+    other.wake(2_050);
+    assert.equal(store.writes, ["running observing ok", "rolledBack ok", "running shifting conflict"]);
+    assert.is(other.coordinator.countActive(), 0);
+    assert.ok(other.view.listUsableTargets("orders").every(({ version }) => version === "v1"));
+});
+
+// Guards against a bad verdict that is dropped because another coordinator has started the shift.
+test("a bad verdict wins over the shift of another decider", () => {
+    const { store, router } = startRollout();
+    const other = createRouter("r2", store);
+    other.readStore(1_500);
+    other.setDecision("shift");
+    other.wake(2_000);
+    router.setDecision("rollBack");
+    router.wake(2_050);
+    assert.equal(store.writes.slice(1), ["running shifting ok", "rolledBack conflict", "rolledBack ok"]);
+});
+
+test("an order that is removed ends, and its version gets nothing more", () => {
+    const { store, router } = startRollout();
+    store.remove();
+    router.readStore(2_000);
+    assert.is(router.coordinator.countActive(), 0);
+    assert.is(router.countCanaryTargets(2_000), 0);
+    assert.ok(router.view.listUsableTargets("orders").every(({ version }) => version === "v1"));
+});
+
+test("a second order in the middle starts a decider of its own and forbids the first version", () => {
+    const { store, router } = startRollout();
+    store.order("v3");
+    router.readStore(2_000);
+    assert.equal(router.deciders.map(({ elapsedMs }) => elapsedMs), [0, 0]);
+    assert.equal(store.get()?.status?.replacedVersions, ["v1"]);
+    assert.ok(!router.view.isUsable("new-target-1"));
+});
+
+test("a router that no longer coordinates the service stops at once", () => {
+    const { store, router } = startRollout();
+    router.setCoordinator("r2");
+    router.setDecision("shift");
+    router.wake(2_000);
+    assert.is(router.countCanaryTargets(2_000), 0);
+    assert.equal(store.writes, ["running observing ok"]);
+});
+
+// Guards against evidence that blames a version for callers that disconnect, or misses responses that never came.
+test("outcomes are those of the attempts, and a cancelled one without a response in time counts as a failure", () => {
+    const { router } = startRollout();
+    const results = [
+        { result: "complete", afterMs: 20 },
+        { result: "cancelled", afterMs: 300 },
+        { result: "cancelled", afterMs: 1_490 },
+        { result: "unsent", afterMs: 5 },
+    ] as const;
+    for (const { result, afterMs } of results) {
+        const request = createRequest("x", { service: "orders", route: "route", timeLeftMs: 1_500 });
+        const target = targets[4]!;
+        const choice = { target: target.target, waitMs: 0, newTokens: 0 };
+        router.coordinator.recordPlacement(request, target, choice, 2_000);
+        const { requestId, service } = request;
+        const notice = { type: "attemptNotice", requestId, service, target: target.target } as const;
+        const message = { ...notice, result, latencyMs: afterMs };
+        router.reduce({ type: "routerMessage", from: "r2", address: "a", message, now: 2_000 + afterMs });
+    }
+    assert.equal(router.outcomes, ["route new complete", "route new cancelled", "route new broken"]);
+    assert.is(router.countReturned(), 1);
+});
+
+test("a retry of a canary goes to an old target", () => {
+    const { router } = startRollout();
+    const request = createRequest("x", { service: "orders", excluded: ["new-target-1"] });
+    assert.equal(router.coordinator.takeCanaryTargets(request, 2_000), []);
+});
+
+test.run();
