--- a/packages/rollout/src/createRolloutDecider.ts
+++ b/packages/rollout/src/createRolloutDecider.ts
@@ -88,6 +88,7 @@
     );
     let phase = opts.phase;
     let shiftedAtMs = opts.elapsedMs;
+    if (phase === "shifting") evidence.setShifted(shiftedAtMs);
     let decision: RolloutDecision = "wait";
     let reason: RolloutReason | undefined;
     let evaluatedAt = -Infinity;
@@ -99,10 +100,10 @@
         reason = why;
     };
 
-    const evaluate = (now: number): void => {
+    const updateTests = (now: number): void => {
         if (now - evaluatedAt < evaluationIntervalMs) return;
         evaluatedAt = now;
-        routeTests = evidence.evaluateRoutes();
+        routeTests = evidence.computeRouteTests();
     };
 
     const listTests = (): readonly RolloutTests[] => [...routeTests.values(), evidence.getPooled()];
@@ -156,7 +157,7 @@
         recordOutcome: (outcome, now) => evidence.record(outcome, now - orderedAt),
         decide: (now, inFlightAtOld) => {
             if (decision === "rollBack" || decision === "complete") return decision;
-            evaluate(now);
+            updateTests(now);
             if (phase === "observing") decideObserving(now - orderedAt);
             else decideShifting(now - orderedAt, inFlightAtOld);
             return decision;
@@ -165,6 +166,7 @@
             if (accepted === phase) return;
             phase = accepted;
             shiftedAtMs = now - orderedAt;
+            evidence.setShifted(shiftedAtMs);
             if (decision !== "shift") return;
             decision = "wait";
             reason = undefined;
--- a/packages/rollout/src/createRolloutEvidence.ts
+++ b/packages/rollout/src/createRolloutEvidence.ts
@@ -26,10 +26,12 @@
     /** `elapsedMs`: time since the order. */
     readonly record: (outcome: RolloutOutcome, elapsedMs: number) => void;
     /** Tests per route. */
-    readonly evaluateRoutes: () => ReadonlyMap<string, RolloutTests>;
-    /** Tests over all routes, from the last `evaluateRoutes`. */
+    readonly computeRouteTests: () => ReadonlyMap<string, RolloutTests>;
+    /** Tests over all routes, from the last `computeRouteTests`. */
     readonly getPooled: () => RolloutTests;
     readonly listTotals: () => ReadonlyMap<string, RouteTotals>;
+    /** From here on the old version gets nothing to compare with. */
+    readonly setShifted: (elapsedMs: number) => void;
     /** Responses of the new version, failures among them. */
     readonly countNewResponses: () => number;
 }
@@ -53,11 +55,12 @@
     const routes = new Map<string, RouteEvidence>();
     let pooled = runTests({ failures: [], slowness: [] });
     let newResponses = 0;
+    let uncomparedFrom = Infinity;
 
     const getOrCreateRoute = (name: string): RouteEvidence => {
         const known = routes.get(name);
         if (known !== undefined) return known;
-        const created = createRouteEvidence();
+        const created = createRouteEvidence({ getUncomparedFrom: () => uncomparedFrom });
         routes.set(name, created);
         return created;
     };
@@ -73,8 +76,8 @@
             const response = { isNewVersion, isFailure, failureDomain, latencyMs, hasLatency };
             getOrCreateRoute(route).record(response, interval);
         },
-        evaluateRoutes: () => {
-            const ratios = [...routes].map(([name, evidence]) => [name, evidence.evaluate()] as const);
+        computeRouteTests: () => {
+            const ratios = [...routes].map(([name, evidence]) => [name, evidence.computeRatios()] as const);
             pooled = runTests({
                 failures: addRatios(ratios.map(([, { failures }]) => failures)),
                 slowness: addRatios(ratios.map(([, { slowness }]) => slowness)),
@@ -83,6 +86,10 @@
         },
         getPooled: () => pooled,
         listTotals: () => new Map([...routes].map(([name, evidence]) => [name, evidence.getTotals()])),
+        setShifted: elapsedMs => {
+            // The interval before the shift is compared with few responses, since its later neighbours have none.
+            uncomparedFrom = Math.floor(elapsedMs / intervalMs) - 1;
+        },
         countNewResponses: () => newResponses,
     };
 }
--- a/packages/rollout/src/createRouteEvidence.ts
+++ b/packages/rollout/src/createRouteEvidence.ts
@@ -28,10 +28,15 @@
     /** `interval`: number of the interval in which the request was sent. */
     readonly record: (response: RouteResponse, interval: number) => void;
     /** Per interval, logarithms of likelihood ratios; `undefined` where the new version has no response. */
-    readonly evaluate: () => RouteRatios;
+    readonly computeRatios: () => RouteRatios;
     readonly getTotals: () => RouteTotals;
 }
 
+export interface RouteEvidenceOptions {
+    /** First interval in which the old version got fewer requests or none, so that nothing hits both versions alike. */
+    readonly getUncomparedFrom: () => number;
+}
+
 export interface RouteRatios {
     readonly failures: readonly (number | undefined)[];
     readonly slowness: readonly (number | undefined)[];
@@ -91,8 +96,8 @@
 function computeSlowLimit(latencies: readonly number[]): number | undefined {
     if (latencies.length < minBaselineLatencies) return undefined;
     const sorted = Float64Array.from(latencies).sort();
-    const pick = (quantile: number) => sorted[Math.floor(quantile * (sorted.length - 1))]!;
-    return Math.max(pick(slowQuantile), slowMedianRatio * pick(0.5));
+    const getQuantile = (quantile: number) => sorted[Math.floor(quantile * (sorted.length - 1))]!;
+    return Math.max(getQuantile(slowQuantile), slowMedianRatio * getQuantile(0.5));
 }
 
 function countSlow(latencies: readonly number[], limit: number): EventCount {
@@ -115,7 +120,7 @@
     domains.set(failureDomain, { responses: responses + 1, events: events + (isFailure ? 1 : 0) });
 }
 
-export function createRouteEvidence(): RouteEvidence {
+export function createRouteEvidence(opts: RouteEvidenceOptions): RouteEvidence {
     const intervals: Interval[] = [];
 
     const getOrCreateInterval = (index: number): Interval => {
@@ -147,7 +152,7 @@
         return latencies;
     };
 
-    const evaluateFailures = (interval: Interval, index: number, total: EventCount): void => {
+    const updateFailureRatio = (interval: Interval, index: number, total: EventCount): void => {
         interval.failureRatio = undefined;
         if (interval.new.responses === 0) return;
         const neighbours = listNeighbours(index);
@@ -155,17 +160,18 @@
         const failures = neighbours.reduce((sum, { old }) => sum + old.failures, 0);
         // One failure is no sign of a fault that hits both versions; its rate among few responses would hide all else.
         const rateIfCompared = failures >= 2 ? (failures + 1) / (responses + 2) : 0;
-        const localRate = responses === 0 ? minUncomparedFailureRate : rateIfCompared;
+        const isCompared = index < opts.getUncomparedFrom();
+        const localRate = Math.max(rateIfCompared, isCompared ? 0 : minUncomparedFailureRate);
         const rate = computeBaselineRate(total, localRate, failureTest);
         const { responses: newResponses, failures: newFailures } = interval.new;
         // Without the old version beside it, only other failure domains tell a fault of the version from one of hosts.
-        const count = responses === 0
-            ? countOutsideWorstDomain(interval.new)
-            : { responses: newResponses, events: newFailures };
+        const count = isCompared
+            ? { responses: newResponses, events: newFailures }
+            : countOutsideWorstDomain(interval.new);
         interval.failureRatio = computeLogRatio(count, rate, failureTest);
     };
 
-    const evaluateSlowness = (interval: Interval, index: number, total: EventCount): void => {
+    const updateSlowRatio = (interval: Interval, index: number, total: EventCount): void => {
         interval.slowRatio = undefined;
         interval.slowOld = interval.slowNew = noEvents;
         if (interval.new.latencies.length === 0) return;
@@ -183,7 +189,7 @@
         );
     };
 
-    const evaluateChanged = (): void => {
+    const updateChanged = (): void => {
         const totals = countTotals("old");
         const failureTotal = { responses: totals.responses, events: totals.failures };
         const slowTotal = {
@@ -193,8 +199,8 @@
         for (const [index, interval] of intervals.entries()) {
             if (!interval.hasChanged) continue;
             interval.hasChanged = false;
-            evaluateFailures(interval, index, failureTotal);
-            evaluateSlowness(interval, index, slowTotal);
+            updateFailureRatio(interval, index, failureTotal);
+            updateSlowRatio(interval, index, slowTotal);
         }
     };
 
@@ -214,8 +220,8 @@
             if (hasLatency) recordLatency(latencyMs, isNewVersion, interval);
             for (const neighbour of listNeighbours(index)) neighbour.hasChanged = true;
         },
-        evaluate: () => {
-            evaluateChanged();
+        computeRatios: () => {
+            updateChanged();
             return {
                 failures: intervals.map(interval => interval.failureRatio),
                 slowness: intervals.map(interval => interval.slowRatio),
