--- a/packages/fleet-view/src/createVersionFilter.ts
+++ b/packages/fleet-view/src/createVersionFilter.ts
@@ -120,11 +120,15 @@
         const state = services.get(service);
         if (state === undefined) return "usable";
         const use = computeOwnUse(state, version, now);
-        if (use !== "held") return use;
-        const isOtherUsable = [...state.versions].some(([other, { readyCount }]) =>
-            readyCount > 0 && computeOwnUse(state, other, now) === "usable"
-        );
-        return isOtherUsable ? "held" : "usable";
+        if (use === "usable" || use === "forbidden") return use;
+        const hasAlternative = [...state.versions].some(([other, { readyCount }]) => {
+            if (other === version) return false;
+            const otherUse = computeOwnUse(state, other, now);
+            // An order for the only version that is left must not stop the service.
+            if (use === "canary") return otherUse === "usable" || otherUse === "held";
+            return readyCount > 0 && otherUse === "usable";
+        });
+        return hasAlternative ? use : "usable";
     };
 
     return {
--- a/packages/fleet-view/test/createVersionFilter.test.ts
+++ b/packages/fleet-view/test/createVersionFilter.test.ts
@@ -105,6 +105,11 @@
         { name: "long after", at: 9_000, run: wait, expected: "usable forbidden usable" },
         { name: "new order", at: 9_100, run: putOrder("v2", 20), expected: "usable canary usable" },
     ],
+    "an order for the only version that is registered": [
+        { name: "first list", at: 0, run: setTargets("v2"), expected: "usable usable usable" },
+        { name: "order", at: 100, run: putOrder("v2", 10), expected: "usable usable usable" },
+        { name: "v1 registers", at: 200, run: setTargets("v2", "v1"), expected: "usable canary usable" },
+    ],
     "a running order that is removed": [
         { name: "first list", at: 0, run: setTargets("v1", "v2"), expected: "usable held usable" },
         { name: "running", at: 200, run: putOrder("v2", 11, { phase: "shifting" }), expected: "forbidden usable held" },
--- a/packages/placement/src/createRolloutCoordinator.ts
+++ b/packages/placement/src/createRolloutCoordinator.ts
@@ -206,6 +206,11 @@
         });
     };
 
+    /** Whether the version of an order that has not begun is the only one in use, so that there is nothing to do. */
+    const isAlreadyInUse = ({ order, origin }: ActiveRollout): boolean =>
+        getOwnStatus(order) === undefined && origin.replacedVersions.length === 0
+        && (rollouts?.listTargetsOf(order.service, [order.targetVersion]) ?? []).length > 0;
+
     const decide = (rollout: ActiveRollout, now: number): void => {
         const { order, decider, writer } = rollout;
         const { targetVersion } = order;
@@ -217,7 +222,8 @@
         const common = { targetVersion, replacedVersions, startedAtUnixMs };
         if (writer.setDecision(decision)) logDecision(rollout, decision, now);
         rollout.isBad = decision === "rollBack";
-        if (decision === "rollBack") writer.want({ state: "rolledBack", ...common });
+        if (isAlreadyInUse(rollout)) writer.want({ state: "completed", ...common });
+        else if (decision === "rollBack") writer.want({ state: "rolledBack", ...common });
         else if (decision === "complete") writer.want({ state: "completed", ...common });
         else if (decision === "shift" && phase === "observing")
             writer.want({ state: "running", phase: "shifting", ...common });
--- a/packages/placement/test/rolloutCoordinator.test.ts
+++ b/packages/placement/test/rolloutCoordinator.test.ts
@@ -290,6 +290,24 @@
     assert.is(router.countReturned(), 1);
 });
 
+// Guards against an order for the version in use, which would be rolled back without evidence and stop the service.
+test("an order for the only version is completed at once", () => {
+    const { store, router } = startRollout();
+    store.order("v1");
+    const inUse = targets.slice(0, 4);
+    router.reduce({
+        type: "viewListed",
+        kind: "targets",
+        entries: inUse,
+        revision: 90,
+        confirmedAt: 2_000,
+        now: 2_000,
+    });
+    router.readStore(2_100);
+    assert.is(store.get()?.status?.state, "completed");
+    assert.is(router.view.listUsableTargets("orders").length, 4);
+});
+
 test("a retry of a canary goes to an old target", () => {
     const { router } = startRollout();
     const request = createRequest("x", { service: "orders", excluded: ["new-target-1"] });
