--- a/packages/fleet-view/src/createVersionFilter.ts
+++ b/packages/fleet-view/src/createVersionFilter.ts
@@ -97,7 +97,7 @@
         return held;
     };
 
-    const forbid = ({ versions }: ServiceState, names: readonly string[]): void => {
+    const excludeVersions = ({ versions }: ServiceState, names: readonly string[]): void => {
         for (const name of names) {
             const version = versions.get(name);
             if (version !== undefined) version.isForbidden = true;
@@ -109,7 +109,7 @@
         const { order } = state;
         if (order === undefined) return;
         const { targetVersion } = order;
-        forbid(
+        excludeVersions(
             state,
             listForbiddenVersions(getOwnStatus(order) ?? { state: "running", targetVersion, replacedVersions: [] }),
         );
@@ -151,7 +151,7 @@
                 endOrder(state);
                 const { status } = order;
                 if (status !== undefined && getOwnStatus(order) === undefined)
-                    forbid(state, listForbiddenVersions(status));
+                    excludeVersions(state, listForbiddenVersions(status));
                 const ordered = state.versions.get(order.targetVersion);
                 if (ordered !== undefined) ordered.isForbidden = false;
             }
--- a/packages/placement/src/createCoordinatorSelector.ts
+++ b/packages/placement/src/createCoordinatorSelector.ts
@@ -18,6 +18,8 @@
      * each other's requests.
      */
     readonly find: (service: string, now: number) => RouterEntry | undefined;
+    /** First router by rank, whether suspected or not. */
+    readonly findFirst: (service: string) => RouterEntry | undefined;
     /** Records a message from the router, which ends a suspicion. */
     readonly recordMessage: (router: string, now: number) => void;
     /**
@@ -101,6 +103,7 @@
             const ranked = rankRouters(service);
             return ranked.find(entry => !isSuspected(entry, now)) ?? ranked[0];
         },
+        findFirst: service => rankRouters(service)[0],
         recordMessage: (router, now) => {
             suspicions.delete(router);
             lastMessageAt.set(router, now);
--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -28,6 +28,8 @@
     readonly hasRequest: (requestId: string) => boolean;
     /** Router to which the placement requests of the service are sent; `undefined` if none is registered. */
     readonly findCoordinator: (service: string, now: number) => RouterEntry | undefined;
+    /** First router by rank, whether suspected or not. */
+    readonly findFirstCoordinator: (service: string) => RouterEntry | undefined;
 }
 
 function handleRequestRouted(context: EntryContext, { request, now }: RequestRoutedEvent): void {
@@ -126,6 +128,7 @@
         getWakeAt: () => Math.min(dueAt, reportAt),
         countRequests: () => context.requests.size,
         findCoordinator: context.coordinators.find,
+        findFirstCoordinator: context.coordinators.findFirst,
         hasRequest: requestId => context.requests.has(requestId),
     };
 }
--- a/packages/placement/src/createRolloutStatusWriter.ts
+++ b/packages/placement/src/createRolloutStatusWriter.ts
@@ -26,7 +26,7 @@
             return isNew;
         },
         /** Sets the status to be written; `undefined` if the present one is right. */
-        want: (status: RolloutStatus | undefined): void => {
+        setWanted: (status: RolloutStatus | undefined): void => {
             wanted = status;
         },
         /** Returns the effect of a write that is due. */
--- a/packages/placement/test/rolloutCoordinator.test.ts
+++ b/packages/placement/test/rolloutCoordinator.test.ts
@@ -1,154 +1,8 @@
 /** Rollouts at coordinators with a fake store and fake deciders, on a fake clock. */
-import { createFleetView } from "@rhubarbwheel/fleet-view/createFleetView";
-import type {
-    RolloutDecider,
-    RolloutDeciderOptions,
-    RolloutDecision,
-} from "@rhubarbwheel/rollout/createRolloutDecider";
-import type { ViewKind } from "@rhubarbwheel/types/fleet";
-import type { PlacementEvent, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/placement-events";
-import type { RolloutEntry } from "@rhubarbwheel/types/rollout";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { createRolloutCoordinator } from "../src/createRolloutCoordinator.js";
-import { createRequest, createRouterEntries, createTargets } from "./placementFixtures.js";
-
-const routers = createRouterEntries(2);
-
-const targets = [
-    ...createTargets(4, { service: "orders", version: "v1", startedAtUnixMs: 1 }),
-    ...createTargets(4, { service: "orders", version: "v2", startedAtUnixMs: 2 }).map(entry => ({
-        ...entry,
-        target: `new-${entry.target}`,
-    })),
-];
-
-/** The store: one order with conditional writes. */
-function createFakeStore() {
-    let revision = 10;
-    let order: RolloutEntry | undefined;
-    let isDown = false;
-    const writes: string[] = [];
-    const put = (next: Omit<RolloutEntry, "revision">): void => {
-        revision += 1;
-        order = { ...next, revision };
-    };
-    return {
-        writes,
-        order: (targetVersion: string) =>
-            put({ service: "orders", targetVersion, durationMs: 12_000, createdRevision: revision + 1 }),
-        remove: () => (order = undefined),
-        get: () => order,
-        setDown: (down: boolean) => (isDown = down),
-        write: (
-            { revision: expected, status, ...rest }: Omit<RolloutStatusWrittenEvent, "result" | "type" | "now">,
-        ): Omit<RolloutStatusWrittenEvent, "now"> => {
-            const isConflict = expected !== order?.revision;
-            if (!isDown && order !== undefined && !isConflict) put({ ...order, status });
-            const result = isDown ? "unavailable" : isConflict ? "conflict" : "ok";
-            writes.push(`${status.state} ${status.phase ?? ""} ${result}`.replace(/ +/g, " "));
-            const entry = isDown || order === undefined ? {} : { entry: order };
-            return { type: "rolloutStatusWritten", result, revision: expected, status, ...rest, ...entry };
-        },
-    };
-}
-
-type FakeStore = ReturnType<typeof createFakeStore>;
-
-/** A coordinator with its own view of the store; `r1` coordinates until told otherwise. */
-function createRouter(router: string, store: FakeStore, opts: { readonly wallClockMs?: number; } = {}) {
-    const view = createFleetView({
-        getMaxCredentialAgeMs: () => 4_500,
-        entryRestoreMs: 1_900,
-        maxLapseMs: 2_900,
-        getRegion: () => undefined,
-        rollouts: { getHoldMs: () => 2_000 },
-    });
-    let decision: RolloutDecision = "wait";
-    let inFlight = 0;
-    let coordinatorName = router;
-    const deciders: RolloutDeciderOptions[] = [];
-    const outcomes: string[] = [];
-    const phases: string[] = [];
-    let returned = 0;
-    const createDecider = (deciderOpts: RolloutDeciderOptions): RolloutDecider => {
-        deciders.push(deciderOpts);
-        return {
-            tryTakeCanary: () => true,
-            returnCanary: () => (returned += 1),
-            recordOutcome: ({ route, isNewVersion, result }) =>
-                outcomes.push(`${route} ${isNewVersion ? "new" : "old"} ${result}`),
-            decide: (_now, inFlightAtOld) => decision === "complete" && inFlightAtOld > 0 ? "wait" : decision,
-            setPhase: phase => phases.push(phase),
-            getEvidence: () => ({
-                decision,
-                requests: 0,
-                canaries: 0,
-                failureSum: 0,
-                slownessSum: 0,
-                routes: new Map(),
-            }),
-        };
-    };
-    const coordinator = createRolloutCoordinator({
-        router,
-        view,
-        findCoordinator: () => routers.find(entry => entry.router === coordinatorName),
-        countAssigned: (_service, target) => target === "target-1" ? inFlight : 0,
-        getBounds: () => ({ exposeShare: 0.1, exposeSlack: 50, applyMs: 2_000 }),
-        getWallClockTime: () => opts.wallClockMs ?? 1_000_000,
-        random: () => 0,
-        createDecider,
-    });
-    /** Reduces an event; writes are answered at once unless `isKilled`. */
-    const reduce = (event: PlacementEvent, isKilled = false): void => {
-        view.reduce(event);
-        for (const effect of coordinator.reduce(event)) {
-            if (effect.type !== "writeRolloutStatus") continue;
-            if (isKilled) return;
-            const { service, revision, status } = effect;
-            reduce({ ...store.write({ service, revision, status }), now: event.now });
-        }
-    };
-    let listRevision = 0;
-    const list = (kind: ViewKind, entries: readonly unknown[], now: number): void =>
-        reduce({
-            type: "viewListed",
-            kind,
-            entries: entries as never,
-            revision: ++listRevision,
-            confirmedAt: now,
-            now,
-        });
-    list("configuration", [{ version: 1, routes: [], pools: [{ service: "orders" }] }], 0);
-    list("targets", targets, 0);
-    list("closedDomains", [], 0);
-    list("routers", routers, 0);
-    return {
-        view,
-        coordinator,
-        deciders,
-        outcomes,
-        phases,
-        reduce,
-        countReturned: () => returned,
-        setDecision: (next: RolloutDecision) => (decision = next),
-        setInFlight: (count: number) => (inFlight = count),
-        setCoordinator: (name: string) => (coordinatorName = name),
-        readStore: (now: number) => list("rollouts", store.get() === undefined ? [] : [store.get()], now),
-        wake: (now: number, isKilled = false) => reduce({ type: "wake", now }, isKilled),
-        countCanaryTargets: (now: number) =>
-            coordinator.takeCanaryTargets(createRequest("x", { service: "orders" }), now).length,
-    };
-}
-
-function startRollout() {
-    const store = createFakeStore();
-    const router = createRouter("r1", store);
-    store.order("v2");
-    router.readStore(1_000);
-    return { store, router };
-}
+import { createRequest } from "./placementFixtures.js";
+import { createFakeStore, createRouter, rolloutTargets, startRollout } from "./rolloutHarness.js";
 
 test("a good version is observed, shifted to when the store has accepted, and completed when old calls have ended", () => {
     const { store, router } = startRollout();
@@ -240,6 +94,41 @@
     assert.equal(store.writes.slice(1), ["running shifting ok", "rolledBack conflict", "rolledBack ok"]);
 });
 
+// Guards against a router that is cut off from the coordinator, takes over with only its own requests, and decides on
+// them.
+test("a coordinator that is not the first by rank decides late without evidence, and at once with it", () => {
+    const store = createFakeStore();
+    const router = createRouter("r2", store);
+    store.order("v2");
+    router.readStore(1_000);
+    router.setDecision("rollBack", "tooFewResponses");
+    router.wake(9_000);
+    assert.equal(store.writes, ["running observing ok"]);
+    router.wake(1_000 + 0.85 * 12_000);
+    assert.equal(store.writes.slice(1), ["rolledBack ok"]);
+    store.order("v2");
+    router.setDecision("rollBack", "failures");
+    router.readStore(20_000);
+    assert.equal(store.writes.slice(2), ["rolledBack ok"]);
+});
+
+test("a coordinator without evidence follows the shift of another one, and completes late", () => {
+    const store = createFakeStore();
+    const router = createRouter("r2", store);
+    store.order("v2");
+    router.readStore(1_000);
+    router.setDecision("rollBack", "tooFewResponses");
+    const { revision, status } = store.get()!;
+    store.write({ service: "orders", revision, status: { ...status!, phase: "shifting" } });
+    router.readStore(9_000);
+    assert.equal(router.deciders.map(({ phase }) => phase), ["observing", "shifting"]);
+    router.setDecision("complete");
+    router.wake(10_000);
+    assert.is(store.get()?.status?.state, "running");
+    router.wake(11_500);
+    assert.is(store.get()?.status?.state, "completed");
+});
+
 test("an order that is removed ends, and its version gets nothing more", () => {
     const { store, router } = startRollout();
     store.remove();
@@ -278,7 +167,7 @@
     ] as const;
     for (const { result, afterMs } of results) {
         const request = createRequest("x", { service: "orders", route: "route", timeLeftMs: 1_500 });
-        const target = targets[4]!;
+        const target = rolloutTargets[4]!;
         const choice = { target: target.target, waitMs: 0, newTokens: 0 };
         router.coordinator.recordPlacement(request, target, choice, 2_000);
         const { requestId, service } = request;
@@ -294,7 +183,7 @@
 test("an order for the only version is completed at once", () => {
     const { store, router } = startRollout();
     store.order("v1");
-    const inUse = targets.slice(0, 4);
+    const inUse = rolloutTargets.slice(0, 4);
     router.reduce({
         type: "viewListed",
         kind: "targets",
--- a/packages/placement/test/viewFixture.ts
+++ b/packages/placement/test/viewFixture.ts
@@ -2,6 +2,7 @@
 import { createFleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import type { FleetConfiguration, PoolSpec, RouterEntry, TargetEntry, ViewKind } from "@rhubarbwheel/types/fleet";
 import type { PlacementEvent } from "@rhubarbwheel/types/placement-events";
+import type { RolloutEntry } from "@rhubarbwheel/types/rollout";
 
 export interface ViewFixtureOptions {
     readonly pool: PoolSpec;
@@ -10,6 +11,8 @@
     readonly tokensPerSecond?: number;
     /** Routers in the store; none if omitted. */
     readonly routers?: readonly RouterEntry[];
+    /** Orders to roll out versions; not followed if omitted. */
+    readonly orders?: readonly RolloutEntry[];
 }
 
 function createConfiguration(opts: ViewFixtureOptions): FleetConfiguration {
@@ -39,6 +42,7 @@
         entryRestoreMs: 1_900,
         maxLapseMs: 2_900,
         getRegion: () => undefined,
+        ...(opts.orders === undefined ? {} : { rollouts: { getHoldMs: () => 2_000 } }),
     });
 
     /** Loads all entries of the store at time 0. */
@@ -56,6 +60,7 @@
         list("targets", opts.targets);
         list("closedDomains", []);
         list("routers", opts.routers ?? []);
+        if (opts.orders !== undefined) list("rollouts", opts.orders);
     };
 
     return { view, loadAll };
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -55,6 +55,7 @@
         router,
         view,
         findCoordinator: (service, now) => entry.findCoordinator(service, now),
+        isFirstByRank: service => entry.findFirstCoordinator(service)?.router === router,
         countAssigned: (service, target, assignedBefore) => countAssigned(service, target, assignedBefore),
         random: opts.random,
     });
