Keep the evidence of a rollout while the coordinator changes for a moment

The suspicion of a failed coordinator ends every 2 to 8 s until requests to it have timed out again.

--- a/packages/placement/src/createActiveRollout.ts
+++ b/packages/placement/src/createActiveRollout.ts
@@ -105,7 +105,7 @@
         (decision === "complete" || (decision === "rollBack" && hasTooFewResponses()))
         && computeElapsedMs(now) < lateDecisionRatio * durationMs && !opts.isFirstByRank(service);
 
-    const askDecider = (now: number): RolloutDecision => {
+    const requestDecision = (now: number): RolloutDecision => {
         if (isBad) return "rollBack";
         if (isAlreadyInUse()) return "complete";
         decider.setPhase(getPhase(), now);
@@ -161,14 +161,14 @@
         isOutdated: () => !isBad && getPhase() !== startPhase && hasTooFewResponses(),
         /** Decides, and returns the effects of writing the decision. */
         decide: (now: number): readonly PlacementEffect[] => {
-            const decision = askDecider(now);
+            const decision = requestDecision(now);
             isBad = decision === "rollBack";
             writer.setWanted(createStatus(decision));
             const logs = writer.setDecision(decision) ? [createDecisionLog(decision, now)] : [];
             return [...logs, ...writer.write(order, now)];
         },
         /** Log fields of the start. */
-        describeStart: (now: number): LogEffect["fields"] => ({
+        createStartFields: (now: number): LogEffect["fields"] => ({
             service,
             version: targetVersion,
             phase: startPhase,
--- a/packages/placement/src/createRolloutCoordinator.ts
+++ b/packages/placement/src/createRolloutCoordinator.ts
@@ -40,6 +40,12 @@
     readonly countCanaries: () => number;
 }
 
+/**
+ * Time for which the evidence is kept while another router coordinates. A suspicion of a failed router ends every few
+ * seconds, until requests to it have timed out again.
+ */
+const maxPauseMs = 2_000;
+
 /** Interval at which the decider is asked without new evidence. */
 const decideIntervalMs = 100;
 
@@ -49,6 +55,8 @@
     const active = new Map<string, ActiveRollout>();
     /** Running orders in the view, and the time at which this router saw them first. */
     const seen = new Map<string, { order: RolloutEntry; readonly seenAt: number; }>();
+    /** Time since which another router coordinates a service, by service. Nothing is granted or written meanwhile. */
+    const pausedSince = new Map<string, number>();
     let checkAt = Infinity;
     let effects: PlacementEffect[] = [];
 
@@ -70,13 +78,14 @@
         const seenAt = seen.get(order.service)?.seenAt ?? now;
         const rollout = createActiveRollout({ ...opts, order, bounds, now, seenAt });
         active.set(order.service, rollout);
-        log("rolloutTaken", rollout.describeStart(now));
+        log("rolloutTaken", rollout.createStartFields(now));
     };
 
     const release = (service: string, reason: string): void => {
         const rollout = active.get(service);
         if (rollout === undefined) return;
         active.delete(service);
+        pausedSince.delete(service);
         log("rolloutReleased", { service, version: rollout.getOrder().targetVersion, reason });
     };
 
@@ -86,6 +95,13 @@
         return isListed && opts.findCoordinator(service, now)?.router === router;
     };
 
+    const updatePause = (service: string, now: number): void => {
+        if (isCoordinator(service, now)) return void pausedSince.delete(service);
+        const since = pausedSince.get(service) ?? now;
+        pausedSince.set(service, since);
+        if (now - since > maxPauseMs) release(service, "coordinator changed");
+    };
+
     const updateActive = (now: number): void => {
         const running = rollouts?.listRunning() ?? [];
         const bounds = opts.getBounds();
@@ -93,10 +109,10 @@
         for (const [service, rollout] of active) {
             const order = running.find(other => other.service === service);
             if (order === undefined || !isSameOrder(rollout.getOrder(), order)) release(service, "ended");
-            else if (!isCoordinator(service, now)) release(service, "coordinator changed");
             else {
                 rollout.setOrder(order);
                 if (rollout.isOutdated()) release(service, "phase changed");
+                else updatePause(service, now);
             }
         }
         if (bounds === undefined || !view.isComplete()) return;
@@ -109,11 +125,15 @@
         for (const [service, { isBad }] of active) if (!isBad()) release(service, "clock jumped");
     };
 
+    const decide = (service: string, rollout: ActiveRollout, now: number): void => {
+        if (!pausedSince.has(service)) effects.push(...rollout.decide(now));
+    };
+
     const check = (now: number): void => {
         updateActive(now);
-        for (const rollout of active.values()) {
+        for (const [service, rollout] of active) {
             rollout.outcomes.expire(now);
-            effects.push(...rollout.decide(now));
+            decide(service, rollout, now);
         }
         checkAt = seen.size === 0 ? Infinity : now + decideIntervalMs;
     };
@@ -135,15 +155,15 @@
         if (isUnsent && outcome.isNewVersion) rollout.decider.returnCanary();
         else rollout.decider.recordOutcome(outcome, now);
         // Failures of a new version must stop it at once.
-        if (outcome.isNewVersion) effects.push(...rollout.decide(now));
+        if (outcome.isNewVersion) decide(notice.service, rollout, now);
     };
 
-    const mayTakeCanary = (rollout: ActiveRollout, { excluded }: PlacementRequest): boolean => {
+    const mayTakeCanary = (rollout: ActiveRollout, { service, excluded }: PlacementRequest): boolean => {
         const hasFailedAtNew = excluded.some(name => {
             const target = view.getTarget(name);
             return target !== undefined && getVersion(target) === rollout.getOrder().targetVersion;
         });
-        return !rollout.isBad() && !hasFailedAtNew && rollout.getPhase() === "observing";
+        return !pausedSince.has(service) && !rollout.isBad() && !hasFailedAtNew && rollout.getPhase() === "observing";
     };
 
     return {
--- a/packages/placement/test/rolloutCoordinator.test.ts
+++ b/packages/placement/test/rolloutCoordinator.test.ts
@@ -153,9 +153,23 @@
     router.setDecision("shift");
     router.wake(2_000);
     assert.is(router.countCanaryTargets(2_000), 0);
+    router.wake(4_100);
+    assert.is(router.coordinator.countActive(), 0);
     assert.equal(store.writes, ["running observing ok"]);
 });
 
+// Guards against evidence that is lost every few seconds, when the suspicion of a failed coordinator ends for a moment.
+test("a router that coordinates again after a moment keeps its evidence", () => {
+    const { store, router } = startRollout();
+    router.setCoordinator("r2");
+    router.wake(2_000);
+    router.setCoordinator("r1");
+    router.setDecision("shift");
+    router.wake(2_500);
+    assert.is(router.deciders.length, 1);
+    assert.equal(store.writes, ["running observing ok", "running shifting ok"]);
+});
+
 // Guards against evidence that blames a version for callers that disconnect, or misses responses that never came.
 test("outcomes are those of the attempts, and a cancelled one without a response in time counts as a failure", () => {
     const { router } = startRollout();
