Take the old version's failures of the same interval as a baseline too

The neighbouring intervals dilute the start of a fault: 2 of 200 good versions were rolled back at 933 requests a second when one failure domain of three failed.

--- a/packages/rollout/src/createRouteEvidence.ts
+++ b/packages/rollout/src/createRouteEvidence.ts
@@ -106,6 +106,14 @@
     return { responses: latencies.length, events: latencies.filter(latency => latency > limit).length };
 }
 
+/** The old version's failure rate; 0 if one failure or none is known. */
+function computeLocalFailureRate(intervals: readonly Interval[]): number {
+    const responses = intervals.reduce((sum, { old }) => sum + old.responses, 0);
+    const failures = intervals.reduce((sum, { old }) => sum + old.failures, 0);
+    // One failure is no sign of a fault that hits both versions; its rate among few responses would hide all else.
+    return failures >= 2 ? (failures + 1) / (responses + 2) : 0;
+}
+
 /** The failure domain in which almost all recent failures were, if there are several: a version fails in all of them. */
 function findFailingDomain(recent: readonly VersionInterval[]): string | undefined {
     const failures = new Map<string, number>();
@@ -163,10 +171,7 @@
         interval.failureRatio = undefined;
         if (interval.new.responses === 0) return;
         const neighbours = listNeighbours(index);
-        const responses = neighbours.reduce((sum, { old }) => sum + old.responses, 0);
-        const failures = neighbours.reduce((sum, { old }) => sum + old.failures, 0);
-        // One failure is no sign of a fault that hits both versions; its rate among few responses would hide all else.
-        const rateIfCompared = failures >= 2 ? (failures + 1) / (responses + 2) : 0;
+        const rateIfCompared = Math.max(computeLocalFailureRate([interval]), computeLocalFailureRate(neighbours));
         const isCompared = index < opts.getUncomparedFrom();
         const localRate = Math.max(rateIfCompared, isCompared ? 0 : minUncomparedFailureRate);
         const rate = computeBaselineRate(total, localRate, failureTest);
