Count only placed requests for canaries, and log rollouts through the existing event tables

Requests that old targets had no room for added to the number of canaries. Versions whose last targets lapsed in an outage of the store counted as registered until the next change of the targets.

--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -77,6 +77,8 @@
     storeLost: 1607,
     storeRegained: 1608,
     clockJumped: 1609,
+    rolloutOrderChanged: 1730,
+    versionHeld: 1731,
 } as const;
 
 interface KindState {
@@ -95,7 +97,6 @@
         known: false,
     }])) as unknown as Readonly<Record<ViewKind, KindState>>;
     const targets = createTargetList();
-    const rollouts = opts.rollouts === undefined ? undefined : createRolloutView(opts.rollouts);
     /** Time at which the last request was sent whose failure was that of the store. */
     let outageSeenAt = -Infinity;
     /** Time of the first response after the last request without one; undefined before it. */
@@ -112,6 +113,8 @@
         effects.push({ type: "log", event: fleetViewEvents[event], fields });
     };
 
+    const rollouts = opts.rollouts === undefined ? undefined : createRolloutView({ ...opts.rollouts, log });
+
     const applyConfiguration = (
         next: FleetConfiguration,
         { revision, confirmedAt, relay, now }: ViewListedEvent | ViewChangedEvent,
@@ -166,6 +169,7 @@
     const removeLapsedTargets = (now: number): void => {
         if (!targets.hasLapsed() || now < getGraceEndsAt()) return;
         for (const target of targets.removeLapsed()) log("targetRemoved", { target });
+        rollouts?.applyTargets(targets.listAll(), now);
     };
 
     const setDomainClosed = (name: string, isClosed: boolean): void => {
@@ -269,9 +273,9 @@
     return {
         reduce: event => {
             effects = [];
+            rollouts?.setNow(event.now);
             handleEvent(event);
             removeLapsedTargets(event.now);
-            if (rollouts !== undefined) effects.push(...rollouts.takeEffects(event.now));
             return effects;
         },
         getWakeAt: () => targets.hasLapsed() ? getGraceEndsAt() : Infinity,
--- a/packages/fleet-view/src/createRolloutView.ts
+++ b/packages/fleet-view/src/createRolloutView.ts
@@ -1,13 +1,15 @@
 /** Orders to roll out versions as a router knows them, and the targets that they allow. */
+import type { LogEffect } from "@rhubarbwheel/types/effects";
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
-import type { PlacementEffect, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/placement-events";
+import type { RolloutStatusWrittenEvent } from "@rhubarbwheel/types/placement-events";
 import type { RolloutEntry } from "@rhubarbwheel/types/rollout";
 import { createVersionFilter, getVersion } from "./createVersionFilter.js";
 import type { VersionFilterOptions } from "./createVersionFilter.js";
 import { getRunningPhase } from "./rolloutOrders.js";
 
-/** Event numbers of the log events about orders. */
-export const rolloutViewEvents = { rolloutOrderChanged: 1730, versionHeld: 1731 } as const;
+export interface RolloutViewOptions extends VersionFilterOptions {
+    readonly log: (event: "rolloutOrderChanged" | "versionHeld", fields: LogEffect["fields"]) => void;
+}
 
 export interface RolloutQueries {
     readonly getOrder: (service: string) => RolloutEntry | undefined;
@@ -19,14 +21,13 @@
     readonly listTargetsOf: (service: string, versions: readonly string[]) => readonly TargetEntry[];
 }
 
-export function createRolloutView(opts: VersionFilterOptions) {
+export function createRolloutView(opts: RolloutViewOptions) {
     const filter = createVersionFilter(opts);
     let targets: readonly TargetEntry[] = [];
     /** Time of the last event. */
     let lastNow = 0;
     /** Revisions of orders that were applied from the response to a write, and that the store has yet to report. */
     const writtenRevisions = new Map<string, number>();
-    let effects: PlacementEffect[] = [];
 
     const putOrder = (order: RolloutEntry): void => {
         const before = filter.getOrder(order.service);
@@ -35,18 +36,14 @@
             && JSON.stringify(before.status) === JSON.stringify(order.status);
         if (isSame) return;
         const { service, targetVersion, revision, status } = order;
-        effects.push({
-            type: "log",
-            event: rolloutViewEvents.rolloutOrderChanged,
-            fields: {
-                service,
-                version: targetVersion,
-                revision,
-                state: status?.state,
-                phase: status?.phase,
-                statusVersion: status?.targetVersion,
-                replaced: status?.replacedVersions.join(","),
-            },
+        opts.log("rolloutOrderChanged", {
+            service,
+            version: targetVersion,
+            revision,
+            state: status?.state,
+            phase: status?.phase,
+            statusVersion: status?.targetVersion,
+            replaced: status?.replacedVersions.join(","),
         });
     };
 
@@ -54,11 +51,8 @@
         const order = filter.getOrder(service);
         if (order === undefined) return;
         filter.removeOrder(service);
-        effects.push({
-            type: "log",
-            event: rolloutViewEvents.rolloutOrderChanged,
-            fields: { service, version: order.targetVersion, revision: order.revision, state: "removed" },
-        });
+        const { targetVersion: version, revision } = order;
+        opts.log("rolloutOrderChanged", { service, version, revision, state: "removed" });
     };
 
     const isUsed = (target: TargetEntry, use: "usable" | "canary"): boolean =>
@@ -84,17 +78,12 @@
         },
         applyTargets: (listed: readonly TargetEntry[], now: number): void => {
             targets = listed;
-            for (const { service, version } of filter.setTargets(listed, now)) {
-                const fields = { service, version, heldForMs: opts.getHoldMs() };
-                effects.push({ type: "log", event: rolloutViewEvents.versionHeld, fields });
-            }
+            for (const { service, version } of filter.setTargets(listed, now))
+                opts.log("versionHeld", { service, version, heldForMs: opts.getHoldMs() });
         },
-        /** Returns the log effects since the last call. */
-        takeEffects: (now: number): readonly PlacementEffect[] => {
+        /** Sets the time up to which versions have been held back. */
+        setNow: (now: number): void => {
             lastNow = now;
-            const taken = effects;
-            effects = [];
-            return taken;
         },
         listServices: (): readonly string[] => filter.listOrders().map(({ service }) => service),
         isUsable: (target: TargetEntry): boolean => isUsed(target, "usable"),
--- a/packages/placement/src/rolloutLogEvents.ts
+++ b/packages/placement/src/coordinatorLogEvents.ts
@@ -1,5 +1,6 @@
-/** Numbers of the log events of the coordinator of a rollout. */
-export const rolloutLogEvents = {
+/** Numbers of the log events of coordinators. */
+export const coordinatorLogEvents = {
+    sharesContended: 1713,
     rolloutTaken: 1732,
     rolloutReleased: 1733,
     rolloutDecided: 1734,
--- a/packages/placement/src/createActiveRollout.ts
+++ b/packages/placement/src/createActiveRollout.ts
@@ -11,10 +11,10 @@
 import type { PlacementEffect } from "@rhubarbwheel/types/placement-events";
 import type { RolloutEntry, RolloutStatus } from "@rhubarbwheel/types/rollout";
 import { computePriorPrefillRate } from "./admission.js";
+import { coordinatorLogEvents } from "./coordinatorLogEvents.js";
 import { createRolloutOutcomes } from "./createRolloutOutcomes.js";
 import { createRolloutStatusWriter } from "./createRolloutStatusWriter.js";
 import { inFlightExpiryMs } from "./placementSettings.js";
-import { rolloutLogEvents } from "./rolloutLogEvents.js";
 
 export interface RolloutBounds {
     readonly exposeShare: number;
@@ -127,7 +127,7 @@
         const { reason, requests, canaries, failureSum, slownessSum, routes } = decider.getEvidence();
         return {
             type: "log",
-            event: rolloutLogEvents.rolloutDecided,
+            event: coordinatorLogEvents.rolloutDecided,
             fields: {
                 service,
                 version: targetVersion,
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -22,6 +22,7 @@
 } from "@rhubarbwheel/types/placement-events";
 import { computeCost, computeMaxWaitMs, computePriorPrefillRate } from "./admission.js";
 import { chooseCanary } from "./chooseCanary.js";
+import { coordinatorLogEvents } from "./coordinatorLogEvents.js";
 import { createFairShareTracker } from "./createFairShareTracker.js";
 import type { FairShareTracker } from "./createFairShareTracker.js";
 import { listSharedPartIds } from "./createPartQuarantine.js";
@@ -59,9 +60,6 @@
     logTotalsAt: number;
 }
 
-/** Numbers of the coordinator's log events. */
-export const coordinatorLogEvents = { sharesContended: 1713 } as const;
-
 /** Minimum interval between two log events with the totals of a pool. */
 const totalsLogIntervalMs = 1_000;
 
@@ -175,8 +173,11 @@
         const isLateRetry = (refusalHistory.getWaitedMs(request, now) ?? 0) > request.latencyTargetMs;
         const prefillMs = (request.prompt?.promptTokens ?? 0) / pool.priorPrefillRate;
         const maxWaitMs = computeMaxWaitMs(view, pool.service, { usedRatio, isLateRetry, prefillMs });
-        const choice = findCanary(pool, request, maxWaitMs, now)
-            ?? pool.model.choose(request, { candidates, prefixSources, now, maxWaitMs });
+        const usualChoice = pool.model.choose(request, { candidates, prefixSources, now, maxWaitMs });
+        // Requests that cannot be placed must not add to the number of canaries.
+        const choice = usualChoice === undefined
+            ? undefined
+            : findCanary(pool, request, maxWaitMs, now) ?? usualChoice;
         if (choice === undefined) {
             refusalHistory.recordRefusal(request, now);
             logTotals(pool, now);
--- a/packages/placement/src/createRolloutCoordinator.ts
+++ b/packages/placement/src/createRolloutCoordinator.ts
@@ -11,10 +11,10 @@
 import type { AttemptNoticeMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
 import type { PlacementEffect, PlacementSlice, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/placement-events";
 import type { RolloutEntry } from "@rhubarbwheel/types/rollout";
+import { coordinatorLogEvents } from "./coordinatorLogEvents.js";
 import { createActiveRollout } from "./createActiveRollout.js";
 import type { ActiveRollout, RolloutBounds, RolloutExecutionOptions } from "./createActiveRollout.js";
 import type { Choice } from "./createPoolModel.js";
-import { rolloutLogEvents } from "./rolloutLogEvents.js";
 
 export interface RolloutCoordinatorOptions extends RolloutExecutionOptions {
     /** Name of this router. */
@@ -60,8 +60,8 @@
     let checkAt = Infinity;
     let effects: PlacementEffect[] = [];
 
-    const log = (event: keyof typeof rolloutLogEvents, fields: LogEffect["fields"]): void => {
-        effects.push({ type: "log", event: rolloutLogEvents[event], fields });
+    const log = (event: keyof typeof coordinatorLogEvents, fields: LogEffect["fields"]): void => {
+        effects.push({ type: "log", event: coordinatorLogEvents[event], fields });
     };
 
     const updateSeen = (running: readonly RolloutEntry[], now: number): void => {
