--- /dev/null
+++ b/packages/placement/src/coordinatorLogEvents.ts
@@ -0,0 +1,9 @@
+/** Numbers of the log events of coordinators. */
+export const coordinatorLogEvents = {
+    sharesContended: 1713,
+    rolloutTaken: 1732,
+    rolloutReleased: 1733,
+    rolloutDecided: 1734,
+    rolloutStatusWritten: 1735,
+    rolloutStatusRefused: 1736,
+} as const;
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -5,6 +5,7 @@
  */
 import type { FleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import { computeRetryAfterMs } from "@rhubarbwheel/routing/computeRetryAfterMs";
+import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type {
     AttemptNoticeMessage,
     InFlightAttempt,
@@ -20,6 +21,8 @@
     RouterMessageEvent,
 } from "@rhubarbwheel/types/placement-events";
 import { computeCost, computeMaxWaitMs, computePriorPrefillRate } from "./admission.js";
+import { chooseCanary } from "./chooseCanary.js";
+import { coordinatorLogEvents } from "./coordinatorLogEvents.js";
 import { createColdTargetGuard } from "./createColdTargetGuard.js";
 import type { ColdTargetGuardOptions } from "./createColdTargetGuard.js";
 import { createFairShareTracker } from "./createFairShareTracker.js";
@@ -30,6 +33,7 @@
 import type { Choice, PoolModel } from "./createPoolModel.js";
 import { createRateGranter } from "./createRateGranter.js";
 import { createRefusalHistory } from "./createRefusalHistory.js";
+import type { CanarySelector } from "./createRolloutCoordinator.js";
 import type { TargetNotices } from "./createTargetNotices.js";
 import { inFlightExpiryMs, inFlightReportIntervalMs, shareWindowMs } from "./placementSettings.js";
 
@@ -39,6 +43,8 @@
     readonly quarantine: PartQuarantine;
     readonly targetNotices: TargetNotices;
     readonly computeColdLimit: ColdTargetGuardOptions["computeColdLimit"];
+    /** Omitted if this router does not follow orders to roll out versions. */
+    readonly canaries?: CanarySelector;
 }
 
 export interface PlacementCoordinator extends PlacementSlice {
@@ -56,9 +62,6 @@
     logTotalsAt: number;
 }
 
-/** Numbers of the coordinator's log events. */
-export const coordinatorLogEvents = { sharesContended: 1713 } as const;
-
 /** Minimum interval between two log events with the totals of a pool. */
 const totalsLogIntervalMs = 1_000;
 
@@ -78,7 +81,7 @@
 }
 
 export function createPlacementCoordinator(opts: PlacementCoordinatorOptions): PlacementCoordinator {
-    const { view, quarantine, targetNotices } = opts;
+    const { view, quarantine, targetNotices, canaries } = opts;
     const pools = new Map<string, CoordinatedPool>();
     const coldTargetGuard = createColdTargetGuard(opts);
     const rateGranter = createRateGranter(targetNotices);
@@ -123,6 +126,23 @@
         effects.push({ type: "log", event: coordinatorLogEvents.sharesContended, fields });
     };
 
+    const findCanary = (
+        pool: CoordinatedPool,
+        request: PlacementRequest,
+        maxWaitMs: number,
+        now: number,
+    ): Choice | undefined => {
+        if (canaries === undefined) return undefined;
+        const cost = computeCost(request.prompt);
+        const createFilter = (targets: readonly TargetEntry[]) => {
+            const isGranted = rateGranter.createFilter(pool.service, targets, cost, now);
+            return (entry: TargetEntry): boolean =>
+                !request.excluded.includes(entry.target) && !targetNotices.isLeaving(entry)
+                && coldTargetGuard.maySendTo(entry, now) && isGranted(entry);
+        };
+        return chooseCanary(request, { canaries, model: pool.model, createFilter, maxWaitMs, now });
+    };
+
     const choosePlacement = (
         pool: CoordinatedPool,
         request: PlacementRequest,
@@ -149,7 +169,11 @@
         const isLateRetry = (refusalHistory.getWaitedMs(request, now) ?? 0) > request.latencyTargetMs;
         const prefillMs = (request.prompt?.promptTokens ?? 0) / pool.priorPrefillRate;
         const maxWaitMs = computeMaxWaitMs(view, pool.service, { usedRatio, isLateRetry, prefillMs });
-        const choice = pool.model.choose(request, { candidates, prefixSources, now, maxWaitMs });
+        const usualChoice = pool.model.choose(request, { candidates, prefixSources, now, maxWaitMs });
+        // Requests that cannot be placed must not add to the number of canaries.
+        const choice = usualChoice === undefined
+            ? undefined
+            : findCanary(pool, request, maxWaitMs, now) ?? usualChoice;
         if (choice === undefined) {
             refusalHistory.recordRefusal(request, now);
             logTotals(pool, now);
@@ -166,6 +190,7 @@
         if (entry === undefined) return;
         effects.push(...coldTargetGuard.recordSend(entry, now));
         rateGranter.take(entry, now);
+        canaries?.recordPlacement(request, entry, choice, now);
         pool.model.assign(entry, {
             requestId: request.requestId,
             target: choice.target,
