--- a/packages/placement/src/coordinatorLogEvents.ts
+++ b/packages/placement/src/coordinatorLogEvents.ts
@@ -1,6 +1,7 @@
 /** Numbers of the log events of coordinators. */
 export const coordinatorLogEvents = {
     sharesContended: 1713,
+    targetCold: 1717,
     rolloutTaken: 1732,
     rolloutReleased: 1733,
     rolloutDecided: 1734,
--- a/packages/placement/src/createColdTargetGuard.ts
+++ b/packages/placement/src/createColdTargetGuard.ts
@@ -9,6 +9,7 @@
 import type { FleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementEffect, TargetHealthReadEvent } from "@rhubarbwheel/types/placement-events";
+import { coordinatorLogEvents } from "./coordinatorLogEvents.js";
 import { createSendRateLimiter } from "./createSendRateLimiter.js";
 import { coldGrantRatio, maxRememberedTargets } from "./placementSettings.js";
 import { setBounded } from "./setBounded.js";
@@ -30,9 +31,6 @@
     readonly handleHealthRead: (event: TargetHealthReadEvent) => readonly PlacementEffect[];
 }
 
-/** Number of the guard's log event. */
-export const coldTargetLogEvents = { targetCold: 1717 } as const;
-
 /** Window of the limit. */
 const windowMs = 1_000;
 
@@ -92,7 +90,7 @@
                 message,
             }));
             const fields = { target, service, coldForMs };
-            return [{ type: "log", event: coldTargetLogEvents.targetCold, fields }, ...announcements];
+            return [{ type: "log", event: coordinatorLogEvents.targetCold, fields }, ...announcements];
         },
     };
 }
