Bound what the parser handles of one target in each pass

Ten responses in chunks of one byte, headers or trailers without end took the time of all other calls: libuv reads up to 2 MiB of a socket in one pass, and undici parses all of it. The new read limiter passes on slices of 1 to 16 KiB, counts the pieces in them, and lets a target wait after 500 pieces until the next pass, or for four times the time they took if they are short.

--- a/packages/forwarding/src/createConnectionPool.ts
+++ b/packages/forwarding/src/createConnectionPool.ts
@@ -1,6 +1,7 @@
 /** Pool of HTTP/1.1 connections to targets. Each carries one call at a time and is reused while that is safe. */
 import type { Socket } from "node:net";
 import { buildConnector, Client } from "undici";
+import { type BodyMeter, createReadLimiter, type SocketReads } from "./createReadLimiter.js";
 
 export interface Connection {
     readonly client: Client;
@@ -15,6 +16,10 @@
      * is known only in the next iteration of the event loop.
      */
     hasSocketError: boolean;
+    /** What has been received of the bodies of all responses; counted by the user of the connection. */
+    readonly body: BodyMeter;
+    /** Limit on what is read at once; undefined until the connection is established. */
+    reads?: SocketReads;
 }
 
 export interface ConnectionPoolOptions {
@@ -38,6 +43,7 @@
 
 export function createConnectionPool(opts: ConnectionPoolOptions) {
     const idleByAddress = new Map<string, Connection[]>();
+    const readLimiter = createReadLimiter({ getNow: opts.getNow });
     let openedCount = 0;
 
     const isSafeToReuse = (connection: Connection, now: number): boolean =>
@@ -60,6 +66,7 @@
                     // Errors of an earlier socket do not affect responses on this one.
                     currentSocket = socket ?? undefined;
                     connection.hasSocketError = false;
+                    if (socket) connection.reads = readLimiter.limitReads(socket, address, connection.body);
                     const recordError = (error: NodeJS.ErrnoException | null | undefined): void => {
                         // After an ECONNRESET undici completes the response, and throws if its parser is paused.
                         if (error?.code === "ECONNRESET" && connection.isPaused) error.code = resetWhilePausedCode;
@@ -86,6 +93,7 @@
             idleSince: opts.getNow(),
             isPaused: false,
             hasSocketError: false,
+            body: { bytes: 0, pieces: 0 },
         };
         return connection;
     };
@@ -100,8 +108,10 @@
         const now = opts.getNow();
         const connections = idleByAddress.get(address) ?? [];
         for (let connection = connections.pop(); connection !== undefined; connection = connections.pop()) {
-            if (isWithinIdleTimeout(connection, now) && (isRetryable || isSafeToReuse(connection, now)))
+            if (isWithinIdleTimeout(connection, now) && (isRetryable || isSafeToReuse(connection, now))) {
+                connection.reads?.startResponse();
                 return connection;
+            }
             destroy(connection);
         }
         idleByAddress.delete(address);
--- /dev/null
+++ b/packages/forwarding/src/createReadLimiter.ts
@@ -0,0 +1,205 @@
+/**
+ * Bounds how much of what one target sends the parser handles in each pass of the event loop. The cost of parsing depends
+ * on the number of pieces (chunks, headers and trailers), not on their bytes. libuv reads up to 2 MiB of a socket in one
+ * pass, which is some 350,000 pieces of the smallest size.
+ */
+import type { Socket } from "node:net";
+
+/** What has been received of the body of a response. */
+export interface BodyMeter {
+    bytes: number;
+    pieces: number;
+}
+
+export interface ReadLimiterOptions {
+    readonly getNow: () => number;
+}
+
+export interface SocketReads {
+    /** Called when a call begins on the connection. */
+    readonly startResponse: () => void;
+}
+
+/**
+ * Bytes outside the body that cost as much as a chunk of the body. Each of the shortest headers, of 6 bytes, costs as
+ * much as a chunk; usual headers are longer.
+ */
+const bytesPerPiece = 8;
+
+/** Bytes that cost as much to relay as a chunk of the body costs to parse. */
+const relayedBytesPerPiece = 4 * 1024;
+
+/** Pieces of a response that are not limited: a usual head. Heads of many calls arrive in the same pass. */
+const freePieces = 256;
+
+/** Limit on the pieces of one target in one pass. The parser and the relay take about 1 ms for 1,000 pieces. */
+const maxPiecesPerPass = 500;
+
+/**
+ * Mean size of pieces below which a target that has reached the limit has to pause. Events of a stream, each in its chunk,
+ * are larger.
+ */
+const minMeanBytes = 32;
+
+/** Factor by which the pause exceeds the time that the pieces took: the target gets at most a fifth of the time. */
+const pauseRatio = 4;
+
+/** Maximum pause. A process that waits for the processor measures a pass as too long. */
+const maxPauseMs = 100;
+
+/** Limits for the bytes passed to the parser at once, which it handles to their end. */
+const minSliceBytes = 1024;
+const firstSliceBytes = 2 * 1024;
+const maxSliceBytes = 16 * 1024;
+
+/** Mean size of pieces from which the next slice is larger. */
+const minMeanBytesToGrow = 64;
+
+/** Reads of all connections to one target. */
+interface TargetReads {
+    readonly address: string;
+    socketCount: number;
+    pass: number;
+    passStartedAt: number;
+    /** Pieces and bytes in this pass, without those that are not limited. */
+    pieces: number;
+    bytes: number;
+    isBlocked: boolean;
+    /** Sockets with unread bytes, in the order in which they are read once the target is not blocked. */
+    readonly waiting: Set<Socket>;
+}
+
+export function createReadLimiter(opts: ReadLimiterOptions) {
+    const targets = new Map<string, TargetReads>();
+    let pass = 0;
+    let isPassScheduled = false;
+    const nextPassActions: (() => void)[] = [];
+
+    const startPass = (): void => {
+        pass += 1;
+        isPassScheduled = false;
+        for (const action of nextPassActions.splice(0)) action();
+    };
+
+    /** Schedules the start of the next pass, after all sockets that are readable in this one. */
+    const schedulePass = (): void => {
+        if (isPassScheduled) return;
+        isPassScheduled = true;
+        setImmediate(startPass);
+    };
+
+    const removeUnused = (reads: TargetReads): void => {
+        if (reads.socketCount === 0 && !reads.isBlocked) targets.delete(reads.address);
+    };
+
+    const unblock = (reads: TargetReads): void => {
+        reads.isBlocked = false;
+        removeUnused(reads);
+        for (const socket of [...reads.waiting]) {
+            if (reads.isBlocked) return;
+            reads.waiting.delete(socket);
+            // undici reads the socket until there is nothing more, or until the target is blocked again.
+            if (!socket.destroyed) socket.emit("readable");
+        }
+    };
+
+    const block = (reads: TargetReads): void => {
+        reads.isBlocked = true;
+        const isShort = reads.bytes < reads.pieces * minMeanBytes;
+        if (!isShort) {
+            nextPassActions.push(() => unblock(reads));
+            return schedulePass();
+        }
+        const pauseMs = Math.min(maxPauseMs, pauseRatio * (opts.getNow() - reads.passStartedAt));
+        setTimeout(() => unblock(reads), pauseMs);
+    };
+
+    const charge = (reads: TargetReads, pieces: number, bytes: number): void => {
+        reads.pieces += pieces;
+        reads.bytes += bytes;
+        if (reads.pieces >= maxPiecesPerPass && !reads.isBlocked) block(reads);
+    };
+
+    /** Resets the counts of the target if the event loop has begun another pass. */
+    const updatePass = (reads: TargetReads): void => {
+        schedulePass();
+        if (reads.pass === pass) return;
+        reads.pass = pass;
+        reads.passStartedAt = opts.getNow();
+        reads.pieces = 0;
+        reads.bytes = 0;
+    };
+
+    const getOrCreateTarget = (address: string): TargetReads => {
+        const existing = targets.get(address);
+        if (existing !== undefined) return existing;
+        const reads: TargetReads = {
+            address,
+            socketCount: 0,
+            pass: -1,
+            passStartedAt: 0,
+            pieces: 0,
+            bytes: 0,
+            isBlocked: false,
+            waiting: new Set(),
+        };
+        targets.set(address, reads);
+        return reads;
+    };
+
+    /** Replaces the function by which undici reads the socket by one that returns at most one slice. */
+    const limitReads = (socket: Socket, address: string, body: BodyMeter): SocketReads => {
+        const reads = getOrCreateTarget(address);
+        const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
+        let sliceBytes = firstSliceBytes;
+        let freeLeft = freePieces;
+        let readBytes = 0;
+        let bodyBytes = body.bytes;
+        let bodyPieces = body.pieces;
+
+        /** Counts what the parser has handled since the last count. undici puts back what it has not handled. */
+        const countHandled = (): void => {
+            const bytes = socket.bytesRead - socket.readableLength - readBytes;
+            if (bytes <= 0) return;
+            const otherBytes = Math.max(0, bytes - (body.bytes - bodyBytes));
+            const pieces = body.pieces - bodyPieces + otherBytes / bytesPerPiece + bytes / relayedBytesPerPiece;
+            readBytes += bytes;
+            bodyBytes = body.bytes;
+            bodyPieces = body.pieces;
+            if (bytes < pieces * minMeanBytesToGrow) sliceBytes = minSliceBytes;
+            else if (bytes >= sliceBytes) sliceBytes = Math.min(maxSliceBytes, sliceBytes * 2);
+            const free = Math.min(freeLeft, pieces);
+            freeLeft -= free;
+            if (pieces > free) charge(reads, pieces - free, bytes);
+        };
+
+        socket.read = (size?: number): Buffer | null => {
+            if (size !== undefined) return read(size);
+            updatePass(reads);
+            countHandled();
+            const unreadBytes = socket.readableLength;
+            if (unreadBytes > 0 && reads.isBlocked) {
+                reads.waiting.add(socket);
+                // eslint-disable-next-line no-restricted-syntax -- undici and node:stream expect null for "nothing to read"
+                return null;
+            }
+            return unreadBytes > sliceBytes ? read(sliceBytes) : read();
+        };
+        reads.socketCount += 1;
+        socket.once("close", () => {
+            updatePass(reads);
+            countHandled();
+            reads.waiting.delete(socket);
+            reads.socketCount -= 1;
+            removeUnused(reads);
+        });
+        return {
+            startResponse: () => {
+                freeLeft = freePieces;
+                sliceBytes = firstSliceBytes;
+            },
+        };
+    };
+
+    return { limitReads };
+}
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -164,6 +164,8 @@
             if (informationalResponses > maxInformationalResponses) failAttempt("too many informational responses");
         },
         onResponseData: (_controller, chunk) => {
+            connection.body.bytes += chunk.length;
+            connection.body.pieces += 1;
             if (isFinished) return;
             const outcome = relay?.push(chunk);
             if (outcome !== undefined) abortResponse(outcome);
