Avoid targets whose responses are cut off several times in a row

A response that exceeds a limit of the router (headers, trailers, events, errors or rejections in short pieces) takes processor time until its limit is reached, and each call at the target starts another one.

--- a/packages/forwarding/src/createResponseRelay.ts
+++ b/packages/forwarding/src/createResponseRelay.ts
@@ -21,6 +21,8 @@
 export interface RelayOutcome {
     readonly result: PlacedAttemptResult;
     readonly reason?: string;
+    /** Whether the response exceeded a limit of this router. */
+    readonly isCutOff?: boolean;
 }
 
 export interface ResponseRelay {
@@ -111,7 +113,7 @@
         if (splitter === undefined) return undefined;
         const events = splitter.push(chunk);
         if (splitter.countIncompleteBytes() > maxEventBytes)
-            return { result: "broken", reason: "an event exceeds the size limit" };
+            return { result: "broken", reason: "an event exceeds the size limit", isCutOff: true };
         if (events.completeEvents.length > 0) {
             write(events.completeEvents);
             call.lastEventId = events.lastEventId ?? call.lastEventId;
@@ -134,10 +136,11 @@
         const hasMemory = tryReserve(bufferedBytes);
         const isOverLimit = bufferedBytes > maxBufferedBytes;
         const isTooCostly = bufferedBytes + chunkCount * chunkCostBytes > maxBufferedBytes;
-        if (rejection !== undefined && (isTooCostly || !hasMemory)) return rejection;
+        if (rejection !== undefined && (isTooCostly || !hasMemory))
+            return { ...rejection, isCutOff: isTooCostly };
         if (!hasMemory) return memoryExhausted;
         if (form === "error" && isTooCostly)
-            return { result: "broken", reason: "the error response exceeds the size limit" };
+            return { result: "broken", reason: "the error response exceeds the size limit", isCutOff: true };
         buffered.append(chunk);
         if (!isOverLimit) return undefined;
         send(buffered.take());
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -15,6 +15,8 @@
     readonly responseStarted: boolean;
     readonly load?: ReportedLoad;
     readonly reason?: string;
+    /** Whether the response exceeded a limit of this router. */
+    readonly isCutOff?: boolean;
 }
 
 export interface AttemptContext {
@@ -35,6 +37,9 @@
 /** Maximum number of informational responses (1xx) before the final one; a faulty target may send them without end. */
 const maxInformationalResponses = 8;
 
+/** Code of the error of undici for headers or trailers above its size limit. */
+const headersOverflowCode = "UND_ERR_HEADERS_OVERFLOW";
+
 function formatError(error: Error): string {
     const { code } = error as NodeJS.ErrnoException;
     return code ?? error.message;
@@ -104,8 +109,8 @@
         context.onFinished({ result, responseStarted: relay?.hasStarted() ?? false, load, ...details });
     };
 
-    const failAttempt = (reason: string): void => {
-        finishAttempt(isSent ? "broken" : "unsent", { reason });
+    const failAttempt = (reason: string, isCutOff?: boolean): void => {
+        finishAttempt(isSent ? "broken" : "unsent", { reason, isCutOff });
         controller?.abort(new Error(reason));
     };
 
@@ -161,7 +166,8 @@
             if (isFinished) return;
             if (status >= 200) return handleResponseHead(status, headers as Headers);
             informationalResponses += 1;
-            if (informationalResponses > maxInformationalResponses) failAttempt("too many informational responses");
+            if (informationalResponses > maxInformationalResponses)
+                failAttempt("too many informational responses", true);
         },
         onResponseData: (_controller, chunk) => {
             connection.body.bytes += chunk.length;
@@ -176,7 +182,8 @@
             else setImmediate(finishResponse);
         },
         onResponseError: (_controller, error) => {
-            finishAttempt(isSent ? "broken" : "unsent", { reason: formatError(error) });
+            const reason = formatError(error);
+            finishAttempt(isSent ? "broken" : "unsent", { reason, isCutOff: reason === headersOverflowCode });
         },
     };
 
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -10,6 +10,7 @@
 import type { ReportedUsage } from "./createReportedUsage.js";
 import type { RetryBudget, RetryPolicy } from "./createRetryBudget.js";
 import type { SendRateLimiter } from "./createSendRateLimiter.js";
+import type { TargetBreaker } from "./createTargetBreaker.js";
 import type { TargetNotices } from "./createTargetNotices.js";
 
 /** Numbers of the entry router's log events. */
@@ -23,6 +24,7 @@
     placedLocally: 1706,
     entryDrainStarted: 1707,
     targetNoticed: 1716,
+    targetBypassed: 1717,
 } as const;
 
 export interface EntryRouterOptions {
@@ -39,6 +41,7 @@
     readonly getShutdownGraceMs: () => number;
     readonly quarantine: PartQuarantine;
     readonly targetNotices: TargetNotices;
+    readonly targetBreaker: TargetBreaker;
 }
 
 /** A placement request that awaits the reply of its coordinator. */
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -19,6 +19,9 @@
 /** Minimum time left for a retry; with less, the response would come too late for the caller. */
 const minRetryTimeLeftMs = 50;
 
+/** Results of responses that the target sent to their end. */
+const respondedResults: readonly PlacedAttemptResult[] = ["complete", "rejected", "failed"];
+
 interface NoticeDetails {
     readonly result?: PlacedAttemptResult;
     readonly load?: ReportedLoad;
@@ -112,6 +115,20 @@
     if (!tryRetry(context, entry, event)) failAfterAttempt(context, entry, event);
 }
 
+/** Opens the breaker of a target whose responses were cut off several times in a row. */
+function recordCutOff(context: EntryContext, entry: EntryRequest, target: string, event: AttemptFinishedEvent): void {
+    const { targetBreaker, now } = context;
+    if (event.isCutOff !== true) {
+        if (respondedResults.includes(event.result)) targetBreaker.recordResponse(target);
+        return;
+    }
+    const { startedAtUnixMs } = context.view.getTarget(target) ?? {};
+    const pauseMs = targetBreaker.recordCutOff({ target, startedAtUnixMs }, now);
+    if (pauseMs === undefined) return;
+    const { service } = entry.request;
+    logEntryEvent(context, "targetBypassed", { target, service, reason: event.reason, pauseMs });
+}
+
 export function handleAttemptFinished(context: EntryContext, event: AttemptFinishedEvent): void {
     const found = findAttempt(context, event);
     if (found === undefined) return;
@@ -119,6 +136,7 @@
     const { result, load } = event;
     const latencyMs = (attempt.startedAt ?? context.now) - attempt.sentAt;
     context.pools.get(entry.request.service)?.model.end(event.requestId, result, latencyMs, context.now);
+    recordCutOff(context, entry, attempt.target, event);
     // The attempts that had not started are those that may have crashed the target.
     const partIds = result === "broken" && attempt.startedAt === undefined
         ? listSharedPartIds(entry.request.prompt)
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -43,11 +43,11 @@
     return context.coldRateLimiter.hasCapacity(target.target, computeColdLimitShare(context, target), context.now);
 }
 
-/** `unwanted`: targets that want no requests from this router; the coordinator does not know of pauses. */
+/** `avoided`: targets that get no requests from this router for some time; the coordinator does not know of them. */
 function createPlacementRequest(
     context: EntryContext,
     entry: EntryRequest,
-    unwanted: readonly TargetEntry[],
+    avoided: readonly TargetEntry[],
 ): PlacementRequest {
     const { requestId, service, workspace, prompt, latencyTargetMs, regions } = entry.request;
     const quarantinedParts = context.quarantine.list(listSharedPartIds(prompt), context.now);
@@ -61,7 +61,7 @@
         timeLeftMs: computeTimeLeftMs(context, entry),
         regions,
         failureDomain: context.failureDomain,
-        excluded: [...entry.excluded, ...unwanted.map(({ target }) => target)],
+        excluded: [...entry.excluded, ...avoided.map(({ target }) => target)],
         quarantinedParts: quarantinedParts.length === 0 ? undefined : quarantinedParts,
     };
 }
@@ -73,6 +73,17 @@
     context.effects.push({ type: "sendToRouter", router, address, message });
 }
 
+/** Targets whose breaker is open, unless no other one is left: a call may still succeed there. */
+function listBypassed(
+    context: EntryContext,
+    entry: EntryRequest,
+    targets: readonly TargetEntry[],
+): readonly TargetEntry[] {
+    const usable = targets.filter(({ target }) => !entry.excluded.includes(target));
+    const bypassed = usable.filter(target => context.targetBreaker.isOpen(target, context.now));
+    return bypassed.length === usable.length ? [] : bypassed;
+}
+
 /** Sends a placement request to the coordinator, or places the request locally if there is none. */
 export function placeRequest(context: EntryContext, entry: EntryRequest): void {
     const usableTargets = context.view.listUsableTargets(entry.request.service, entry.request.regions);
@@ -83,7 +94,8 @@
             retryAfterMs: computePauseMs(context, unwanted),
         });
     }
-    const request = createPlacementRequest(context, entry, unwanted);
+    const bypassed = listBypassed(context, entry, usableTargets.filter(target => !unwanted.includes(target)));
+    const request = createPlacementRequest(context, entry, [...unwanted, ...bypassed]);
     const coordinator = context.coordinators.find(request.service, context.now);
     if (coordinator === undefined) return placeLocally(context, entry, request, "no coordinator");
     const { now } = context;
--- a/packages/placement/test/entryHarness.ts
+++ b/packages/placement/test/entryHarness.ts
@@ -9,6 +9,7 @@
 import { createCoordinatorSelector } from "../src/createCoordinatorSelector.js";
 import { createEntryRouter } from "../src/createEntryRouter.js";
 import { createPartQuarantine } from "../src/createPartQuarantine.js";
+import { createTargetBreaker } from "../src/createTargetBreaker.js";
 import { createTargetNotices } from "../src/createTargetNotices.js";
 import { createViewFixture } from "./viewFixture.js";
 import type { ViewFixtureOptions } from "./viewFixture.js";
@@ -47,6 +48,7 @@
         getShutdownGraceMs: () => 8_000,
         quarantine: createPartQuarantine(),
         targetNotices,
+        targetBreaker: createTargetBreaker(),
     });
     const reduce = (event: PlacementEvent): readonly PlacementEffect[] => {
         view.reduce(event);
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -9,6 +9,7 @@
 import { createPartQuarantine } from "@rhubarbwheel/placement/createPartQuarantine";
 import { createPlacementCoordinator } from "@rhubarbwheel/placement/createPlacementCoordinator";
 import { createQuarantineTracker } from "@rhubarbwheel/placement/createQuarantineTracker";
+import { createTargetBreaker } from "@rhubarbwheel/placement/createTargetBreaker";
 import { createTargetNotices } from "@rhubarbwheel/placement/createTargetNotices";
 import { createTargetNoticeTracker } from "@rhubarbwheel/placement/createTargetNoticeTracker";
 import type { EntryRouterOptions } from "@rhubarbwheel/placement/entryState";
@@ -17,7 +18,7 @@
 
 export interface PlacementReducerOptions {
     readonly view: FleetViewOptions;
-    readonly entry: Omit<EntryRouterOptions, "view" | "random" | "quarantine" | "targetNotices">;
+    readonly entry: Omit<EntryRouterOptions, "view" | "random" | "quarantine" | "targetNotices" | "targetBreaker">;
     readonly relay: Pick<RelaySelectorOptions, "getMaxAgeMs">;
     /** Random number in [0, 1). */
     readonly random: () => number;
@@ -37,11 +38,19 @@
     const relaySelector = createRelaySelector({ ...opts.relay, router, failureDomain, view });
     const quarantine = createPartQuarantine();
     const targetNotices = createTargetNotices();
+    const targetBreaker = createTargetBreaker();
     const noticeTracker = createTargetNoticeTracker({ router, view, targetNotices });
     const coordinator = createPlacementCoordinator({ router, view, quarantine, targetNotices });
     const { countAssigned } = coordinator;
     const quarantineTracker = createQuarantineTracker({ router, view, quarantine, countAssigned });
-    const entry = createEntryRouter({ ...opts.entry, view, quarantine, targetNotices, random: opts.random });
+    const entry = createEntryRouter({
+        ...opts.entry,
+        view,
+        quarantine,
+        targetNotices,
+        targetBreaker,
+        random: opts.random,
+    });
     const slices: readonly PlacementSlice[] = [
         view,
         confirmer,
@@ -66,6 +75,7 @@
         view,
         entry,
         targetNotices,
+        targetBreaker,
     };
 }
 
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -136,4 +136,10 @@
         message: "A target said in a response that it leaves, pauses, or accepts another rate of requests.",
         fields: ["target", "service", "isLeaving", "pauseMs", "rateLimit"],
     },
+    1717: {
+        name: "targetBypassed",
+        level: "warn",
+        message: "Responses of a target were cut off several times in a row; calls go to other targets for some time.",
+        fields: ["target", "service", "reason", "pauseMs"],
+    },
 };
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -69,6 +69,8 @@
     /** Whether any part of the response has been sent to the caller. */
     readonly responseStarted: boolean;
     readonly load?: ReportedLoad;
+    /** Whether the response exceeded a limit of this router, such as its number of pieces, headers or bytes. */
+    readonly isCutOff?: boolean;
     /** Short reason for logs. */
     readonly reason?: string;
 }
