Pass on larger slices, and relay them without copies

Slices of 16 KiB and the figures of the socket cost a 4 MB response about 20% and a small one 7% more processor time. Slices are 32 KiB now, bytes are counted without the socket, and slices that arrive together with others are relayed without a copy.

--- a/packages/forwarding/src/createReadLimiter.ts
+++ b/packages/forwarding/src/createReadLimiter.ts
@@ -50,7 +50,7 @@
 /** Limits for the bytes passed to the parser at once, which it handles to their end. */
 const minSliceBytes = 1024;
 const firstSliceBytes = 2 * 1024;
-const maxSliceBytes = 16 * 1024;
+const maxSliceBytes = 32 * 1024;
 
 /** Mean size of pieces from which the next slice is larger. */
 const minMeanBytesToGrow = 64;
@@ -114,22 +114,20 @@
         setTimeout(() => unblock(reads), pauseMs);
     };
 
-    const charge = (reads: TargetReads, pieces: number, bytes: number): void => {
+    /** `startedAt`: time at which the parser began with the bytes. */
+    const charge = (reads: TargetReads, pieces: number, bytes: number, startedAt: number): void => {
+        if (reads.pass !== pass) {
+            reads.pass = pass;
+            reads.passStartedAt = startedAt;
+            reads.pieces = 0;
+            reads.bytes = 0;
+            schedulePass();
+        }
         reads.pieces += pieces;
         reads.bytes += bytes;
         if (reads.pieces >= maxPiecesPerPass && !reads.isBlocked) block(reads);
     };
 
-    /** Resets the counts of the target if the event loop has begun another pass. */
-    const updatePass = (reads: TargetReads): void => {
-        schedulePass();
-        if (reads.pass === pass) return;
-        reads.pass = pass;
-        reads.passStartedAt = opts.getNow();
-        reads.pieces = 0;
-        reads.bytes = 0;
-    };
-
     const getOrCreateTarget = (address: string): TargetReads => {
         const existing = targets.get(address);
         if (existing !== undefined) return existing;
@@ -151,31 +149,33 @@
     const limitReads = (socket: Socket, address: string, body: BodyMeter): SocketReads => {
         const reads = getOrCreateTarget(address);
         const read = socket.read.bind(socket) as (size?: number) => Buffer | null;
+        const unshift = socket.unshift.bind(socket) as (bytes: Buffer) => void;
         let sliceBytes = firstSliceBytes;
         let freeLeft = freePieces;
-        let readBytes = 0;
+        /** Size of the slice that the parser has got last, 0 once it is counted, and the time at which it got it. */
+        let passedBytes = 0;
+        let passedAt = 0;
         let bodyBytes = body.bytes;
         let bodyPieces = body.pieces;
 
-        /** Counts what the parser has handled since the last count. undici puts back what it has not handled. */
+        /** Counts what the parser has handled since the last count. */
         const countHandled = (): void => {
-            const bytes = socket.bytesRead - socket.readableLength - readBytes;
-            if (bytes <= 0) return;
+            const bytes = passedBytes;
+            if (bytes === 0) return;
+            passedBytes = 0;
             const otherBytes = Math.max(0, bytes - (body.bytes - bodyBytes));
             const pieces = body.pieces - bodyPieces + otherBytes / bytesPerPiece + bytes / relayedBytesPerPiece;
-            readBytes += bytes;
             bodyBytes = body.bytes;
             bodyPieces = body.pieces;
             if (bytes < pieces * minMeanBytesToGrow) sliceBytes = minSliceBytes;
             else if (bytes >= sliceBytes) sliceBytes = Math.min(maxSliceBytes, sliceBytes * 2);
             const free = Math.min(freeLeft, pieces);
             freeLeft -= free;
-            if (pieces > free) charge(reads, pieces - free, bytes);
+            if (pieces > free) charge(reads, pieces - free, bytes, passedAt);
         };
 
         socket.read = (size?: number): Buffer | null => {
             if (size !== undefined) return read(size);
-            updatePass(reads);
             countHandled();
             const unreadBytes = socket.readableLength;
             if (unreadBytes > 0 && reads.isBlocked) {
@@ -183,11 +183,18 @@
                 // eslint-disable-next-line no-restricted-syntax -- undici and node:stream expect null for "nothing to read"
                 return null;
             }
-            return unreadBytes > sliceBytes ? read(sliceBytes) : read();
+            const slice = unreadBytes > sliceBytes ? read(sliceBytes) : read();
+            passedBytes = slice?.length ?? 0;
+            passedAt = opts.getNow();
+            return slice;
+        };
+        // undici puts back what a paused parser has not handled.
+        socket.unshift = (bytes: Buffer): void => {
+            passedBytes -= bytes.length;
+            unshift(bytes);
         };
         reads.socketCount += 1;
         socket.once("close", () => {
-            updatePass(reads);
             countHandled();
             reads.waiting.delete(socket);
             reads.socketCount -= 1;
--- a/packages/forwarding/src/createResponseRelay.ts
+++ b/packages/forwarding/src/createResponseRelay.ts
@@ -88,6 +88,11 @@
     /** Sends the first bytes at once, and those that have been received together with them in one piece. */
     const write = (bytes: Buffer): void => {
         if (hasSent) {
+            if (bytes.length >= maxUnsentBytes) {
+                // Large pieces are not copied.
+                flush();
+                return send(bytes);
+            }
             unsent.append(bytes);
             if (unsent.getLength() >= maxUnsentBytes) flush();
             return;
