--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -12,6 +12,7 @@
 import { createQuarantineTracker } from "@rhubarbwheel/placement/createQuarantineTracker";
 import { createRolloutCoordinator } from "@rhubarbwheel/placement/createRolloutCoordinator";
 import type { RolloutCoordinatorOptions } from "@rhubarbwheel/placement/createRolloutCoordinator";
+import { createTargetBreaker } from "@rhubarbwheel/placement/createTargetBreaker";
 import { createTargetNotices } from "@rhubarbwheel/placement/createTargetNotices";
 import { createTargetNoticeTracker } from "@rhubarbwheel/placement/createTargetNoticeTracker";
 import type { EntryRouterOptions } from "@rhubarbwheel/placement/entryState";
@@ -21,7 +22,7 @@
 
 export interface PlacementReducerOptions {
     readonly view: FleetViewOptions;
-    readonly entry: Omit<EntryRouterOptions, "view" | "random" | "quarantine" | "targetNotices">;
+    readonly entry: Omit<EntryRouterOptions, "view" | "random" | "quarantine" | "targetNotices" | "targetBreaker">;
     readonly relay: Pick<RelaySelectorOptions, "getMaxAgeMs">;
     /** Set if this router follows orders to roll out versions. */
     readonly rollouts?: VersionFilterOptions & Pick<RolloutCoordinatorOptions, "getBounds" | "getWallClockTime">;
@@ -49,6 +50,7 @@
     });
     const quarantine = createPartQuarantine();
     const targetNotices = createTargetNotices();
+    const targetBreaker = createTargetBreaker();
     const noticeTracker = createTargetNoticeTracker({ router, view, targetNotices });
     const rolloutCoordinator = opts.rollouts === undefined ? undefined : createRolloutCoordinator({
         ...opts.rollouts,
@@ -69,7 +71,14 @@
     });
     const { countAssigned } = coordinator;
     const quarantineTracker = createQuarantineTracker({ router, view, quarantine, countAssigned });
-    const entry = createEntryRouter({ ...opts.entry, view, quarantine, targetNotices, random: opts.random });
+    const entry = createEntryRouter({
+        ...opts.entry,
+        view,
+        quarantine,
+        targetNotices,
+        targetBreaker,
+        random: opts.random,
+    });
     const slices: readonly PlacementSlice[] = [
         view,
         confirmer,
@@ -96,6 +105,7 @@
         entry,
         targetNotices,
         rolloutCoordinator,
+        targetBreaker,
     };
 }
 
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -201,4 +201,10 @@
         message: "The status of an order could not be written; it is decided and written again.",
         fields: ["service", "version", "state", "phase", "revision", "result", "reason", "retryInMs"],
     },
+    1719: {
+        name: "targetBypassed",
+        level: "warn",
+        message: "Responses of a target were cut off several times in a row; calls go to other targets for some time.",
+        fields: ["target", "service", "reason", "pauseMs"],
+    },
 };
