Use reported load, pace and running requests in the choice of targets

An engine's running requests slow all others but were not part of its cost, and the load that targets report in Instance-Load was parsed and sent to coordinators but not used. A tie went to the first target of the list.

The cost of an engine now includes its requests, at 2.5 ms of queueing time each. The coordinator and local placement add the requests of others and the pace that a target reports, smoothed, bounded and decaying with age; reports without a pace change nothing. Ties go to the target whose last request is the longest ago. The queueing time of a target is computed from sums instead of a scan of its requests.

--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -187,6 +187,7 @@
         const cancel = runAttempt(call, effect, {
             headerCodec: opts.headerCodec,
             connectionPool: opts.connectionPool,
+            getNow: opts.getNow,
             reservation,
             onNotice: notice => dispatchNotice(effect, notice, sentAt),
             onStarted: load => dispatch({ type: "attemptStarted", requestId, attempt, load }),
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -20,6 +20,7 @@
 export interface AttemptContext {
     readonly headerCodec: HeaderCodec;
     readonly connectionPool: ConnectionPool;
+    readonly getNow: () => number;
     /** Memory for what is received of the response. */
     readonly reservation: MemoryReservation;
     readonly onStarted: (load: ReportedLoad | undefined) => void;
@@ -77,6 +78,7 @@
     let controller: Dispatcher.DispatchController | undefined;
     let relay: ResponseRelay | undefined;
     let load: ReportedLoad | undefined;
+    let loadReceivedAt = 0;
     /** Whether the response has a length or chunks; otherwise it ends when the connection closes. */
     let isSelfDelimited = true;
     let isSent = false;
@@ -84,6 +86,9 @@
     let informationalResponses = 0;
     let isFinished = false;
 
+    const getLoad = (): ReportedLoad | undefined =>
+        load === undefined ? undefined : { ...load, ageMs: context.getNow() - loadReceivedAt };
+
     const pause = (): void => {
         connection.isPaused = true;
         controller?.pause();
@@ -101,7 +106,7 @@
         relay?.flush();
         if (isResponseRead && reusableResults.includes(result)) connectionPool.release(connection);
         else connectionPool.destroy(connection);
-        context.onFinished({ result, responseStarted: relay?.hasStarted() ?? false, load, ...details });
+        context.onFinished({ result, responseStarted: relay?.hasStarted() ?? false, load: getLoad(), ...details });
     };
 
     const failAttempt = (reason: string): void => {
@@ -121,9 +126,12 @@
         const check = checkResponse(call, status, metadata);
         if (check.type === "invalid") return failAttempt(check.reason);
         // A misdirected call was answered by another target.
-        if (check.type !== "misdirected") context.onNotice(metadata.notice);
+        if (check.type !== "misdirected") {
+            context.onNotice(metadata.notice);
+            load = metadata.load;
+            loadReceivedAt = context.getNow();
+        }
         if (check.type === "failed") return abortResponse({ result: "failed", reason: check.reason });
-        load = metadata.load;
         isSelfDelimited = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
         relay = createResponseRelay(call, {
             status,
@@ -132,7 +140,7 @@
             reservation: context.reservation,
             pause,
             resume,
-            onStarted: () => context.onStarted(load),
+            onStarted: () => context.onStarted(getLoad()),
         });
     };
 
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -60,6 +60,14 @@
     quarantinedParts: optional(wrappedList(quarantinedPart)),
 });
 
+const reportedLoad = struct<ReportedLoad>({
+    running: integer,
+    waiting: integer,
+    slots: optional(integer),
+    paceRatio: optional(double),
+    ageMs: optional(double),
+});
+
 const attemptResult = stringEnum(["complete", "rejected", "failed", "broken", "unsent", "cancelled", "misdirected"]);
 
 /** Wire fields of each kind of message; the keys are the names in the `oneof` of `PlacementEnvelope`. */
@@ -86,7 +94,7 @@
         target: string,
         result: optional(attemptResult),
         latencyMs: double,
-        load: optional(struct<ReportedLoad>({ running: integer, waiting: integer })),
+        load: optional(reportedLoad),
         partIds: optional(wrappedList(string)),
     }),
     quarantineNotice: struct<WithoutType<QuarantineNoticeMessage>>({ parts: list(quarantinedPart) }),
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -221,6 +221,10 @@
 
     const handleAttemptNotice = (notice: AttemptNoticeMessage, now: number): void => {
         const pool = getOrCreatePool(notice.service);
+        const entry = view.getTarget(notice.target);
+        // Before the attempt ends here: it was in flight when the target reported its load.
+        if (notice.load !== undefined && entry?.service === notice.service)
+            pool?.model.recordLoad(entry, notice.load, now);
         const assignment = pool?.model.getAssignment(notice.requestId);
         if (pool === undefined || assignment?.target !== notice.target) return;
         const { requestId, result, latencyMs } = notice;
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -1,10 +1,22 @@
 /** Model of the load of all targets of one service, and the choice of a target for a request. */
 import { createRendezvousChooser } from "@rhubarbwheel/membership/createRendezvousChooser";
 import type { PoolSpec, TargetEntry } from "@rhubarbwheel/types/fleet";
-import type { PlacedAttemptResult, PlacementRequest, PromptPart, PromptSize } from "@rhubarbwheel/types/placement";
+import type {
+    PlacedAttemptResult,
+    PlacementRequest,
+    PromptPart,
+    PromptSize,
+    ReportedLoad,
+} from "@rhubarbwheel/types/placement";
 import { createTargetModel } from "./createTargetModel.js";
 import type { Assignment, TargetModel } from "./createTargetModel.js";
-import { crossDomainCostMs, inFlightExpiryMs, prefillWeight, transferSetupMs } from "./placementSettings.js";
+import {
+    crossDomainCostMs,
+    inFlightExpiryMs,
+    prefillWeight,
+    runningRequestCostMs,
+    transferSetupMs,
+} from "./placementSettings.js";
 
 export interface PoolModelOptions {
     readonly spec: PoolSpec;
@@ -34,7 +46,7 @@
 
 /** Estimated work of a target before its first response byte. */
 interface PrefillEstimate {
-    /** Time for the prefill of uncached tokens and the transfer of cached ones; for plain calls, the service cost. */
+    /** Time for the prefill of uncached tokens and the transfer of cached ones. */
     readonly ms: number;
     readonly newTokens: number;
     readonly prefixSource?: string;
@@ -60,6 +72,9 @@
  */
 const preferredTargetBonusMs = 15;
 
+/** Difference of costs that is only due to rounding. */
+const tieMs = 0.001;
+
 /** Id of the last part that other requests are likely to share: the one before the request's own part. */
 function getSharedPartId(parts: readonly PromptPart[]): string | undefined {
     return (parts.at(-2) ?? parts.at(-1))?.id;
@@ -70,6 +85,7 @@
     const models = new Map<string, { readonly model: TargetModel; readonly startedAt?: number; }>();
     const targetByRequest = new Map<string, string>();
     const rendezvous = createRendezvousChooser();
+    let lastAssignment = 0;
 
     const getOrCreateModel = (entry: TargetEntry): TargetModel => {
         const existing = models.get(entry.target);
@@ -79,6 +95,7 @@
             slots: Math.max(1, entry.slots),
             engine: spec.engine,
             priorPrefillRate,
+            getNextAssignment: () => ++lastAssignment,
         });
         models.set(entry.target, { model, startedAt: entry.startedAtUnixMs });
         return model;
@@ -102,13 +119,16 @@
         getOrCreateModel(entry).assign(assignment);
     };
 
-    const findMinServiceTimeMs = (candidates: readonly TargetEntry[], now: number): number =>
-        Math.min(...candidates.map(entry => getOrCreateModel(entry).getServiceTimeMs(now)));
+    const findMinServiceTimeMs = (modelsOfCandidates: readonly TargetModel[], now: number): number => {
+        let minMs = Infinity;
+        for (const model of modelsOfCandidates) minMs = Math.min(minMs, model.getServiceTimeMs(now));
+        return minMs;
+    };
 
-    const computeMeanFailureRatio = (candidates: readonly TargetEntry[], now: number): number => {
+    const computeMeanFailureRatio = (modelsOfCandidates: readonly TargetModel[], now: number): number => {
         let sum = 0;
-        for (const entry of candidates) sum += getOrCreateModel(entry).getFailureRatio(now);
-        return sum / Math.max(1, candidates.length);
+        for (const model of modelsOfCandidates) sum += model.getFailureRatio(now);
+        return sum / Math.max(1, modelsOfCandidates.length);
     };
 
     /** Finds the target with the longest prefix of the prompt to transfer; stalled targets cannot transfer it. */
@@ -151,41 +171,62 @@
         };
     };
 
-    /** Cost of a plain call: the fraction of slots in use, and the time by which the target is slower than others. */
-    const estimateServiceCostMs = (model: TargetModel, minServiceTimeMs: number, now: number): number => {
-        const excessMs = model.getServiceTimeMs(now) - toleratedSlowdown * minServiceTimeMs;
-        return Math.max(0, excessMs) + model.getSlotUtilization() * minServiceTimeMs;
+    /**
+     * Cost of a plain call: the fraction of slots in use, and the time by which the target is slower than others. A
+     * slowdown that the host reports is not random, so all of it counts.
+     */
+    const estimateServiceCostMs = (
+        model: TargetModel,
+        slots: number,
+        minServiceTimeMs: number,
+        now: number,
+    ): number => {
+        const serviceTimeMs = model.getServiceTimeMs(now);
+        return Math.max(0, serviceTimeMs - toleratedSlowdown * minServiceTimeMs)
+            + serviceTimeMs * (model.getPaceRatio(now) - 1)
+            + model.estimateRequests(now) / slots * minServiceTimeMs;
     };
 
     const choose = (request: PlacementRequest, choiceOpts: ChoiceOptions): Choice | undefined => {
         const { candidates, now, maxWaitMs, loadFactor = 1 } = choiceOpts;
         const { prompt } = request;
-        const meanFailureRatio = computeMeanFailureRatio(candidates, now);
+        const candidateModels = candidates.map(getOrCreateModel);
+        const meanFailureRatio = computeMeanFailureRatio(candidateModels, now);
         const source = findPrefixSource(request, choiceOpts);
         const sharedPartId = getSharedPartId(prompt?.parts ?? []);
         const preferredTarget = sharedPartId === undefined
             ? undefined
             : rendezvous.choose(sharedPartId, candidates.map(candidate => candidate.target));
-        const minServiceTimeMs = findMinServiceTimeMs(candidates, now);
+        const minServiceTimeMs = prompt === undefined ? findMinServiceTimeMs(candidateModels, now) : 0;
         let best: Choice | undefined;
+        let bestModel: TargetModel | undefined;
         let minCost = Infinity;
-        for (const entry of candidates) {
-            const model = getOrCreateModel(entry);
+        for (const [index, entry] of candidates.entries()) {
+            const model = candidateModels[index]!;
+            if (model.isUnreachable(now)) continue;
             const waitMs = model.estimateWaitMs(now) * loadFactor;
-            if (waitMs > maxWaitMs || !model.hasCapacity(prompt) || model.isUnreachable(now)) continue;
-            const prefill: PrefillEstimate = prompt === undefined
-                ? { ms: estimateServiceCostMs(model, minServiceTimeMs, now), newTokens: 0 }
-                : estimatePrefill(model, prompt, source, now);
-            const weight = prompt === undefined ? 1 : prefillWeight;
+            if (waitMs > maxWaitMs || !model.hasCapacity(prompt)) continue;
+            const prefill = prompt === undefined ? undefined : estimatePrefill(model, prompt, source, now);
+            const workMs = prefill === undefined
+                ? estimateServiceCostMs(model, Math.max(1, entry.slots), minServiceTimeMs, now)
+                : prefill.ms * prefillWeight + model.estimateRequests(now) * runningRequestCostMs;
             const excessFailureRatio = model.getFailureRatio(now) - meanFailureRatio - toleratedFailureRatio;
-            const cost = waitMs + weight * prefill.ms
+            const cost = waitMs + workMs
                 + Math.max(0, excessFailureRatio) * failurePenaltyMs
                 + (entry.failureDomain === request.failureDomain ? 0 : crossDomainCostMs)
                 - (entry.target === preferredTarget ? preferredTargetBonusMs : 0);
-            if (cost >= minCost) continue;
-            minCost = cost;
-            const { newTokens, prefixSource } = prefill;
-            best = { target: entry.target, waitMs, newTokens, prefixSource };
+            // Of targets with the same cost, the one whose last request is the longest ago.
+            const isBetter = cost < minCost - tieMs
+                || (cost <= minCost + tieMs && model.getLastAssignment() < bestModel!.getLastAssignment());
+            if (!isBetter) continue;
+            minCost = Math.min(minCost, cost);
+            bestModel = model;
+            best = {
+                target: entry.target,
+                waitMs,
+                newTokens: prefill?.newTokens ?? 0,
+                prefixSource: prefill?.prefixSource,
+            };
         }
         return best;
     };
@@ -209,6 +250,9 @@
         },
         end,
         start: (requestId: string, now: number) => getModel(requestId)?.start(requestId, now),
+        /** Takes the load that a target reported in a response. */
+        recordLoad: (entry: TargetEntry, load: ReportedLoad, now: number) =>
+            getOrCreateModel(entry).recordLoad(load, now),
         /** Number of attempts that were assigned to the target before `assignedBefore` and have not ended. */
         countAssigned: (target: string, assignedBefore: number): number => {
             let count = 0;
--- a/packages/placement/src/createPrefillRateEstimator.ts
+++ b/packages/placement/src/createPrefillRateEstimator.ts
@@ -23,6 +23,9 @@
     let tokens = 0;
     let busyMs = 0;
     let observedAt = 0;
+    /** Time for which the rate was computed last; a choice uses it several times. */
+    let computedAt = NaN;
+    let rate = priorPrefillRate;
 
     const computeDecay = (now: number): number => Math.exp(Math.min(0, observedAt - now) / decayMs);
 
@@ -32,10 +35,14 @@
             tokens = tokens * retained + newTokens;
             busyMs = busyMs * retained + Math.max(newBusyMs, newTokens / (priorPrefillRate * maxPriorRatio));
             observedAt = now;
+            computedAt = NaN;
         },
         getRate: now => {
+            if (now === computedAt) return rate;
             const decay = computeDecay(now);
-            return (tokens * decay + priorPrefillRate * priorWeightMs) / (busyMs * decay + priorWeightMs);
+            computedAt = now;
+            rate = (tokens * decay + priorPrefillRate * priorWeightMs) / (busyMs * decay + priorWeightMs);
+            return rate;
         },
     };
 }
--- a/packages/placement/src/createTargetModel.ts
+++ b/packages/placement/src/createTargetModel.ts
@@ -1,6 +1,7 @@
 /** Model of the load of one target, which estimates the queueing time of another request there. */
 import type { EngineSpec } from "@rhubarbwheel/types/fleet";
-import type { PlacedAttemptResult, PromptPart, PromptSize } from "@rhubarbwheel/types/placement";
+import type { PlacedAttemptResult, PromptPart, PromptSize, ReportedLoad } from "@rhubarbwheel/types/placement";
+import { createLoadEstimator, maxReportAgeMs } from "./createLoadEstimator.js";
 import { createPrefillRateEstimator } from "./createPrefillRateEstimator.js";
 import { createPrefixCacheModel } from "./createPrefixCacheModel.js";
 import {
@@ -34,23 +35,31 @@
     readonly engine?: EngineSpec;
     /** Assumed prefill rate without observations, in tokens per millisecond. */
     readonly priorPrefillRate: number;
+    /** Returns a number that increases with each assignment to any target of the pool. */
+    readonly getNextAssignment: () => number;
 }
 
 export interface TargetModel {
     readonly assign: (assignment: Assignment) => void;
     readonly start: (requestId: string, now: number) => void;
     readonly end: (requestId: string, result: PlacedAttemptResult, latencyMs: number, now: number) => void;
+    /** Takes the load that the target reported in a response to this or another router. */
+    readonly recordLoad: (load: ReportedLoad, now: number) => void;
     /** Adds prompt parts that the target reports as cached. */
     readonly addCachedParts: (parts: readonly PromptPart[]) => void;
     readonly get: (requestId: string) => Assignment | undefined;
     readonly list: () => Iterable<Assignment>;
     readonly count: () => number;
-    /** Fraction of slots in use. */
-    readonly getSlotUtilization: () => number;
+    /** Requests in flight, including those that the target reports and this router does not know of. */
+    readonly estimateRequests: (now: number) => number;
+    /** Number of the last assignment, in the order of `getNextAssignment`; 0 if there was none. */
+    readonly getLastAssignment: () => number;
     /** Queueing time of a request that is sent now. */
     readonly estimateWaitMs: (now: number) => number;
-    /** Moving average of the latency of plain calls. */
+    /** Moving average of the latency of plain calls at the usual pace of the host. */
     readonly getServiceTimeMs: (now: number) => number;
+    /** Time that work takes on the host now, compared with the usual; 1 if it does not report it. */
+    readonly getPaceRatio: (now: number) => number;
     readonly estimatePrefillMs: (tokens: number, now: number) => number;
     /** Tokens at the start of the prompt that need no prefill. */
     readonly countCachedTokens: (prompt: PromptSize) => number;
@@ -101,8 +110,17 @@
 export function createTargetModel(opts: TargetModelOptions): TargetModel {
     const { engine } = opts;
     const assignments = new Map<string, Assignment>();
+    /** Those without a first event, oldest first. */
     const cache = createPrefixCacheModel();
+    const unstarted = new Map<string, Assignment>();
+    const load = createLoadEstimator({ slots: opts.slots });
+    /** At the usual pace of the host, so that a change of the pace takes effect at once. */
     const prefillRate = createPrefillRateEstimator(opts.priorPrefillRate);
+    /** Tokens that assigned requests without a first event need to prefill. */
+    let unstartedTokens = 0;
+    let lastAssignment = 0;
+    /** Ends of assignments within `maxReportAgeMs`, and the times at which they were assigned. */
+    let ended: { readonly assignedAt: number; readonly endedAt: number; }[] = [];
     /** Prompt tokens of assigned requests that belong to no known part. */
     let untrackedTokens = 0;
     /** Maximum number of tokens that assigned requests may generate. */
@@ -120,36 +138,47 @@
         const assignment = assignments.get(requestId);
         if (assignment === undefined) return undefined;
         assignments.delete(requestId);
+        if (unstarted.delete(requestId)) unstartedTokens -= assignment.newTokens;
         untrackedTokens -= countUntrackedTokens(assignment);
         outputTokens -= assignment.outputTokens;
         return assignment;
     };
 
     const findOldestUnstarted = (): Assignment | undefined => {
-        for (const assignment of assignments.values()) if (assignment.startedAt === undefined) return assignment;
+        if (unstarted.size === 0) return undefined;
+        for (const assignment of unstarted.values()) return assignment;
         return undefined;
     };
 
-    /** Decays to the prior, so that a slow target is eventually tried again. */
+    /** At the usual pace. Decays to the prior, so that a slow target is eventually tried again. */
     const getServiceTimeMs = (now: number): number =>
         priorServiceTimeMs
         + (serviceTimeMs - priorServiceTimeMs) * Math.exp((serviceTimeUpdatedAt - now) / serviceTimeDecayMs);
 
+    const getPrefillRate = (now: number): number => prefillRate.getRate(now) / load.getPaceRatio(now);
+
     const getFailureRatio = (now: number): number =>
-        failureRatio * Math.exp((failureRatioUpdatedAt - now) / failureDecayMs);
+        failureRatio === 0 ? 0 : failureRatio * Math.exp((failureRatioUpdatedAt - now) / failureDecayMs);
+
+    /** Own requests that were in flight at `time`. */
+    const countInFlightAt = (time: number): number => {
+        let count = 0;
+        for (const { assignedAt } of assignments.values()) if (assignedAt <= time) count += 1;
+        for (const { assignedAt, endedAt } of ended) if (assignedAt <= time && endedAt > time) count += 1;
+        return count;
+    };
 
     const estimateEngineOverdueMs = (now: number): number => {
         const oldest = findOldestUnstarted();
         if (oldest === undefined) return 0;
         const elapsedMs = now - Math.max(prefillStartedAt, oldest.assignedAt);
-        return Math.max(0, elapsedMs - oldest.newTokens / prefillRate.getRate(now) - firstEventMs - stallSlackMs);
+        return Math.max(0, elapsedMs - oldest.newTokens / getPrefillRate(now) - firstEventMs - stallSlackMs);
     };
 
     const estimateSlotOverdueMs = (now: number): number => {
-        let overdueMs = 0;
-        for (const assignment of assignments.values())
-            overdueMs = Math.max(overdueMs, now - assignment.assignedAt - 4 * getServiceTimeMs(now) - stallSlackMs);
-        return overdueMs;
+        let oldestAt = now;
+        for (const { assignedAt } of assignments.values()) oldestAt = Math.min(oldestAt, assignedAt);
+        return Math.max(0, now - oldestAt - 4 * getServiceTimeMs(now) * load.getPaceRatio(now) - stallSlackMs);
     };
 
     const estimateOverdueMs = engine === undefined ? estimateSlotOverdueMs : estimateEngineOverdueMs;
@@ -157,15 +186,13 @@
     const estimateEngineWaitMs = (now: number): number => {
         const oldest = findOldestUnstarted();
         if (oldest === undefined) return 0;
-        let tokens = 0;
-        for (const assignment of assignments.values())
-            if (assignment.startedAt === undefined) tokens += assignment.newTokens;
+        const rate = getPrefillRate(now);
         const elapsedMs = now - Math.max(prefillStartedAt, oldest.assignedAt);
-        return (tokens - Math.min(elapsedMs * prefillRate.getRate(now), oldest.newTokens)) / prefillRate.getRate(now);
+        return (unstartedTokens - Math.min(elapsedMs * rate, oldest.newTokens)) / rate;
     };
 
-    const estimateSlotWaitMs = (): number =>
-        Math.max(0, assignments.size + 1 - opts.slots) * serviceTimeMs / opts.slots;
+    const estimateSlotWaitMs = (now: number): number =>
+        Math.max(0, assignments.size + 1 - opts.slots) * serviceTimeMs * load.getPaceRatio(now) / opts.slots;
 
     const estimateQueueMs = engine === undefined ? estimateSlotWaitMs : estimateEngineWaitMs;
 
@@ -183,6 +210,11 @@
             if (assignments.has(assignment.requestId)) return;
             if (findOldestUnstarted() === undefined) prefillStartedAt = assignment.assignedAt;
             assignments.set(assignment.requestId, assignment);
+            lastAssignment = opts.getNextAssignment();
+            if (assignment.startedAt === undefined) {
+                unstarted.set(assignment.requestId, assignment);
+                unstartedTokens += assignment.newTokens;
+            }
             untrackedTokens += countUntrackedTokens(assignment);
             outputTokens += assignment.outputTokens;
             if (engine === undefined) return;
@@ -195,19 +227,25 @@
             const assignment = assignments.get(requestId);
             if (assignment === undefined || assignment.startedAt !== undefined) return;
             assignment.startedAt = now;
+            unstarted.delete(requestId);
+            unstartedTokens -= assignment.newTokens;
             cache.setPrefilled(assignment.parts ?? []);
             const busySince = Math.max(prefillStartedAt, assignment.assignedAt + firstEventMs);
-            if (assignment.newTokens > 0) prefillRate.record(assignment.newTokens, Math.max(1, now - busySince), now);
+            const busyMs = Math.max(1, now - busySince) / load.getPaceRatio(now);
+            if (assignment.newTokens > 0) prefillRate.record(assignment.newTokens, busyMs, now);
             prefillStartedAt = now;
         },
         end: (requestId, result, latencyMs, now) => {
             const assignment = remove(requestId);
             if (assignment === undefined) return;
+            ended = ended.filter(({ endedAt }) => endedAt > now - maxReportAgeMs);
+            ended.push({ assignedAt: assignment.assignedAt, endedAt: now });
             if (result === "complete") cache.setPrefilled(assignment.parts ?? []);
             cache.unpin(assignment.parts ?? []);
             if (result === "cancelled") return;
             if (engine === undefined && result !== "unsent") {
-                serviceTimeMs = getServiceTimeMs(now) + serviceTimeWeight * (latencyMs - serviceTimeMs);
+                const usualLatencyMs = latencyMs / load.getPaceRatio(now);
+                serviceTimeMs = getServiceTimeMs(now) + serviceTimeWeight * (usualLatencyMs - serviceTimeMs);
                 serviceTimeUpdatedAt = now;
             }
             recordReachability(result !== "unsent" && result !== "misdirected", now);
@@ -218,11 +256,14 @@
         get: requestId => assignments.get(requestId),
         list: () => assignments.values(),
         count: () => assignments.size,
-        getSlotUtilization: () => assignments.size / opts.slots,
+        recordLoad: (report, now) => load.record(report, countInFlightAt(now - (report.ageMs ?? 0)), now),
+        estimateRequests: now => assignments.size + load.getOtherRequests(now),
+        getLastAssignment: () => lastAssignment,
+        getPaceRatio: load.getPaceRatio,
         // A target with an overdue response may be stalled: the queueing time grows with the time overdue.
         estimateWaitMs: now => estimateQueueMs(now) + estimateOverdueMs(now),
         getServiceTimeMs,
-        estimatePrefillMs: (tokens, now) => tokens / prefillRate.getRate(now),
+        estimatePrefillMs: (tokens, now) => tokens / getPrefillRate(now),
         countCachedTokens: prompt => Math.min(prompt.promptTokens, cache.countCachedTokens(prompt.parts)),
         countTransferableTokens: prompt => Math.min(prompt.promptTokens, cache.countPrefilledTokens(prompt.parts)),
         isUnreachable: now => now < unreachableUntil,
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -55,12 +55,25 @@
     return entry === undefined || attempt?.number !== event.attempt ? undefined : { entry, attempt };
 }
 
+/** Before the attempt ends in the model: it was in flight when the target reported its load. */
+function recordLoad(
+    context: EntryContext,
+    { request }: EntryRequest,
+    attempt: InFlightEntryAttempt,
+    load: ReportedLoad | undefined,
+): void {
+    const target = context.view.getTarget(attempt.target);
+    if (load !== undefined && target !== undefined)
+        context.pools.get(request.service)?.model.recordLoad(target, load, context.now);
+}
+
 export function handleAttemptStarted(context: EntryContext, event: AttemptStartedEvent): void {
     const found = findAttempt(context, event);
     if (found === undefined || found.attempt.startedAt !== undefined) return;
     const { entry, attempt } = found;
     attempt.startedAt = context.now;
     entry.responseStarted = true;
+    recordLoad(context, entry, attempt, event.load);
     context.pools.get(entry.request.service)?.model.start(event.requestId, context.now);
     const partIds = listSharedPartIds(entry.request.prompt);
     sendAttemptNotice(context, entry, attempt, { load: event.load, partIds });
@@ -116,7 +129,10 @@
     const found = findAttempt(context, event);
     if (found === undefined) return;
     const { entry, attempt } = found;
-    const { result, load } = event;
+    const { result } = event;
+    // The load is that of the response's head, and was already reported when the attempt started.
+    const load = attempt.startedAt === undefined ? event.load : undefined;
+    recordLoad(context, entry, attempt, load);
     const latencyMs = (attempt.startedAt ?? context.now) - attempt.sentAt;
     context.pools.get(entry.request.service)?.model.end(event.requestId, result, latencyMs, context.now);
     // The attempts that had not started are those that may have crashed the target.
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -43,6 +43,12 @@
 /** Weight of prefill time against the queueing time of the request itself: prefill also delays other requests. */
 export const prefillWeight = 8;
 
+/**
+ * Cost of each request at an engine, as an equivalent of queueing time: it slows the prefill and the tokens of all
+ * others. The prefill of 12,000 tokens takes 10 ms longer beside 30 requests, which counts `prefillWeight` times.
+ */
+export const runningRequestCostMs = 2.5;
+
 /** Setup time of a prefix transfer between two engines, in addition to the time on the link. */
 export const transferSetupMs = 10;
 
--- a/packages/placement/test/kvCacheModel.test.ts
+++ b/packages/placement/test/kvCacheModel.test.ts
@@ -11,7 +11,7 @@
 /** An engine with a tenth of the usual KV cache capacity: eight requests without shared parts fill it. */
 function createEngine() {
     const engine = { ...enginePool.engine!, kvCacheTokens: 100_000 };
-    const model = createTargetModel({ slots: 128, engine, priorPrefillRate: 100 });
+    const model = createTargetModel({ slots: 128, engine, priorPrefillRate: 100, getNextAssignment: () => 1 });
     let now = 0;
     const assign = (request: PlacementRequest): PlacementRequest => {
         const { requestId, prompt } = request;
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -126,6 +126,12 @@
 export interface ReportedLoad {
     readonly running: number;
     readonly waiting: number;
+    /** Maximum number of concurrent requests; omitted if not reported. */
+    readonly slots?: number;
+    /** Time that work takes on the target's host now; 1 is the usual time. Omitted if not reported. */
+    readonly paceRatio?: number;
+    /** Time since the response that reported it arrived; 0 if omitted. */
+    readonly ageMs?: number;
 }
 
 /** Entry router to coordinator: an attempt received its first event or ended. Duplicates are harmless. */
