Measure how unevenly the requests of a pool are spread over its targets

Operators could not see uneven load. The coordinator of a pool now logs event 1740 if the busiest target has at least twice the mean number of requests, and /metrics has the ratio and the pace of the busiest target by service. The costs of a target moved to a module of their own.

--- a/packages/placement/src/createLoadEstimator.ts
+++ b/packages/placement/src/createLoadEstimator.ts
@@ -4,6 +4,8 @@
 export interface LoadEstimatorOptions {
     /** Maximum number of concurrent requests at the target. */
     readonly slots: number;
+    /** Time constant with which reported requests of others are forgotten. */
+    readonly requestDecayMs: number;
 }
 
 export interface LoadEstimator {
@@ -24,9 +26,6 @@
  */
 const toleratedRequests = 1;
 
-/** Time constant with which other routers' requests are forgotten; plain calls take 20 to 70 ms, streams some seconds. */
-const otherRequestsDecayMs = 500;
-
 /** Weight of the newest report of the number of requests. */
 const requestsWeight = 0.4;
 
@@ -67,7 +66,7 @@
     const getOtherRequests = (now: number): number =>
         otherRequests < negligible
             ? 0
-            : otherRequests * Math.exp(Math.min(0, otherRequestsAt - now) / otherRequestsDecayMs);
+            : otherRequests * Math.exp(Math.min(0, otherRequestsAt - now) / opts.requestDecayMs);
 
     const getLogPace = (now: number): number =>
         Math.abs(logPace) < negligible ? 0 : logPace * Math.exp(Math.min(0, paceAt - now) / paceDecayMs);
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -23,6 +23,7 @@
 import { computeCost, computeMaxWaitMs, computePriorPrefillRate } from "./admission.js";
 import { createFairShareTracker } from "./createFairShareTracker.js";
 import type { FairShareTracker } from "./createFairShareTracker.js";
+import { createLoadSpreadMeter, type LoadSpread } from "./createLoadSpreadMeter.js";
 import { listSharedPartIds } from "./createPartQuarantine.js";
 import type { PartQuarantine } from "./createPartQuarantine.js";
 import { createPoolModel } from "./createPoolModel.js";
@@ -43,6 +44,8 @@
 export interface PlacementCoordinator extends PlacementSlice {
     /** Number of attempts that were assigned to the target before `assignedBefore` and have not ended. */
     readonly countAssigned: (service: string, target: string, assignedBefore: number) => number;
+    /** Spread of the requests over the usable targets of each pool that this router coordinates. */
+    readonly listLoadSpreads: (now: number) => ReadonlyMap<string, LoadSpread>;
 }
 
 interface CoordinatedPool {
@@ -81,6 +84,7 @@
     const pools = new Map<string, CoordinatedPool>();
     const coldRateLimiter = createSendRateLimiter();
     const rateGranter = createRateGranter(targetNotices);
+    const loadSpreadMeter = createLoadSpreadMeter(pools, view);
     const refusalHistory = createRefusalHistory();
     let expireAt = Infinity;
     let effects: PlacementEffect[] = [];
@@ -283,6 +287,7 @@
             model.expire(now);
             model.removeUnlisted(target => view.getTarget(target) !== undefined);
         }
+        effects.push(...loadSpreadMeter.check(loadSpreadMeter.measure(now), now));
         expireAt = now + expiryIntervalMs;
     };
 
@@ -297,5 +302,6 @@
         getWakeAt: () => expireAt,
         countAssigned: (service, target, assignedBefore) =>
             pools.get(service)?.model.countAssigned(target, assignedBefore) ?? 0,
+        listLoadSpreads: loadSpreadMeter.measure,
     };
 }
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -8,15 +8,18 @@
     PromptSize,
     ReportedLoad,
 } from "@rhubarbwheel/types/placement";
+import {
+    type ChoiceRule,
+    computeFailureCostMs,
+    estimateCallCostMs,
+    estimatePromptCostMs,
+    evenLoadRule,
+    preferredTargetBonusMs,
+} from "./computeTargetCost.js";
+import { computeLoadSpread, type LoadSpread } from "./createLoadSpreadMeter.js";
 import { createTargetModel } from "./createTargetModel.js";
 import type { Assignment, TargetModel } from "./createTargetModel.js";
-import {
-    crossDomainCostMs,
-    inFlightExpiryMs,
-    prefillWeight,
-    runningRequestCostMs,
-    transferSetupMs,
-} from "./placementSettings.js";
+import { crossDomainCostMs, inFlightExpiryMs, prefillWeight, transferSetupMs } from "./placementSettings.js";
 
 export interface PoolModelOptions {
     readonly spec: PoolSpec;
@@ -26,17 +29,6 @@
     readonly rule?: ChoiceRule;
 }
 
-/** What the choice of a target takes into account beside queueing time and cached parts. */
-export interface ChoiceRule {
-    /** Cost of each request at an engine, in milliseconds of queueing time. */
-    readonly runningRequestCostMs: number;
-    readonly usesReports: boolean;
-    /** Whether a tie goes to the target whose last request is the longest ago, and not to the first of the list. */
-    readonly breaksTies: boolean;
-}
-
-export const evenLoadRule: ChoiceRule = { runningRequestCostMs, usesReports: true, breaksTies: true };
-
 export interface Choice {
     readonly target: string;
     readonly waitMs: number;
@@ -70,21 +62,6 @@
     readonly transferableTokens: number;
 }
 
-/** Cost of a failure ratio of 1 above the mean of the pool, in milliseconds of queueing time. */
-const failurePenaltyMs = 2_000;
-
-/** Difference to the pool's mean failure ratio that is considered random. */
-const toleratedFailureRatio = 0.1;
-
-/** Multiple of the pool's minimum service time that is considered random. */
-const toleratedSlowdown = 2;
-
-/**
- * Cost advantage of the target that is first by rendezvous hashing, so that routers choose the same target without
- * communication.
- */
-const preferredTargetBonusMs = 15;
-
 /** Difference of costs that is only due to rounding. */
 const tieMs = 0.001;
 
@@ -184,22 +161,6 @@
         };
     };
 
-    /**
-     * Cost of a plain call: the fraction of slots in use, and the time by which the target is slower than others. A
-     * slowdown that the host reports is not random, so all of it counts.
-     */
-    const estimateServiceCostMs = (
-        model: TargetModel,
-        slots: number,
-        minServiceTimeMs: number,
-        now: number,
-    ): number => {
-        const serviceTimeMs = model.getServiceTimeMs(now);
-        return Math.max(0, serviceTimeMs - toleratedSlowdown * minServiceTimeMs)
-            + serviceTimeMs * (model.getPaceRatio(now) - 1)
-            + model.estimateRequests(now) / slots * minServiceTimeMs;
-    };
-
     const choose = (request: PlacementRequest, choiceOpts: ChoiceOptions): Choice | undefined => {
         const { candidates, now, maxWaitMs, loadFactor = 1 } = choiceOpts;
         const { prompt } = request;
@@ -221,12 +182,10 @@
             if (waitMs > maxWaitMs || !model.hasCapacity(prompt)) continue;
             const prefill = prompt === undefined ? undefined : estimatePrefill(model, prompt, source, now);
             const workMs = prefill === undefined
-                ? estimateServiceCostMs(model, Math.max(1, entry.slots), minServiceTimeMs, now)
-                : prefill.ms * (prefillWeight + model.getPaceRatio(now) - 1)
-                    + model.estimateRequests(now) * rule.runningRequestCostMs;
-            const excessFailureRatio = model.getFailureRatio(now) - meanFailureRatio - toleratedFailureRatio;
+                ? estimateCallCostMs({ model, slots: Math.max(1, entry.slots), minServiceTimeMs, now })
+                : estimatePromptCostMs({ model, prefillMs: prefill.ms, rule, now });
             const cost = waitMs + workMs
-                + Math.max(0, excessFailureRatio) * failurePenaltyMs
+                + computeFailureCostMs(model.getFailureRatio(now), meanFailureRatio)
                 + (entry.failureDomain === request.failureDomain ? 0 : crossDomainCostMs)
                 - (entry.target === preferredTarget ? preferredTargetBonusMs : 0);
             // Of targets with the same cost, the one whose last request is the longest ago.
@@ -268,6 +227,16 @@
         recordLoad: (entry: TargetEntry, load: ReportedLoad, now: number) => {
             if (rule.usesReports) getOrCreateModel(entry).recordLoad(load, now);
         },
+        /** Spread of the requests over these targets; `undefined` if there are none. */
+        getLoadSpread: (entries: readonly TargetEntry[], now: number): LoadSpread | undefined =>
+            computeLoadSpread(entries.map(entry => {
+                const model = getOrCreateModel(entry);
+                return {
+                    target: entry.target,
+                    requests: model.estimateRequests(now),
+                    paceRatio: model.getPaceRatio(now),
+                };
+            })),
         /** Number of attempts that were assigned to the target before `assignedBefore` and have not ended. */
         countAssigned: (target: string, assignedBefore: number): number => {
             let count = 0;
--- a/packages/placement/src/createTargetModel.ts
+++ b/packages/placement/src/createTargetModel.ts
@@ -95,6 +95,13 @@
 /** Delay of a response beyond its expected time after which the target counts as stalled. */
 const stallSlackMs = 100;
 
+/**
+ * Time constants with which reported requests of other routers are forgotten: calls take 20 to 70 ms, streams some
+ * seconds. With 500 ms for calls, eight routers with reports 200 ms old chose the same targets in turn.
+ */
+const callDecayMs = 150;
+const streamDecayMs = 500;
+
 /** Whether the result counts as a failure of the target. */
 function isFailure(result: PlacedAttemptResult): boolean {
     return result !== "complete" && result !== "cancelled";
@@ -113,7 +120,10 @@
     /** Those without a first event, oldest first. */
     const cache = createPrefixCacheModel();
     const unstarted = new Map<string, Assignment>();
-    const load = createLoadEstimator({ slots: opts.slots });
+    const load = createLoadEstimator({
+        slots: opts.slots,
+        requestDecayMs: engine === undefined ? callDecayMs : streamDecayMs,
+    });
     /** At the usual pace of the host, so that a change of the pace takes effect at once. */
     const prefillRate = createPrefillRateEstimator(opts.priorPrefillRate);
     /** Tokens that assigned requests without a first event need to prefill. */
--- a/packages/placement/test/playArrivals.ts
+++ b/packages/placement/test/playArrivals.ts
@@ -1,8 +1,9 @@
 /** Plays seeded arrivals over several routers and targets, and measures how even the load of the targets is. */
 import type { PoolSpec, TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementRequest } from "@rhubarbwheel/types/placement";
+import type { ChoiceRule } from "../src/computeTargetCost.js";
 import { createPoolModel } from "../src/createPoolModel.js";
-import type { Choice, ChoiceRule, PoolModel } from "../src/createPoolModel.js";
+import type { Choice, PoolModel } from "../src/createPoolModel.js";
 import { createPrefixCacheModel } from "../src/createPrefixCacheModel.js";
 import { createTargets } from "./placementFixtures.js";
 
@@ -12,8 +13,9 @@
     readonly slots: number;
     /** Routers that choose without knowing of each other; 1 is a coordinator. */
     readonly routers: number;
-    /** Time after which a router learns of the start and end of its requests. */
+    /** Time after which a coordinator learns of starts, ends and reports; local placement learns of reports. */
     readonly delayMs: number;
+    readonly isLocal: boolean;
     readonly perSecond: number;
     readonly durationMs: number;
     readonly isUnequal: boolean;
@@ -78,6 +80,7 @@
         { length: arrivals.routers },
         () => createPoolModel({ spec, priorPrefillRate: 100, rule: chooser.rule }),
     );
+    const noticeDelayMs = arrivals.isLocal ? 0 : delayMs;
     const events: { readonly at: number; readonly run: () => void; }[] = [];
     const schedule = (at: number, run: () => void): void => {
         let low = 0;
@@ -121,7 +124,7 @@
         const work = -Math.log(1 - random()) * 45;
         const router = index % arrivals.routers;
         const model = models[router]!;
-        const loadFactor = Math.min(4, arrivals.routers);
+        const loadFactor = arrivals.isLocal ? Math.min(4, arrivals.routers) : 1;
         const arrivedAt = now;
         let choice: Choice | undefined;
         const choose = (among: readonly TargetEntry[]): number => {
@@ -182,8 +185,8 @@
             if (!isEngine) firstByteMs.push(now - arrivedAt);
             totalMs += now - arrivedAt;
             const latencyMs = now - arrivedAt;
-            schedule(now + delayMs, () => {
-                model.recordLoad(entry, { ...load, ageMs: delayMs }, now);
+            schedule(now + delayMs, () => model.recordLoad(entry, { ...load, ageMs: delayMs }, now));
+            schedule(now + noticeDelayMs, () => {
                 model.end(requestId, "complete", latencyMs, now);
             });
         };
@@ -194,10 +197,8 @@
             firstByteMs.push(now - arrivedAt);
             const load = report();
             target.cache.setPrefilled(parts);
-            schedule(now + delayMs, () => {
-                model.recordLoad(entry, { ...load, ageMs: delayMs }, now);
-                model.start(requestId, now);
-            });
+            schedule(now + delayMs, () => model.recordLoad(entry, { ...load, ageMs: delayMs }, now));
+            schedule(now + noticeDelayMs, () => model.start(requestId, now));
             const stepMs = (3.4 + 0.07 * target.running) * target.pace * 100 / target.speed;
             schedule(now + stepMs * (prompt?.outputTokens ?? 0), end);
         };
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -66,6 +66,7 @@
         view,
         entry,
         targetNotices,
+        listLoadSpreads: coordinator.listLoadSpreads,
     };
 }
 
--- a/packages/telemetry/src/createPrometheusMetrics.ts
+++ b/packages/telemetry/src/createPrometheusMetrics.ts
@@ -15,6 +15,13 @@
     readonly failureDomain: string;
     /** Gauges by name, whose values are read on each scrape. */
     readonly gauges: Readonly<Record<string, { readonly help: string; readonly read: () => number; }>>;
+    /** Gauges with a value for each service. */
+    readonly serviceGauges: Readonly<Record<string, ServiceGauge>>;
+}
+
+export interface ServiceGauge {
+    readonly help: string;
+    readonly read: () => ReadonlyMap<string, number>;
 }
 
 /** Upper bounds in milliseconds. They include the latency targets that operators configure. */
@@ -66,6 +73,19 @@
             },
         });
     }
+    for (const [name, { help, read }] of Object.entries(opts.serviceGauges)) {
+        new Gauge({
+            name: `rhubarbwheel_${name}`,
+            help,
+            labelNames: ["service"],
+            registers,
+            collect() {
+                // A pool that another router coordinates now has no value here.
+                this.reset();
+                for (const [service, value] of read()) this.set({ service }, value);
+            },
+        });
+    }
     return {
         countOutcome: (service, outcome) => outcomes.inc({ service, outcome }),
         countAttempt: (service, result) => attempts.inc({ service, result }),
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -136,4 +136,10 @@
         message: "A target said in a response that it leaves, pauses, or accepts another rate of requests.",
         fields: ["target", "service", "isLeaving", "pauseMs", "rateLimit"],
     },
+    1740: {
+        name: "loadUneven",
+        level: "info",
+        message: "A target has at least twice the mean number of requests of its pool, at the coordinator.",
+        fields: ["service", "targets", "target", "requests", "meanRequests", "busiestRatio", "paceRatio"],
+    },
 };
