Correct the queueing time of engines for late notices

A coordinator learns late that a request has started, so it counted prefill that the engine had already done. It now measures that lag from notices that carry a reported load, and takes the work of that time as done. Targets that report no pace keep the previous estimate.

--- a/packages/placement/src/createLoadEstimator.ts
+++ b/packages/placement/src/createLoadEstimator.ts
@@ -38,7 +38,10 @@
 /** Maximum weight of one report of the pace, also after a long time without any. */
 const maxPaceWeight = 0.5;
 
-/** Time constant with which the pace returns to the usual without reports, so that a slow target is tried again. */
+/**
+ * Time constant with which the pace returns to the usual after `paceAverageMs` without reports, so that a slow target
+ * is tried again.
+ */
 const paceDecayMs = 1_500;
 
 /** Reported paces outside this range are implausible and are not used. */
@@ -69,7 +72,9 @@
             : otherRequests * Math.exp(Math.min(0, otherRequestsAt - now) / opts.requestDecayMs);
 
     const getLogPace = (now: number): number =>
-        Math.abs(logPace) < negligible ? 0 : logPace * Math.exp(Math.min(0, paceAt - now) / paceDecayMs);
+        Math.abs(logPace) < negligible
+            ? 0
+            : logPace * Math.exp(Math.min(0, paceAt + paceAverageMs - now) / paceDecayMs);
 
     const recordRequests = ({ running, waiting }: ReportedLoad, ownRequests: number, reportedAt: number): void => {
         // Reports may arrive out of order; an older one adds nothing.
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -226,10 +226,13 @@
     const handleAttemptNotice = (notice: AttemptNoticeMessage, now: number): void => {
         const pool = getOrCreatePool(notice.service);
         const entry = view.getTarget(notice.target);
-        // Before the attempt ends here: it was in flight when the target reported its load.
-        if (notice.load !== undefined && entry?.service === notice.service)
-            pool?.model.recordLoad(entry, notice.load, now);
         const assignment = pool?.model.getAssignment(notice.requestId);
+        // Before the attempt ends here: it was in flight when the target reported its load.
+        if (notice.load !== undefined && entry?.service === notice.service) {
+            // The reply to the placement request took about as long as the notice.
+            const roundTripMs = assignment === undefined ? 0 : now - assignment.assignedAt - notice.latencyMs;
+            pool?.model.recordLoad(entry, notice.load, now, Math.max(0, roundTripMs / 2));
+        }
         if (pool === undefined || assignment?.target !== notice.target) return;
         const { requestId, result, latencyMs } = notice;
         if (result === undefined) return pool.model.start(requestId, now);
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -224,8 +224,8 @@
         end,
         start: (requestId: string, now: number) => getModel(requestId)?.start(requestId, now),
         /** Takes the load that a target reported in a response. */
-        recordLoad: (entry: TargetEntry, load: ReportedLoad, now: number) => {
-            if (rule.usesReports) getOrCreateModel(entry).recordLoad(load, now);
+        recordLoad: (entry: TargetEntry, load: ReportedLoad, now: number, noticeLagMs: number) => {
+            if (rule.usesReports) getOrCreateModel(entry).recordLoad(load, now, noticeLagMs);
         },
         /** Spread of the requests over these targets; `undefined` if there are none. */
         getLoadSpread: (entries: readonly TargetEntry[], now: number): LoadSpread | undefined =>
--- a/packages/placement/src/createTargetModel.ts
+++ b/packages/placement/src/createTargetModel.ts
@@ -43,8 +43,11 @@
     readonly assign: (assignment: Assignment) => void;
     readonly start: (requestId: string, now: number) => void;
     readonly end: (requestId: string, result: PlacedAttemptResult, latencyMs: number, now: number) => void;
-    /** Takes the load that the target reported in a response to this or another router. */
-    readonly recordLoad: (load: ReportedLoad, now: number) => void;
+    /**
+     * Takes the load that the target reported in a response to this or another router. `noticeLagMs`: time after which
+     * this router learns of the start and end of requests, 0 for its own.
+     */
+    readonly recordLoad: (load: ReportedLoad, now: number, noticeLagMs: number) => void;
     /** Adds prompt parts that the target reports as cached. */
     readonly addCachedParts: (parts: readonly PromptPart[]) => void;
     readonly get: (requestId: string) => Assignment | undefined;
@@ -102,6 +105,9 @@
 const callDecayMs = 150;
 const streamDecayMs = 500;
 
+/** Weight of a new notice in the moving average of their lag. */
+const noticeLagWeight = 0.1;
+
 /** Whether the result counts as a failure of the target. */
 function isFailure(result: PlacedAttemptResult): boolean {
     return result !== "complete" && result !== "cancelled";
@@ -129,6 +135,8 @@
     /** Tokens that assigned requests without a first event need to prefill. */
     let unstartedTokens = 0;
     let lastAssignment = 0;
+    /** Moving average; 0 for targets that do not report their pace, whose queueing time is estimated as before. */
+    let noticeLagMs = 0;
     /** Ends of assignments within `maxReportAgeMs`, and the times at which they were assigned. */
     let ended: { readonly assignedAt: number; readonly endedAt: number; }[] = [];
     /** Prompt tokens of assigned requests that belong to no known part. */
@@ -182,7 +190,10 @@
         const oldest = findOldestUnstarted();
         if (oldest === undefined) return 0;
         const elapsedMs = now - Math.max(prefillStartedAt, oldest.assignedAt);
-        return Math.max(0, elapsedMs - oldest.newTokens / getPrefillRate(now) - firstEventMs - stallSlackMs);
+        return Math.max(
+            0,
+            elapsedMs - oldest.newTokens / getPrefillRate(now) - firstEventMs - stallSlackMs - noticeLagMs,
+        );
     };
 
     const estimateSlotOverdueMs = (now: number): number => {
@@ -197,8 +208,10 @@
         const oldest = findOldestUnstarted();
         if (oldest === undefined) return 0;
         const rate = getPrefillRate(now);
-        const elapsedMs = now - Math.max(prefillStartedAt, oldest.assignedAt);
-        return (unstartedTokens - Math.min(elapsedMs * rate, oldest.newTokens)) / rate;
+        // The oldest had not started when the last notice was sent; the engine has gone on since.
+        const elapsedMs = now - Math.max(prefillStartedAt - noticeLagMs, oldest.assignedAt);
+        const doneTokens = Math.min(elapsedMs * rate, oldest.newTokens + noticeLagMs * rate);
+        return Math.max(0, unstartedTokens - doneTokens) / rate;
     };
 
     const estimateSlotWaitMs = (now: number): number =>
@@ -240,7 +253,7 @@
             unstarted.delete(requestId);
             unstartedTokens -= assignment.newTokens;
             cache.setPrefilled(assignment.parts ?? []);
-            const busySince = Math.max(prefillStartedAt, assignment.assignedAt + firstEventMs);
+            const busySince = Math.max(prefillStartedAt, assignment.assignedAt + firstEventMs + noticeLagMs);
             const busyMs = Math.max(1, now - busySince) / load.getPaceRatio(now);
             if (assignment.newTokens > 0) prefillRate.record(assignment.newTokens, busyMs, now);
             prefillStartedAt = now;
@@ -266,7 +279,12 @@
         get: requestId => assignments.get(requestId),
         list: () => assignments.values(),
         count: () => assignments.size,
-        recordLoad: (report, now) => load.record(report, countInFlightAt(now - (report.ageMs ?? 0)), now),
+        recordLoad: (report, now, lagMs) => {
+            const ageMs = (report.ageMs ?? 0) + lagMs;
+            load.record({ ...report, ageMs }, countInFlightAt(now - ageMs), now);
+            if (report.paceRatio === undefined) return;
+            noticeLagMs += noticeLagWeight * (Math.min(maxReportAgeMs, lagMs) - noticeLagMs);
+        },
         estimateRequests: now => assignments.size + load.getOtherRequests(now),
         getLastAssignment: () => lastAssignment,
         getPaceRatio: load.getPaceRatio,
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -64,7 +64,7 @@
 ): void {
     const target = context.view.getTarget(attempt.target);
     if (load !== undefined && target !== undefined)
-        context.pools.get(request.service)?.model.recordLoad(target, load, context.now);
+        context.pools.get(request.service)?.model.recordLoad(target, load, context.now, 0);
 }
 
 export function handleAttemptStarted(context: EntryContext, event: AttemptStartedEvent): void {
--- a/packages/telemetry/src/metricCatalogue.ts
+++ b/packages/telemetry/src/metricCatalogue.ts
@@ -138,4 +138,9 @@
 listed. Pool metrics marked "at the coordinator" are sent by one router at a time. This page is generated from
 \`packages/telemetry/src/metricCatalogue.ts\` by \`npm run generate:docs -w @rhubarbwheel/telemetry\`.
 
+On the users' platform a router serves its metrics as text instead (\`GET /metrics\`; names begin with
+\`rhubarbwheel_\`, the text describes each). Two of them show uneven load, by service, at the coordinator of the pool:
+\`rhubarbwheel_pool_busiest_ratio\` (requests at the busiest target divided by the mean) and
+\`rhubarbwheel_pool_busiest_pace\` (time that work takes on that target's host; 1 is the usual time).
+
 `;
