--- a/packages/placement/test/evenLoad.test.ts
+++ b/packages/placement/test/evenLoad.test.ts
@@ -33,7 +33,9 @@
     const mean = (key: keyof PlayedResult): number => sum(key) / seeds.length;
     const cells = [
         arrivals.spec === enginePool ? "engines" : "services",
-        arrivals.isLocal ? `${arrivals.routers} routers, local` : `${arrivals.routers} coordinator`,
+        arrivals.isLocal
+            ? `${arrivals.routers} routers, local`
+            : `${arrivals.routers === 1 ? "coordinator" : "2 coordinators"}`,
         arrivals.isUnequal ? "unequal" : "equal",
         arrivals.delayMs,
         name,
