--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -45,8 +45,8 @@
 
 /**
  * Cost of each request at an engine, as an equivalent of queueing time: it slows the prefill and the tokens of all
- * others. At 5 ms, requests left engines with few requests but a queue too late: p99 of the first byte
- * rose by 11 to 30%.
+ * others. At 5 ms, requests left engines with few requests but a queue too late: p99 of the
+ * first byte rose by 11 to 30%.
  */
 export const runningRequestCostMs = 1.5;
 
