Keep the aim for even load as a test of its own, and move the types of rollouts

The comparison test asserts what the new rule reaches; the aim of the operators, 1.2 times the ideal at 200 ms, is not reached with engines of equal speed.

--- a/packages/fleet-view/src/createRolloutView.ts
+++ b/packages/fleet-view/src/createRolloutView.ts
@@ -1,8 +1,7 @@
 /** Orders to roll out versions as a router knows them, and the targets that they allow. */
 import type { LogEffect } from "@rhubarbwheel/types/effects";
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
-import type { RolloutStatusWrittenEvent } from "@rhubarbwheel/types/placement-events";
-import type { RolloutEntry } from "@rhubarbwheel/types/rollout";
+import type { RolloutEntry, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/rollout";
 import { createVersionFilter, getVersion } from "./createVersionFilter.js";
 import type { VersionFilterOptions } from "./createVersionFilter.js";
 import { getRunningPhase } from "./rolloutOrders.js";
--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -26,6 +26,11 @@
     return prompt === undefined ? 1 : prompt.promptTokens + outputTokenCost * prompt.outputTokens;
 }
 
+/** Cost of a request of which only the sizes are known; a plain call has none. */
+export function computeAttemptCost(sizes: Pick<PromptSize, "promptTokens" | "outputTokens">): number {
+    return computeCost(sizes.promptTokens === 0 ? undefined : sizes);
+}
+
 /** Expected prefill rate of one engine of the service, in tokens per millisecond. */
 export function computePriorPrefillRate(view: FleetView, service: string): number {
     const tokensPerSecond = view.getConfiguration()?.tokensPerSecond;
--- a/packages/placement/src/coordinatorLogEvents.ts
+++ b/packages/placement/src/coordinatorLogEvents.ts
@@ -7,4 +7,5 @@
     rolloutDecided: 1734,
     rolloutStatusWritten: 1735,
     rolloutStatusRefused: 1736,
+    loadUneven: 1740,
 } as const;
--- a/packages/placement/src/createLoadSpreadMeter.ts
+++ b/packages/placement/src/createLoadSpreadMeter.ts
@@ -1,6 +1,7 @@
 /** Measures how unevenly the requests of each coordinated pool are spread over its targets, and logs a wide spread. */
 import type { FleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import type { LogEffect } from "@rhubarbwheel/types/effects";
+import { coordinatorLogEvents } from "./coordinatorLogEvents.js";
 import type { PoolModel } from "./createPoolModel.js";
 
 /** Load of one target, as the pool model estimates it. */
@@ -27,9 +28,6 @@
     readonly check: (spreads: ReadonlyMap<string, LoadSpread>, now: number) => LogEffect[];
 }
 
-/** Numbers of the log events. */
-export const loadSpreadLogEvents = { loadUneven: 1740 } as const;
-
 /** Requests per target below which one request more is a wide spread by itself. */
 const minMeanRequests = 2;
 
@@ -82,7 +80,7 @@
                     busiestRatio: Number(busiestRatio.toFixed(2)),
                     paceRatio: Number(busiest.paceRatio.toFixed(2)),
                 };
-                effects.push({ type: "log", event: loadSpreadLogEvents.loadUneven, fields });
+                effects.push({ type: "log", event: coordinatorLogEvents.loadUneven, fields });
             }
             return effects;
         },
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -20,7 +20,7 @@
     PlacementSlice,
     RouterMessageEvent,
 } from "@rhubarbwheel/types/placement-events";
-import { computeCost, computeMaxWaitMs, computePriorPrefillRate } from "./admission.js";
+import { computeAttemptCost, computeCost, computeMaxWaitMs, computePriorPrefillRate } from "./admission.js";
 import { chooseCanary } from "./chooseCanary.js";
 import { coordinatorLogEvents } from "./coordinatorLogEvents.js";
 import { createColdTargetGuard } from "./createColdTargetGuard.js";
@@ -78,11 +78,6 @@
 
 const expiryIntervalMs = 250;
 
-/** Cost of a request of which only the sizes are known; a plain call has none. */
-function computeAttemptCost(sizes: Pick<InFlightAttempt, "promptTokens" | "outputTokens">): number {
-    return computeCost(sizes.promptTokens === 0 ? undefined : sizes);
-}
-
 export function createPlacementCoordinator(opts: PlacementCoordinatorOptions): PlacementCoordinator {
     const { view, quarantine, targetNotices, canaries } = opts;
     const pools = new Map<string, CoordinatedPool>();
--- a/packages/placement/src/createRolloutStatusWriter.ts
+++ b/packages/placement/src/createRolloutStatusWriter.ts
@@ -1,7 +1,7 @@
 /** Writes the status of one order: one write at a time, conditional on the revision, with retries. */
 import type { RolloutDecision } from "@rhubarbwheel/rollout/createRolloutDecider";
-import type { PlacementEffect, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/placement-events";
-import type { RolloutEntry, RolloutStatus } from "@rhubarbwheel/types/rollout";
+import type { PlacementEffect } from "@rhubarbwheel/types/placement-events";
+import type { RolloutEntry, RolloutStatus, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/rollout";
 
 /** Backoff after the first failed write, which doubles with each further failure, and time between two writes. */
 const minBackoffMs = 100;
--- a/packages/placement/test/evenLoad.test.ts
+++ b/packages/placement/test/evenLoad.test.ts
@@ -77,7 +77,7 @@
             assert.ok(after.reusedRatio > before.reusedRatio - 0.01, `${after.reusedRatio}, ${before.reusedRatio}`);
             assert.ok(delayMs > 200 || after.busiestToMean < before.busiestToMean * 0.95);
             assert.ok(after.p99 < before.p99 * 1.1, `p99 ${after.p99}, before ${before.p99} at ${delayMs}`);
-            // The aim of 1.2 is not reached: see docs/design/even-load.md.
+            // Guards what is reached. The aim of 1.2 is tested in evenLoadAim.test.ts.
             if (delayMs <= 200) assert.ok(after.p99 <= 2 * ideal.p99, `p99 ${after.p99}, ideal ${ideal.p99}`);
         }
         for (const name of Object.keys(choosers).slice(2, -2) as (keyof typeof choosers)[])
--- a/packages/placement/test/rolloutHarness.ts
+++ b/packages/placement/test/rolloutHarness.ts
@@ -7,8 +7,8 @@
     RolloutReason,
 } from "@rhubarbwheel/rollout/createRolloutDecider";
 import type { ViewKind } from "@rhubarbwheel/types/fleet";
-import type { PlacementEvent, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/placement-events";
-import type { RolloutEntry } from "@rhubarbwheel/types/rollout";
+import type { PlacementEvent } from "@rhubarbwheel/types/placement-events";
+import type { RolloutEntry, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/rollout";
 import { createRolloutCoordinator } from "../src/createRolloutCoordinator.js";
 import { createRequest, createRouterEntries, createTargets } from "./placementFixtures.js";
 
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -10,7 +10,7 @@
     ReportedLoad,
     TargetNotice,
 } from "./placement.js";
-import type { RolloutEntry, RolloutStatus } from "./rollout.js";
+import type { RolloutStatusWrittenEvent, WriteRolloutStatusEffect } from "./rollout.js";
 
 /** Metadata of a call for the reducer; the forwarder keeps headers and body. */
 export interface RoutedRequest {
@@ -31,7 +31,7 @@
     readonly prompt?: PromptSize;
 }
 
-interface TimedEvent {
+export interface TimedEvent {
     /** Monotonic time in milliseconds at which the event is reduced. */
     readonly now: number;
 }
@@ -181,23 +181,6 @@
     readonly coldForMs: number;
 }
 
-/** `conflict`: the order has changed since `revision`. `unavailable`: the status may have been written. */
-export type RolloutWriteResult = "ok" | "conflict" | "unavailable";
-
-/** Result of `writeRolloutStatus`. */
-export interface RolloutStatusWrittenEvent extends TimedEvent {
-    readonly type: "rolloutStatusWritten";
-    readonly service: string;
-    readonly result: RolloutWriteResult;
-    /** Revision on which the write was conditional. */
-    readonly revision: number;
-    readonly status: RolloutStatus;
-    /** The order as the store returned it. */
-    readonly entry?: RolloutEntry;
-    /** Short reason for logs. */
-    readonly reason?: string;
-}
-
 /** Monotonic and wall clock have diverged: the host was suspended, or the wall clock was set. */
 export interface ClockJumpedEvent extends TimedEvent {
     readonly type: "clockJumped";
@@ -285,14 +268,6 @@
     readonly path: string;
 }
 
-/** Writes the status of an order if the order's revision in the store is still `revision`. */
-export interface WriteRolloutStatusEffect {
-    readonly type: "writeRolloutStatus";
-    readonly service: string;
-    readonly revision: number;
-    readonly status: RolloutStatus;
-}
-
 /** Registers this router in the store again. */
 export interface AnnounceRouterEffect {
     readonly type: "announceRouter";
