Keep the rule for the choice of targets in pools without a reported pace

Earlier deployments are to be served as before, and their targets report no pace. The rule now applies once a target of the pool has reported its pace; load reports and their bookkeeping are skipped elsewhere.

--- a/packages/placement/src/computeTargetCost.ts
+++ b/packages/placement/src/computeTargetCost.ts
@@ -14,6 +14,9 @@
 /** The rule of routers; others are for comparisons. */
 export const evenLoadRule: ChoiceRule = { runningRequestCostMs, usesReports: true, breaksTies: true };
 
+/** The rule for pools whose targets report no pace, as before reports were used: they are placed at as they were. */
+export const unreportedLoadRule: ChoiceRule = { runningRequestCostMs: 0, usesReports: false, breaksTies: false };
+
 /** Cost of a failure ratio of 1 above the mean of the pool, in milliseconds of queueing time. */
 const failurePenaltyMs = 2_000;
 
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -15,6 +15,7 @@
     estimatePromptCostMs,
     evenLoadRule,
     preferredTargetBonusMs,
+    unreportedLoadRule,
 } from "./computeTargetCost.js";
 import { computeLoadSpread, type LoadSpread } from "./createLoadSpreadMeter.js";
 import { createTargetModel } from "./createTargetModel.js";
@@ -76,6 +77,10 @@
     const targetByRequest = new Map<string, string>();
     const rendezvous = createRendezvousChooser();
     let lastAssignment = 0;
+    /** Whether a target has reported the pace of its host. Other pools keep the rule that they had. */
+    let hasPace = false;
+
+    const getRule = (): ChoiceRule => rule.usesReports && !hasPace ? unreportedLoadRule : rule;
 
     const getOrCreateModel = (entry: TargetEntry): TargetModel => {
         const existing = models.get(entry.target);
@@ -85,7 +90,7 @@
             slots: Math.max(1, entry.slots),
             engine: spec.engine,
             priorPrefillRate,
-            getNextAssignment: () => rule.breaksTies ? ++lastAssignment : 0,
+            getNextAssignment: () => getRule().breaksTies ? ++lastAssignment : 0,
         });
         models.set(entry.target, { model, startedAt: entry.startedAtUnixMs });
         return model;
@@ -183,7 +188,7 @@
             const prefill = prompt === undefined ? undefined : estimatePrefill(model, prompt, source, now);
             const workMs = prefill === undefined
                 ? estimateCallCostMs({ model, slots: Math.max(1, entry.slots), minServiceTimeMs, now })
-                : estimatePromptCostMs({ model, prefillMs: prefill.ms, rule, now });
+                : estimatePromptCostMs({ model, prefillMs: prefill.ms, rule: getRule(), now });
             const cost = waitMs + workMs
                 + computeFailureCostMs(model.getFailureRatio(now), meanFailureRatio)
                 + (entry.failureDomain === request.failureDomain ? 0 : crossDomainCostMs)
@@ -225,7 +230,9 @@
         start: (requestId: string, now: number) => getModel(requestId)?.start(requestId, now),
         /** Takes the load that a target reported in a response. */
         recordLoad: (entry: TargetEntry, load: ReportedLoad, now: number, noticeLagMs: number) => {
-            if (rule.usesReports) getOrCreateModel(entry).recordLoad(load, now, noticeLagMs);
+            if (!rule.usesReports || load.paceRatio === undefined) return;
+            hasPace = true;
+            getOrCreateModel(entry).recordLoad(load, now, noticeLagMs);
         },
         /** Spread of the requests over these targets; `undefined` if there are none. */
         getLoadSpread: (entries: readonly TargetEntry[], now: number): LoadSpread | undefined =>
--- a/packages/placement/src/createSendRateLimiter.ts
+++ b/packages/placement/src/createSendRateLimiter.ts
@@ -18,9 +18,9 @@
     const sends = new Map<string, number[]>();
 
     const listRecent = (target: string, now: number): number[] => {
-        const recent = (sends.get(target) ?? []).filter(sentAt => now - sentAt < windowMs + jitterMs);
+        const recent = sends.get(target) ?? [];
+        while (recent[0] !== undefined && now - recent[0] >= windowMs + jitterMs) recent.shift();
         if (recent.length === 0) sends.delete(target);
-        else sends.set(target, recent);
         return recent;
     };
 
--- a/packages/placement/src/createTargetModel.ts
+++ b/packages/placement/src/createTargetModel.ts
@@ -137,6 +137,8 @@
     let lastAssignment = 0;
     /** Moving average; 0 for targets that do not report their pace, whose queueing time is estimated as before. */
     let noticeLagMs = 0;
+    /** Whether the target has reported its load, which is compared with the assignments of that time. */
+    let hasReports = false;
     /** Ends of assignments within `maxReportAgeMs`, and the times at which they were assigned. */
     let ended: { readonly assignedAt: number; readonly endedAt: number; }[] = [];
     /** Prompt tokens of assigned requests that belong to no known part. */
@@ -261,8 +263,10 @@
         end: (requestId, result, latencyMs, now) => {
             const assignment = remove(requestId);
             if (assignment === undefined) return;
-            ended = ended.filter(({ endedAt }) => endedAt > now - maxReportAgeMs);
-            ended.push({ assignedAt: assignment.assignedAt, endedAt: now });
+            if (hasReports) {
+                ended = ended.filter(({ endedAt }) => endedAt > now - maxReportAgeMs);
+                ended.push({ assignedAt: assignment.assignedAt, endedAt: now });
+            }
             if (result === "complete") cache.setPrefilled(assignment.parts ?? []);
             cache.unpin(assignment.parts ?? []);
             if (result === "cancelled") return;
@@ -280,6 +284,7 @@
         list: () => assignments.values(),
         count: () => assignments.size,
         recordLoad: (report, now, lagMs) => {
+            hasReports = true;
             const ageMs = (report.ageMs ?? 0) + lagMs;
             load.record({ ...report, ageMs }, countInFlightAt(now - ageMs), now);
             if (report.paceRatio === undefined) return;
--- a/packages/placement/test/createPoolModel.test.ts
+++ b/packages/placement/test/createPoolModel.test.ts
@@ -34,6 +34,23 @@
     return choice;
 }
 
+// Guards against pools whose targets report no pace: their requests were spread over engines that had to prefill more.
+test("running requests and ties count only in a pool whose targets report their pace", () => {
+    const model = createPoolModel({ spec: enginePool, priorPrefillRate });
+    const candidates = createTargets(2, { failureDomain: "a" });
+    const createPlain = (): PlacementRequest =>
+        createRequest("s", { prompt: { promptTokens: 0, outputTokens: 10, parts: [] } });
+    const chooseTarget = (now: number) => model.choose(createPlain(), { candidates, now, maxWaitMs })?.target;
+    const first = createPlain();
+    assert.is(place(model, first, { candidates })?.target, "target-1");
+    model.start(first.requestId, 50);
+    const load = { running: 1, waiting: 0, slots: 128 };
+    model.recordLoad(candidates[0]!, load, 60, 0);
+    assert.is(chooseTarget(100), "target-1");
+    model.recordLoad(candidates[0]!, { ...load, paceRatio: 1 }, 110, 0);
+    assert.is(chooseTarget(120), "target-2");
+});
+
 test("a request is placed at the target that has its prompt prefix cached", () => {
     const model = createPoolModel({ spec: enginePool, priorPrefillRate });
     const candidates = createTargets(8);
