Show that a router ends when a target closes behind a slow caller

Callers read large responses slowly. The target sends them with `Connection: close` and closes. The router pauses the response at the target's connection while the caller does not read; the end of the connection then reaches undici's parser while it is paused, and its assertion fails outside of any handler. The process ends with code 1, and with it all requests that it holds: orders that a sound target of another service runs get no response.

At fault: `pause` in packages/forwarding/src/createResponseRelay.ts; createConnectionPool.ts guards against a reset while the parser is paused, but not against the end of the connection.

--- /dev/null
+++ b/review/harness-2/harness.mjs
@@ -0,0 +1,325 @@
+/** Starts the built router with the deploy file's run line, beside the project's stand-ins, and records what they see. */
+import { Buffer } from "node:buffer";
+import { spawn } from "node:child_process";
+import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { get } from "node:http";
+import { connect } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
+
+export { startStoreStandIn } from "../../platform/lib/test/stand-ins/startStoreStandIn.js";
+export {
+    formatChunk,
+    formatEvent,
+    formatResponse,
+    formatStreamHead,
+    startTargetStandIn,
+} from "../../platform/lib/test/stand-ins/startTargetStandIn.js";
+export { sleep };
+
+const exitCodes = { held: 0, broken: 1, couldNotRun: 2 };
+
+/** Whether the case is played with its disruption. */
+export const hasTrouble = process.env.TROUBLE !== "0";
+
+const callerPort = 8783;
+const readyPort = 8780;
+const readyTimeoutMs = 20_000;
+
+/** A case may take 120 seconds. */
+const maxPlayMs = 110_000;
+
+const startedAt = performance.now();
+const recordFile = process.env.RECORD_FILE ?? "record.txt";
+writeFileSync(recordFile, "");
+
+/** Writes a line of what was sent, answered or run, with the seconds since the start. */
+export function record(text) {
+    appendFileSync(recordFile, `${((performance.now() - startedAt) / 1_000).toFixed(3)} ${text}\n`);
+}
+
+/** Returns loopback addresses that other runs on this machine do not use. */
+const block = `127.${1 + (process.pid >> 8) % 250}.${process.pid & 255}`;
+let lastHost = 0;
+export const nextAddress = () => `${block}.${++lastHost}`;
+
+/** Bounds of the sites cbr-fleet and kaurimbi-press. */
+const usualBounds = {
+    reuseAfterS: 2,
+    stableWindowMs: 3_000,
+    drainMs: 2_000,
+    graceS: 8,
+    lossSlackMs: 200,
+    configApplyMs: 2_000,
+    strictRevoke: true,
+    revokeMs: 5_000,
+    retryBudgetRatio: 0.2,
+    budgetWindowS: 10,
+    retryBudgetSlack: 116,
+    coldOverage: 1.5,
+    coldSlack: 5,
+    evacuateMs: 5_000,
+    recoverS: 12,
+};
+
+function formatSettings({ name, ip, zone, storeAddress, cores, bounds }) {
+    return JSON.stringify({
+        nodeName: name,
+        role: "router",
+        machineClass: "front",
+        serves: ["front"],
+        ip,
+        zone,
+        region: "region-1",
+        zones: { "zone-a": "region-1", "zone-b": "region-1", "zone-c": "region-1" },
+        listen: { front: `${ip}:${callerPort}`, ready: `${ip}:${readyPort}` },
+        portRange: [7400, 7415],
+        seeds: [],
+        bootstrap: true,
+        limits: { cpuShare: 0.459, cores, memoryMb: 272, maxFds: 2_069, linkMbps: 490, diskMb: 0 },
+        discovery: "platform",
+        heartbeatMs: 1_200,
+        bounds: { ...usualBounds, ...bounds },
+        provider: { addr: storeAddress, form: "objects", writesPerS: 400, readsPerS: 2_000, historyS: 20 },
+    });
+}
+
+const route = { host: "calls.example", timeoutMs: 15_000, latencyTargetMs: 800, maxAttempts: 2, public: true };
+const resumable = { ...route, kind: "streaming", service: "engine", resumable: true };
+
+/** Configuration with a route of each kind. */
+export function createConfiguration(overrides = {}) {
+    return {
+        version: 1,
+        routes: [
+            { ...route, name: "safe", pathPrefix: "/safe/", kind: "safe", service: "plain" },
+            { ...route, name: "unsafe", pathPrefix: "/unsafe/", kind: "unsafe", service: "plain", maxAttempts: 1 },
+            { ...route, name: "orders", pathPrefix: "/orders/", kind: "unsafe", service: "orders", maxAttempts: 1 },
+            { ...route, name: "keyed", pathPrefix: "/keyed/", kind: "safe", service: "plain", public: false },
+            { ...route, name: "stream", pathPrefix: "/stream/", kind: "streaming", service: "engine" },
+            { ...resumable, name: "resumable", pathPrefix: "/resumable/" },
+        ],
+        services: [
+            { name: "plain", maxConns: 200, coldPerS: 16, healthPath: "/health" },
+            { name: "orders", maxConns: 200 },
+            { name: "engine", maxConns: 200, engine: { slots: 128, kvTokens: 486_851 } },
+        ],
+        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 5_000, idleTimeoutMs: 30_000 },
+        tenants: [{ name: "ada", apiKeys: ["key-of-ada"] }],
+        ...overrides,
+    };
+}
+
+/** Entry of a worker in the store. */
+export function createTargetEntry(target, service, overrides = {}) {
+    return {
+        service,
+        addr: target.address,
+        zone: "zone-a",
+        version: "v1",
+        slots: 128,
+        state: "ready",
+        coldLeftMs: 0,
+        seq: 1,
+        born: 1_700_000_000_000,
+        ...overrides,
+    };
+}
+
+function readRunLine() {
+    const run = /^run = "(.*)"$/m.exec(readFileSync("deploy/system.toml", "utf8"))?.[1];
+    if (run === undefined) throw new Error("deploy/system.toml has no run line");
+    return run.split(" ");
+}
+
+const folder = mkdtempSync(join(tmpdir(), "review-"));
+const children = new Set();
+
+/** Whether the router's health check passes. */
+export function isReady(ip) {
+    return new Promise(resolve => {
+        const request = get(`http://${ip}:${readyPort}/api/ready`, { agent: false }, response => {
+            response.resume();
+            resolve(response.statusCode === 200);
+        });
+        request.once("error", () => resolve(false));
+    });
+}
+
+export async function waitUntil(check, timeoutMs) {
+    const endsAt = performance.now() + timeoutMs;
+    while (performance.now() < endsAt) {
+        if (await check()) return true;
+        await sleep(20);
+    }
+    return false;
+}
+
+/** Starts a router and waits until it is ready. `exit` is set once its process has ended. */
+export async function startRouter({ name, zone = "zone-a", cores = 1, storeAddress, ip = nextAddress(), bounds }) {
+    const settingsFile = join(folder, `${name}.json`);
+    writeFileSync(settingsFile, formatSettings({ name, ip, zone, storeAddress, cores, bounds }));
+    const [program, ...args] = readRunLine();
+    const child = spawn(program === "node" ? process.execPath : program, args, {
+        env: { PATH: process.env.PATH, HOME: process.env.HOME, RHUBARBWHEEL_NODE_FILE: settingsFile },
+        stdio: ["ignore", "pipe", "pipe"],
+    });
+    const router = { name, ip, address: `${ip}:${callerPort}`, child, output: "", errors: "", exit: undefined };
+    router.ended = new Promise(resolve =>
+        child.once("exit", (code, signal) => {
+            router.exit = { code, signal };
+            children.delete(child);
+            record(`${name} ended: code ${code}, signal ${signal}`);
+            resolve();
+        })
+    );
+    children.add(child);
+    child.stdout.on("data", chunk => (router.output += String(chunk)));
+    child.stderr.on("data", chunk => (router.errors += String(chunk)));
+    record(`${name} started`);
+    if (!await waitUntil(() => isReady(ip), readyTimeoutMs)) throw new Error(`${name} did not become ready`);
+    record(`${name} is ready`);
+    return router;
+}
+
+function formatCall({ method = "GET", path, id, headers = {}, body = "" }) {
+    const lines = Object.entries({
+        Host: "calls.example",
+        "Attempt-Id": id,
+        "Deadline-Ms": "15000",
+        ...(body === "" && method === "GET" ? {} : { "Content-Length": Buffer.byteLength(body) }),
+        ...headers,
+    }).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    return `${method} ${path} HTTP/1.1\r\n${lines}\r\n${body}`;
+}
+
+function parseHead(bytes) {
+    const end = bytes.indexOf("\r\n\r\n");
+    if (end < 0) return undefined;
+    const [statusLine, ...headerLines] = bytes.subarray(0, end).toString("latin1").split("\r\n");
+    const headers = {};
+    for (const line of headerLines) {
+        const colon = line.indexOf(":");
+        headers[line.slice(0, colon).toLowerCase()] = line.slice(colon + 1).trim();
+    }
+    return { status: Number(statusLine.split(" ")[1]), headers, rest: bytes.subarray(end + 4) };
+}
+
+function parseChunks(bytes) {
+    const parts = [];
+    for (let offset = 0;;) {
+        const lineEnd = bytes.indexOf("\r\n", offset);
+        const size = lineEnd < 0 ? NaN : parseInt(bytes.subarray(offset, lineEnd).toString("latin1"), 16);
+        const start = lineEnd + 2;
+        if (Number.isNaN(size)) return { body: Buffer.concat(parts), isComplete: false };
+        parts.push(bytes.subarray(start, start + size));
+        if (bytes.length < start + size + 2) return { body: Buffer.concat(parts), isComplete: false };
+        if (size === 0) return { body: Buffer.concat(parts), isComplete: true };
+        offset = start + size + 2;
+    }
+}
+
+/** Parses one response, which is complete by its length or its last chunk. */
+function parseResponse(bytes) {
+    const head = parseHead(bytes);
+    if (head === undefined) return { status: undefined, headers: {}, body: Buffer.alloc(0), isComplete: false };
+    const { status, headers, rest } = head;
+    if (headers["transfer-encoding"] === "chunked") return { status, headers, ...parseChunks(rest) };
+    const length = Number(headers["content-length"] ?? Infinity);
+    return { status, headers, body: rest.subarray(0, length), isComplete: rest.length >= length };
+}
+
+function openSocket(address) {
+    const [host, port] = address.split(":");
+    return connect({ host, port: Number(port) });
+}
+
+/** Reads what has arrived, then nothing for some milliseconds. */
+export function readSlowly(socket) {
+    const pauseMs = 5;
+    socket.on("data", () => {
+        socket.pause();
+        setTimeout(() => socket.resume(), pauseMs);
+    });
+}
+
+/** Sends one call on a new connection, and reads until that ends. The result is what the caller saw. */
+export function call(address, opts) {
+    const socket = openSocket(address);
+    const chunks = [];
+    let error;
+    return new Promise(resolve => {
+        socket.once("connect", () => {
+            socket.write(formatCall(opts));
+            opts.read?.(socket);
+        });
+        socket.on("data", chunk => chunks.push(chunk));
+        socket.on("error", found => (error = found.code));
+        socket.once("close", () => resolve({ ...parseResponse(Buffer.concat(chunks)), error }));
+        if (opts.timeoutMs === undefined) return;
+        setTimeout(() => {
+            error ??= "TIMEOUT";
+            socket.destroy();
+        }, opts.timeoutMs).unref();
+    });
+}
+
+/** Opens a connection on which one call is sent after the other. */
+export async function openKeptConnection(address) {
+    const socket = openSocket(address);
+    let received = Buffer.alloc(0);
+    let onChange = () => undefined;
+    let error;
+    socket.on("data", chunk => {
+        received = Buffer.concat([received, chunk]);
+        onChange();
+    });
+    socket.on("error", found => (error = found.code));
+    socket.on("close", () => onChange());
+    await new Promise(resolve => {
+        socket.once("connect", resolve);
+        socket.once("close", resolve);
+    });
+    const send = opts =>
+        new Promise(resolve => {
+            received = Buffer.alloc(0);
+            onChange = () => {
+                const response = parseResponse(received);
+                if (response.isComplete || socket.destroyed) resolve({ ...response, error });
+            };
+            if (socket.destroyed) return onChange();
+            socket.write(formatCall(opts));
+        });
+    return { send, close: () => socket.destroy() };
+}
+
+async function end(exitCode) {
+    for (const child of children) child.kill("SIGKILL");
+    await sleep(100);
+    rmSync(folder, { recursive: true, force: true });
+    process.exit(exitCode);
+}
+
+/** Runs a case and exits with its result; every process that it started is ended first. */
+export async function runCase(play) {
+    const stop = reason => {
+        record(reason);
+        void end(exitCodes.couldNotRun);
+    };
+    setTimeout(() => stop("the case took too long"), maxPlayMs);
+    for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => stop(`ended by ${signal}`));
+    try {
+        const { isBroken, summary } = await play();
+        const result = `${isBroken ? "broken" : "held"}: ${summary}`;
+        record(result);
+        process.stdout.write(`${result}\n`);
+        await end(isBroken ? exitCodes.broken : exitCodes.held);
+    }
+    catch (error) {
+        record(`could not run: ${error.stack}`);
+        process.stdout.write(`could not run: ${error.message}\n`);
+        await end(exitCodes.couldNotRun);
+    }
+}
