--- a/review/harness-2/harness.mjs
+++ b/review/harness-2/harness.mjs
@@ -1,9 +1,7 @@
 /** Starts the built router with the deploy file's run line, beside the project's stand-ins, and records what they see. */
-import { Buffer } from "node:buffer";
 import { spawn } from "node:child_process";
 import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { get } from "node:http";
-import { connect } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { performance } from "node:perf_hooks";
@@ -17,6 +15,7 @@
     formatStreamHead,
     startTargetStandIn,
 } from "../../platform/lib/test/stand-ins/startTargetStandIn.js";
+export { call, openKeptConnection, readSlowly } from "./callRouter.mjs";
 export { sleep };
 
 const exitCodes = { held: 0, broken: 1, couldNotRun: 2 };
@@ -86,6 +85,8 @@
     });
 }
 
+const healthPath = "/health";
+
 const route = { host: "calls.example", timeoutMs: 15_000, latencyTargetMs: 800, maxAttempts: 2, public: true };
 const resumable = { ...route, kind: "streaming", service: "engine", resumable: true };
 
@@ -102,7 +103,7 @@
             { ...resumable, name: "resumable", pathPrefix: "/resumable/" },
         ],
         services: [
-            { name: "plain", maxConns: 200, coldPerS: 16, healthPath: "/health" },
+            { name: "plain", maxConns: 200, coldPerS: 16, healthPath },
             { name: "orders", maxConns: 200 },
             { name: "engine", maxConns: 200, engine: { slots: 128, kvTokens: 486_851 } },
         ],
@@ -128,6 +129,13 @@
     };
 }
 
+/** Responds to a health check and returns true, or returns false for any other request. */
+export function respondHealth(received, socket, { name, coldMs = 0 }) {
+    if (received.path !== healthPath) return false;
+    socket.write(`HTTP/1.1 200 OK\r\nInstance-Id: ${name}\r\nCold-Ms: ${coldMs}\r\nContent-Length: 0\r\n\r\n`);
+    return true;
+}
+
 function readRunLine() {
     const run = /^run = "(.*)"$/m.exec(readFileSync("deploy/system.toml", "utf8"))?.[1];
     if (run === undefined) throw new Error("deploy/system.toml has no run line");
@@ -184,117 +192,6 @@
     return router;
 }
 
-function formatCall({ method = "GET", path, id, headers = {}, body = "" }) {
-    const lines = Object.entries({
-        Host: "calls.example",
-        "Attempt-Id": id,
-        "Deadline-Ms": "15000",
-        ...(body === "" && method === "GET" ? {} : { "Content-Length": Buffer.byteLength(body) }),
-        ...headers,
-    }).map(([name, value]) => `${name}: ${value}\r\n`).join("");
-    return `${method} ${path} HTTP/1.1\r\n${lines}\r\n${body}`;
-}
-
-function parseHead(bytes) {
-    const end = bytes.indexOf("\r\n\r\n");
-    if (end < 0) return undefined;
-    const [statusLine, ...headerLines] = bytes.subarray(0, end).toString("latin1").split("\r\n");
-    const headers = {};
-    for (const line of headerLines) {
-        const colon = line.indexOf(":");
-        headers[line.slice(0, colon).toLowerCase()] = line.slice(colon + 1).trim();
-    }
-    return { status: Number(statusLine.split(" ")[1]), headers, rest: bytes.subarray(end + 4) };
-}
-
-function parseChunks(bytes) {
-    const parts = [];
-    for (let offset = 0;;) {
-        const lineEnd = bytes.indexOf("\r\n", offset);
-        const size = lineEnd < 0 ? NaN : parseInt(bytes.subarray(offset, lineEnd).toString("latin1"), 16);
-        const start = lineEnd + 2;
-        if (Number.isNaN(size)) return { body: Buffer.concat(parts), isComplete: false };
-        parts.push(bytes.subarray(start, start + size));
-        if (bytes.length < start + size + 2) return { body: Buffer.concat(parts), isComplete: false };
-        if (size === 0) return { body: Buffer.concat(parts), isComplete: true };
-        offset = start + size + 2;
-    }
-}
-
-/** Parses one response, which is complete by its length or its last chunk. */
-function parseResponse(bytes) {
-    const head = parseHead(bytes);
-    if (head === undefined) return { status: undefined, headers: {}, body: Buffer.alloc(0), isComplete: false };
-    const { status, headers, rest } = head;
-    if (headers["transfer-encoding"] === "chunked") return { status, headers, ...parseChunks(rest) };
-    const length = Number(headers["content-length"] ?? Infinity);
-    return { status, headers, body: rest.subarray(0, length), isComplete: rest.length >= length };
-}
-
-function openSocket(address) {
-    const [host, port] = address.split(":");
-    return connect({ host, port: Number(port) });
-}
-
-/** Reads what has arrived, then nothing for some milliseconds. */
-export function readSlowly(socket) {
-    const pauseMs = 5;
-    socket.on("data", () => {
-        socket.pause();
-        setTimeout(() => socket.resume(), pauseMs);
-    });
-}
-
-/** Sends one call on a new connection, and reads until that ends. The result is what the caller saw. */
-export function call(address, opts) {
-    const socket = openSocket(address);
-    const chunks = [];
-    let error;
-    return new Promise(resolve => {
-        socket.once("connect", () => {
-            socket.write(formatCall(opts));
-            opts.read?.(socket);
-        });
-        socket.on("data", chunk => chunks.push(chunk));
-        socket.on("error", found => (error = found.code));
-        socket.once("close", () => resolve({ ...parseResponse(Buffer.concat(chunks)), error }));
-        if (opts.timeoutMs === undefined) return;
-        setTimeout(() => {
-            error ??= "TIMEOUT";
-            socket.destroy();
-        }, opts.timeoutMs).unref();
-    });
-}
-
-/** Opens a connection on which one call is sent after the other. */
-export async function openKeptConnection(address) {
-    const socket = openSocket(address);
-    let received = Buffer.alloc(0);
-    let onChange = () => undefined;
-    let error;
-    socket.on("data", chunk => {
-        received = Buffer.concat([received, chunk]);
-        onChange();
-    });
-    socket.on("error", found => (error = found.code));
-    socket.on("close", () => onChange());
-    await new Promise(resolve => {
-        socket.once("connect", resolve);
-        socket.once("close", resolve);
-    });
-    const send = opts =>
-        new Promise(resolve => {
-            received = Buffer.alloc(0);
-            onChange = () => {
-                const response = parseResponse(received);
-                if (response.isComplete || socket.destroyed) resolve({ ...response, error });
-            };
-            if (socket.destroyed) return onChange();
-            socket.write(formatCall(opts));
-        });
-    return { send, close: () => socket.destroy() };
-}
-
 async function end(exitCode) {
     for (const child of children) child.kill("SIGKILL");
     await sleep(100);
@@ -309,6 +206,9 @@
         void end(exitCodes.couldNotRun);
     };
     setTimeout(() => stop("the case took too long"), maxPlayMs);
+    // Node's exit code for these is that of a broken rule.
+    process.on("uncaughtException", error => stop(`could not run: ${error.stack}`));
+    process.on("unhandledRejection", error => stop(`could not run: ${String(error)}`));
     for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => stop(`ended by ${signal}`));
     try {
         const { isBroken, summary } = await play();
