Show a stream that never ends behind another response

Clients send a stream on a connection before the response to a lookup has come. The stream's target crashes while its response waits in the router behind the one to the lookup. The client then gets the status and some events, and nothing more, on a connection that stays open.

At fault: breakAnswer in packages/forwarding/src/createForwarder.ts ends a begun response by way of its socket, and a response that waits behind another one has none yet.

--- a/review/harness-2/callRouter.mjs
+++ b/review/harness-2/callRouter.mjs
@@ -2,7 +2,8 @@
 import { Buffer } from "node:buffer";
 import { connect } from "node:net";
 
-function formatCall({ method = "GET", path, id, headers = {}, body = "" }) {
+/** Formats a request with the headers that a client sends. */
+export function formatCall({ method = "GET", path, id, headers = {}, body = "" }) {
     const lines = Object.entries({
         Host: "calls.example",
         "Attempt-Id": id,
@@ -34,19 +35,24 @@
         if (Number.isNaN(size)) return { body: Buffer.concat(parts), isComplete: false };
         parts.push(bytes.subarray(start, start + size));
         if (bytes.length < start + size + 2) return { body: Buffer.concat(parts), isComplete: false };
-        if (size === 0) return { body: Buffer.concat(parts), isComplete: true };
+        if (size === 0) return { body: Buffer.concat(parts), isComplete: true, length: start + 2 };
         offset = start + size + 2;
     }
 }
 
-/** Parses one response, which is complete by its length or its last chunk. */
-function parseResponse(bytes) {
+/** Parses the first response, which is complete by its length or its last chunk; `length` is that of all its bytes. */
+export function parseResponse(bytes) {
     const head = parseHead(bytes);
     if (head === undefined) return { status: undefined, headers: {}, body: Buffer.alloc(0), isComplete: false };
     const { status, headers, rest } = head;
-    if (headers["transfer-encoding"] === "chunked") return { status, headers, ...parseChunks(rest) };
-    const length = Number(headers["content-length"] ?? Infinity);
-    return { status, headers, body: rest.subarray(0, length), isComplete: rest.length >= length };
+    const headLength = bytes.length - rest.length;
+    if (headers["transfer-encoding"] === "chunked") {
+        const { length = Infinity, ...parsed } = parseChunks(rest);
+        return { status, headers, ...parsed, length: headLength + length };
+    }
+    const bodyLength = Number(headers["content-length"] ?? Infinity);
+    const body = rest.subarray(0, bodyLength);
+    return { status, headers, body, isComplete: rest.length >= bodyLength, length: headLength + bodyLength };
 }
 
 function openSocket(address) {
