Show a prompt part that is never quarantined

A prompt part crashes each target that begins to write a response on it: the first event has just been sent. The part is never suspected, its requests keep reaching targets, and each crash cuts the streams of sound requests.

At fault: handleAttemptEvents.ts reports the parts of a broken attempt only if it had no first event, and recordStart in createPartQuarantine.ts clears the suspicion of a part at the first event of any request with it.

--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -1,13 +1,16 @@
 /**
- * The store turns one router away while a router is added that becomes the coordinator. The one that was turned away goes
- * on asking the coordinator before it, which goes on granting: two coordinators grant the whole rate of one worker.
+ * One part of a prompt crashes each worker that begins to write an answer on it: the first event is out when the worker
+ * crashes. Sound requests share the other parts.
  */
+import { createServer } from "node:http";
 import { performance } from "node:perf_hooks";
 import {
     call,
     createConfiguration,
     createTargetEntry,
-    formatResponse,
+    formatChunk,
+    formatEvent,
+    formatStreamHead,
     hasTrouble,
     nextAddress,
     record,
@@ -16,94 +19,131 @@
     sleep,
     startRouter,
     startStoreStandIn,
-    startTargetStandIn,
 } from "../harness-2/harness.mjs";
 
-/** Requests a second that the worker names in `Server-Limit`. */
-const limitPerSecond = 10;
-const callsPerSecond = 30;
-const workMs = 10;
-
-/** Bounds of the rule: window, factor and slack. */
-const windowMs = 4_000;
-const maxInWindow = 1.5 * limitPerSecond * windowMs / 1_000 + 5;
-
 /** `stableWindowMs` of the site. */
 const stableMs = 3_000;
+const playMs = 25_000;
+const soundIntervalMs = 50;
+const poisonIntervalMs = 1_000;
+
+const poisonPart = "dead01";
+const prefillMs = 60;
+const eventCount = 10;
+const eventIntervalMs = 50;
+
+/** Time from the first event of an answer to the crash. */
+const crashDelayMs = 5;
+
+/** A worker that has crashed is back after some seconds. */
+const restartMs = 2_000;
 
-/** Less than the 9 s for which the site's store turns machines away. */
-const refusalMs = 8_500;
+/** The rule counts from the fifth crash, and allows three requests. */
+const countedFrom = 5;
+const maxLate = 3;
 
 await runCase(async () => {
     const store = await startStoreStandIn(nextAddress());
     store.put("config", "main", createConfiguration());
-    const worker = await startTargetStandIn("worker-1", nextAddress());
-    store.put("servers", "worker-1", createTargetEntry(worker, "plain"));
-    /** Requests that reached the worker, with the router that had sent them. */
-    const arrivals = [];
-    /** Time at which each router first passed on an answer with the limit. */
-    const passedOnAt = new Map();
-    let headers = {};
-    worker.setScript(async (received, socket) => {
-        if (respondHealth(received, socket, { name: "worker-1" })) return;
-        const id = received.headers["attempt-id"];
-        arrivals.push({ at: performance.now(), router: id.split("/")[0] });
-        record(`worker-1 runs ${id}`);
-        await sleep(workMs);
-        socket.write(formatResponse(received, "ok", { headers }));
-    });
+    const crashes = [];
+    const poisonArrivals = [];
 
-    let isOver = false;
-    const sendCalls = async router => {
-        for (let number = 1; !isOver; number++) {
-            const id = `${router.name}/${number}`;
-            const opts = { path: "/safe/x", id, timeoutMs: 3_000 };
-            record(`${id} sent`);
-            void call(router.address, { ...opts, headers: { Connection: "close", "Deadline-Ms": "2500" } }).then(
-                answer => {
-                    record(`${id}: ${answer.status}, limit ${answer.headers["server-limit"]}`);
-                    if (answer.headers["server-limit"] !== undefined && !passedOnAt.has(router.name))
-                        passedOnAt.set(router.name, performance.now());
-                },
-            );
-            await sleep(1_000 / callsPerSecond);
-        }
+    const startWorker = async name => {
+        const host = nextAddress();
+        const sockets = new Set();
+        let server;
+        let born = 1_700_000_000_000;
+        const crash = () => {
+            if (!server.listening) return;
+            crashes.push(performance.now());
+            record(`${name} crashes, crash ${crashes.length}, with ${sockets.size} connections`);
+            server.close();
+            for (const socket of sockets) socket.resetAndDestroy();
+            setTimeout(() => void start(), restartMs);
+        };
+        const run = async (received, socket) => {
+            const id = received.headers["attempt-id"];
+            const isPoison = received.headers["prompt-prefix"].includes(poisonPart);
+            record(`${name} runs ${id}`);
+            if (isPoison) poisonArrivals.push(performance.now());
+            await sleep(prefillMs);
+            socket.write(formatStreamHead(received));
+            for (let event = 1; event <= eventCount && !socket.destroyed; event++) {
+                socket.write(formatChunk(formatEvent(event)));
+                await sleep(isPoison ? crashDelayMs : eventIntervalMs);
+                if (isPoison) return crash();
+            }
+            if (!socket.destroyed) socket.write(formatChunk(""));
+        };
+        const start = async () => {
+            server = createServer({ keepAliveTimeout: 60_000 }, (incoming, response) => {
+                const received = { path: incoming.url, headers: incoming.headers };
+                incoming.resume();
+                incoming.once("end", () => {
+                    if (incoming.url === "/api/kv-list") return void response.end(JSON.stringify({ held: [] }));
+                    response.detachSocket(incoming.socket);
+                    if (!respondHealth(received, incoming.socket, { name })) void run(received, incoming.socket);
+                });
+            });
+            server.on("connection", socket => {
+                sockets.add(socket);
+                socket.on("error", () => undefined);
+                socket.once("close", () => sockets.delete(socket));
+            });
+            await new Promise(resolve => server.listen(9_000, host, resolve));
+            born += 60_000;
+            store.put("servers", name, createTargetEntry({ address: `${host}:9000` }, "engine", { born }));
+            record(`${name} has started`);
+        };
+        await start();
     };
+    for (const name of ["model-1", "model-2", "model-3", "model-4"]) await startWorker(name);
+    const routers = [];
+    for (const zone of ["zone-a", "zone-b"])
+        routers.push(await startRouter({ name: `front-${zone}-1`, zone, storeAddress: store.address }));
+    await sleep(stableMs + 200);
 
-    // Each router has an address of the store of its own, so that the store can turn one of them away.
-    const otherStoreAddress = await store.openAddress();
-    const first = await startRouter({ name: "front-a-1", zone: "zone-a", cores: 1, storeAddress: store.address });
-    const other = await startRouter({ name: "front-b-1", zone: "zone-b", cores: 0.5, storeAddress: otherStoreAddress });
-    await sleep(1_000);
-    void sendCalls(first);
-    void sendCalls(other);
-    await sleep(500);
-    headers = { "Server-Limit": String(limitPerSecond) };
-    const namedAt = performance.now();
-    record(`worker-1 names its limit, ${limitPerSecond}`);
-    await sleep(stableMs);
-    if (hasTrouble) {
-        store.setFault("busy", [otherStoreAddress]);
-        store.muteWatches([otherStoreAddress]);
-        record("the store turns front-b-1 away");
-    }
-    const refusedAt = performance.now();
-    await sleep(300);
-    // A larger machine, which the routers prefer as coordinator.
-    await startRouter({ name: "front-a-2", zone: "zone-a", cores: 2.9, storeAddress: store.address });
-    await sleep(refusalMs - (performance.now() - refusedAt));
-    isOver = true;
-    record("the store takes front-b-1 back");
-    store.setFault("none", []);
-    await sleep(300);
+    let sent = 0;
+    let soundSent = 0;
+    let soundServed = 0;
+    const send = async (router, isPoison) => {
+        sent += 1;
+        const id = `${isPoison ? "poison" : "sound"}-${sent}`;
+        const parts = ["aa01:400", `${isPoison ? poisonPart : "bb02"}:500`, `${sent.toString(16)}:500`];
+        const headers = {
+            Connection: "close",
+            "Deadline-Ms": "8000",
+            Model: "m",
+            "Token-Counts": "1400,80",
+            "Prompt-Prefix": parts.join(","),
+        };
+        const answer = await call(router.address, {
+            method: "POST",
+            path: "/resumable/x",
+            id,
+            body: "a prompt",
+            headers,
+        });
+        record(`${id}: ${answer.status}, complete ${answer.isComplete}`);
+        if (isPoison) return;
+        soundSent += 1;
+        if (answer.status === 200 && answer.isComplete) soundServed += 1;
+    };
+    const endsAt = performance.now() + playMs;
+    const open = [];
+    const sendEvery = async (intervalMs, isPoison) => {
+        for (let number = 0; performance.now() < endsAt; number++) {
+            open.push(send(routers[number % routers.length], isPoison));
+            await sleep(intervalMs);
+        }
+    };
+    await Promise.all([sendEvery(soundIntervalMs, false), hasTrouble ? sendEvery(poisonIntervalMs, true) : undefined]);
+    await Promise.all(open);
 
-    const counted = arrivals.filter(({ at, router }) =>
-        at > namedAt + stableMs && at > (passedOnAt.get(router) ?? Infinity) + 500
-    );
-    let most = 0;
-    for (const { at: from } of counted)
-        most = Math.max(most, counted.filter(({ at }) => at >= from && at < from + windowMs).length);
-    const summary = `worker-1 got at most ${most} requests in 4 s from routers that had passed its limit on `
-        + `(allowed: ${maxInWindow})`;
-    return { isBroken: most > maxInWindow, summary };
+    const countedSince = (crashes[countedFrom - 1] ?? Infinity) + stableMs;
+    const late = poisonArrivals.filter(at => at > countedSince).length;
+    const summary =
+        `${late} requests with the part reached workers later than ${stableMs} ms after crash ${countedFrom} `
+        + `(allowed: ${maxLate}); ${crashes.length} crashes; ${soundServed} of ${soundSent} sound requests served`;
+    return { isBroken: late > maxLate, summary };
 });
