Show sound prompts that stay quarantined

Two sound parts that always occur together are quarantined along with the one that crashes targets, and are never released: all sound requests with them are refused.

At fault: mayPlace in packages/placement/src/createPartQuarantine.ts, which places no request that has two quarantined parts, while only the start of such a request releases them.

--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -2,24 +2,19 @@
  * One part of a prompt crashes each worker that begins to write an answer on it: the first event is out when the worker
  * crashes. Sound requests share the other parts.
  */
-import { createServer } from "node:http";
 import { performance } from "node:perf_hooks";
 import {
     call,
     createConfiguration,
-    createTargetEntry,
-    formatChunk,
-    formatEvent,
-    formatStreamHead,
     hasTrouble,
     nextAddress,
     record,
-    respondHealth,
     runCase,
     sleep,
     startRouter,
     startStoreStandIn,
 } from "../harness-2/harness.mjs";
+import { poisonPart, startModel } from "../harness-2/startModel.mjs";
 
 /** `stableWindowMs` of the site. */
 const stableMs = 3_000;
@@ -27,17 +22,6 @@
 const soundIntervalMs = 50;
 const poisonIntervalMs = 1_000;
 
-const poisonPart = "dead01";
-const prefillMs = 60;
-const eventCount = 10;
-const eventIntervalMs = 50;
-
-/** Time from the first event of an answer to the crash. */
-const crashDelayMs = 5;
-
-/** A worker that has crashed is back after some seconds. */
-const restartMs = 2_000;
-
 /** The rule counts from the fifth crash, and allows three requests. */
 const countedFrom = 5;
 const maxLate = 3;
@@ -48,56 +32,11 @@
     const crashes = [];
     const poisonArrivals = [];
 
-    const startWorker = async name => {
-        const host = nextAddress();
-        const sockets = new Set();
-        let server;
-        let born = 1_700_000_000_000;
-        const crash = () => {
-            if (!server.listening) return;
-            crashes.push(performance.now());
-            record(`${name} crashes, crash ${crashes.length}, with ${sockets.size} connections`);
-            server.close();
-            for (const socket of sockets) socket.resetAndDestroy();
-            setTimeout(() => void start(), restartMs);
-        };
-        const run = async (received, socket) => {
-            const id = received.headers["attempt-id"];
-            const isPoison = received.headers["prompt-prefix"].includes(poisonPart);
-            record(`${name} runs ${id}`);
-            if (isPoison) poisonArrivals.push(performance.now());
-            await sleep(prefillMs);
-            socket.write(formatStreamHead(received));
-            for (let event = 1; event <= eventCount && !socket.destroyed; event++) {
-                socket.write(formatChunk(formatEvent(event)));
-                await sleep(isPoison ? crashDelayMs : eventIntervalMs);
-                if (isPoison) return crash();
-            }
-            if (!socket.destroyed) socket.write(formatChunk(""));
-        };
-        const start = async () => {
-            server = createServer({ keepAliveTimeout: 60_000 }, (incoming, response) => {
-                const received = { path: incoming.url, headers: incoming.headers };
-                incoming.resume();
-                incoming.once("end", () => {
-                    if (incoming.url === "/api/kv-list") return void response.end(JSON.stringify({ held: [] }));
-                    response.detachSocket(incoming.socket);
-                    if (!respondHealth(received, incoming.socket, { name })) void run(received, incoming.socket);
-                });
-            });
-            server.on("connection", socket => {
-                sockets.add(socket);
-                socket.on("error", () => undefined);
-                socket.once("close", () => sockets.delete(socket));
-            });
-            await new Promise(resolve => server.listen(9_000, host, resolve));
-            born += 60_000;
-            store.put("servers", name, createTargetEntry({ address: `${host}:9000` }, "engine", { born }));
-            record(`${name} has started`);
-        };
-        await start();
-    };
-    for (const name of ["model-1", "model-2", "model-3", "model-4"]) await startWorker(name);
+    for (const name of ["model-1", "model-2", "model-3", "model-4"]) {
+        const onCrash = () => crashes.push(performance.now());
+        const onPoison = () => poisonArrivals.push(performance.now());
+        await startModel(name, store, { crashesAfter: "firstEvent", onCrash, onPoison });
+    }
     const routers = [];
     for (const zone of ["zone-a", "zone-b"])
         routers.push(await startRouter({ name: `front-${zone}-1`, zone, storeAddress: store.address }));
--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,109 +1,111 @@
 /**
- * The store turns one router away while a router is added that becomes the coordinator. The one that was turned away goes
- * on asking the coordinator before it, which goes on granting: two coordinators grant the whole rate of one worker.
+ * A caller begins with a new subject: its prompts hold the same two shared parts. The first of them also hold a part that
+ * crashes workers; the sound ones that follow are refused for good.
  */
 import { performance } from "node:perf_hooks";
 import {
     call,
     createConfiguration,
-    createTargetEntry,
-    formatResponse,
     hasTrouble,
     nextAddress,
     record,
-    respondHealth,
     runCase,
     sleep,
     startRouter,
     startStoreStandIn,
-    startTargetStandIn,
 } from "../harness-2/harness.mjs";
-
-/** Requests a second that the worker names in `Server-Limit`. */
-const limitPerSecond = 10;
-const callsPerSecond = 30;
-const workMs = 10;
-
-/** Bounds of the rule: window, factor and slack. */
-const windowMs = 4_000;
-const maxInWindow = 1.5 * limitPerSecond * windowMs / 1_000 + 5;
+import { poisonPart, startModel } from "../harness-2/startModel.mjs";
 
 /** `stableWindowMs` of the site. */
 const stableMs = 3_000;
+const beforeMs = 8_000;
+const poisonIntervalMs = 1_000;
+const soundIntervalMs = 500;
+const othersIntervalMs = 100;
+
+/** Time from the first request with the part to the first sound request of the subject. */
+const firstSoundAfterMs = 4_000;
+const playMs = 32_000;
+
+/** Bounds of the rule: counted from the fifth crash; 20 or more requests; less than half as often. */
+const countedFrom = 5;
+const minRequests = 20;
 
-/** Less than the 9 s for which the site's store turns machines away. */
-const refusalMs = 8_500;
+const oldSubject = ["aa01", "bb02"];
+const newSubject = ["cc03", "dd04"];
+const subjectOfOthers = ["ee05", "ff06"];
 
 await runCase(async () => {
     const store = await startStoreStandIn(nextAddress());
-    store.put("config", "main", createConfiguration());
-    const worker = await startTargetStandIn("worker-1", nextAddress());
-    store.put("servers", "worker-1", createTargetEntry(worker, "plain"));
-    /** Requests that reached the worker, with the router that had sent them. */
-    const arrivals = [];
-    /** Time at which each router first passed on an answer with the limit. */
-    const passedOnAt = new Map();
-    let headers = {};
-    worker.setScript(async (received, socket) => {
-        if (respondHealth(received, socket, { name: "worker-1" })) return;
-        const id = received.headers["attempt-id"];
-        arrivals.push({ at: performance.now(), router: id.split("/")[0] });
-        record(`worker-1 runs ${id}`);
-        await sleep(workMs);
-        socket.write(formatResponse(received, "ok", { headers }));
+    const configuration = createConfiguration();
+    const [resumable] = configuration.routes.filter(route => route.name === "resumable");
+    store.put("config", "main", {
+        ...configuration,
+        routes: [...configuration.routes, { ...resumable, name: "proofs", pathPrefix: "/proofs/", public: false }],
+        tenants: [{ name: "ada", apiKeys: ["key-of-ada"] }, { name: "ben", apiKeys: ["key-of-ben"] }],
     });
+    const crashes = [];
+    for (const name of ["model-1", "model-2", "model-3", "model-4"]) {
+        const onCrash = () => crashes.push(performance.now());
+        await startModel(name, store, { crashesAfter: "nothing", onCrash, onPoison: () => undefined });
+    }
+    const routers = [];
+    for (const zone of ["zone-a", "zone-b"])
+        routers.push(await startRouter({ name: `front-${zone}-1`, zone, storeAddress: store.address }));
+    await sleep(stableMs + 200);
 
-    let isOver = false;
-    const sendCalls = async router => {
-        for (let number = 1; !isOver; number++) {
-            const id = `${router.name}/${number}`;
-            const opts = { path: "/safe/x", id, timeoutMs: 3_000 };
-            record(`${id} sent`);
-            void call(router.address, { ...opts, headers: { Connection: "close", "Deadline-Ms": "2500" } }).then(
-                answer => {
-                    record(`${id}: ${answer.status}, limit ${answer.headers["server-limit"]}`);
-                    if (answer.headers["server-limit"] !== undefined && !passedOnAt.has(router.name))
-                        passedOnAt.set(router.name, performance.now());
-                },
-            );
-            await sleep(1_000 / callsPerSecond);
+    let sent = 0;
+    /** Sound requests with ada's key: when they were sent, and whether they began. */
+    const sound = [];
+    const send = async (key, name, parts) => {
+        sent += 1;
+        const id = `${name}-${sent}`;
+        const sentAt = performance.now();
+        const prompt = [...parts.map(part => `${part}:400`), `${sent.toString(16)}:500`];
+        const headers = {
+            Authorization: `Bearer key-of-${key}`,
+            Connection: "close",
+            "Deadline-Ms": "8000",
+            Model: "m",
+            "Token-Counts": "1400,80",
+            "Prompt-Prefix": prompt.join(","),
+        };
+        record(`${id} sent, prompt ${prompt.join(",")}`);
+        const { address } = routers[sent % routers.length];
+        const answer = await call(address, { method: "POST", path: "/proofs/x", id, body: "a prompt", headers });
+        record(`${id}: ${answer.status}, complete ${answer.isComplete} ${answer.status === 200 ? "" : answer.body}`);
+        if (key === "ada" && !parts.includes(poisonPart)) sound.push({ sentAt, hasBegun: answer.status === 200 });
+    };
+    const open = [];
+    const sendUntil = async (endsAt, intervalMs, ...request) => {
+        while (performance.now() < endsAt) {
+            open.push(send(...request));
+            await sleep(intervalMs);
         }
     };
+    const startedAt = performance.now();
+    const poisonAt = startedAt + beforeMs;
+    const endsAt = poisonAt + playMs;
+    void sendUntil(endsAt, othersIntervalMs, "ben", "others", subjectOfOthers);
+    await sendUntil(poisonAt, soundIntervalMs / 2, "ada", "old", oldSubject);
+    record("ada begins with a new subject");
+    if (hasTrouble) void sendUntil(endsAt, poisonIntervalMs, "ada", "poison", [...newSubject, poisonPart]);
+    await sleep(firstSoundAfterMs);
+    await sendUntil(endsAt, soundIntervalMs, "ada", "new", newSubject);
+    await Promise.all(open);
 
-    // Each router has an address of the store of its own, so that the store can turn one of them away.
-    const otherStoreAddress = await store.openAddress();
-    const first = await startRouter({ name: "front-a-1", zone: "zone-a", cores: 1, storeAddress: store.address });
-    const other = await startRouter({ name: "front-b-1", zone: "zone-b", cores: 0.5, storeAddress: otherStoreAddress });
-    await sleep(1_000);
-    void sendCalls(first);
-    void sendCalls(other);
-    await sleep(500);
-    headers = { "Server-Limit": String(limitPerSecond) };
-    const namedAt = performance.now();
-    record(`worker-1 names its limit, ${limitPerSecond}`);
-    await sleep(stableMs);
-    if (hasTrouble) {
-        store.setFault("busy", [otherStoreAddress]);
-        store.muteWatches([otherStoreAddress]);
-        record("the store turns front-b-1 away");
-    }
-    const refusedAt = performance.now();
-    await sleep(300);
-    // A larger machine, which the routers prefer as coordinator.
-    await startRouter({ name: "front-a-2", zone: "zone-a", cores: 2.9, storeAddress: store.address });
-    await sleep(refusalMs - (performance.now() - refusedAt));
-    isOver = true;
-    record("the store takes front-b-1 back");
-    store.setFault("none", []);
-    await sleep(300);
-
-    const counted = arrivals.filter(({ at, router }) =>
-        at > namedAt + stableMs && at > (passedOnAt.get(router) ?? Infinity) + 500
-    );
-    let most = 0;
-    for (const { at: from } of counted)
-        most = Math.max(most, counted.filter(({ at }) => at >= from && at < from + windowMs).length);
-    const summary = `worker-1 got at most ${most} requests in 4 s from routers that had passed its limit on `
-        + `(allowed: ${maxInWindow})`;
-    return { isBroken: most > maxInWindow, summary };
+    // Without crashes, all of the new subject count.
+    const countedSince = hasTrouble
+        ? (crashes[countedFrom - 1] ?? crashes.at(-1) ?? Infinity) + 2 * stableMs
+        : poisonAt;
+    const before = sound.filter(({ sentAt }) => sentAt < poisonAt);
+    const after = sound.filter(({ sentAt }) => sentAt > countedSince);
+    const countBegun = requests => requests.filter(({ hasBegun }) => hasBegun).length;
+    const ratioBefore = countBegun(before) / before.length;
+    const ratioAfter = countBegun(after) / after.length;
+    const isBroken = Math.min(before.length, after.length) >= minRequests && ratioAfter < ratioBefore / 2;
+    const summary =
+        `of ada's sound requests ${countBegun(before)} of ${before.length} began before, and ${countBegun(after)} of `
+        + `${after.length} later than ${2 * stableMs} ms after the crashes (${crashes.length} crashes)`;
+    return { isBroken, summary };
 });
--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -1,18 +1,13 @@
 /**
- * Clients send two requests on a connection, the second one without waiting for the first answer. A worker crashes while
- * it writes the second answer, which waits in the router behind the first one.
+ * The store turns one router away while a router is added that becomes the coordinator. The one that was turned away goes
+ * on asking the coordinator before it, which goes on granting: two coordinators grant the whole rate of one worker.
  */
-import { Buffer } from "node:buffer";
-import { connect } from "node:net";
 import { performance } from "node:perf_hooks";
-import { formatCall, parseResponse } from "../harness-2/callRouter.mjs";
 import {
+    call,
     createConfiguration,
     createTargetEntry,
-    formatChunk,
-    formatEvent,
     formatResponse,
-    formatStreamHead,
     hasTrouble,
     nextAddress,
     record,
@@ -24,106 +19,91 @@
     startTargetStandIn,
 } from "../harness-2/harness.mjs";
 
-/** `timeoutMs` of all routes, and the time after it within which there must be a final answer. */
-const timeoutMs = 3_000;
-const graceMs = 500;
+/** Requests a second that the worker names in `Server-Limit`. */
+const limitPerSecond = 10;
+const callsPerSecond = 30;
+const workMs = 10;
 
-const clientCount = 60;
-const lookupMs = 1_000;
-const eventCount = 15;
-const eventIntervalMs = 100;
-const crashAfterMs = 600;
+/** Bounds of the rule: window, factor and slack. */
+const windowMs = 4_000;
+const maxInWindow = 1.5 * limitPerSecond * windowMs / 1_000 + 5;
 
 /** `stableWindowMs` of the site. */
-const settleMs = 3_200;
+const stableMs = 3_000;
 
-/** The rule names eight or more. */
-const minUnanswered = 8;
-
-/** Sends a lookup and then a stream on one connection; resolves with what arrived until `timeoutMs` + `graceMs`. */
-function sendPair(address, client) {
-    const [host, port] = address.split(":");
-    const socket = connect({ host, port: Number(port) });
-    const ids = [`lookup-${client}`, `stream-${client}`];
-    const headers = { "Deadline-Ms": String(timeoutMs) };
-    let received = Buffer.alloc(0);
-    let isClosed = false;
-    socket.on("data", chunk => (received = Buffer.concat([received, chunk])));
-    socket.on("error", () => undefined);
-    socket.once("close", () => (isClosed = true));
-    socket.once("connect", () => {
-        socket.write(formatCall({ path: "/safe/x", id: ids[0], headers }));
-        socket.write(formatCall({ method: "POST", path: "/stream/x", id: ids[1], body: "a question", headers }));
-        record(`${ids.join(" and ")} sent on one connection`);
-    });
-    return sleep(timeoutMs + graceMs).then(() => {
-        const lookup = parseResponse(received);
-        const stream = parseResponse(received.subarray(lookup.isComplete ? lookup.length : received.length));
-        socket.destroy();
-        return { ids, lookup, stream, isClosed };
-    });
-}
+/** Less than the 9 s for which the site's store turns machines away. */
+const refusalMs = 8_500;
 
 await runCase(async () => {
     const store = await startStoreStandIn(nextAddress());
-    const configuration = createConfiguration();
-    store.put("config", "main", {
-        ...configuration,
-        routes: configuration.routes.map(route => ({ ...route, timeoutMs })),
+    store.put("config", "main", createConfiguration());
+    const worker = await startTargetStandIn("worker-1", nextAddress());
+    store.put("servers", "worker-1", createTargetEntry(worker, "plain"));
+    /** Requests that reached the worker, with the router that had sent them. */
+    const arrivals = [];
+    /** Time at which each router first passed on an answer with the limit. */
+    const passedOnAt = new Map();
+    let headers = {};
+    worker.setScript(async (received, socket) => {
+        if (respondHealth(received, socket, { name: "worker-1" })) return;
+        const id = received.headers["attempt-id"];
+        arrivals.push({ at: performance.now(), router: id.split("/")[0] });
+        record(`worker-1 runs ${id}`);
+        await sleep(workMs);
+        socket.write(formatResponse(received, "ok", { headers }));
     });
-    const lookups = await startTargetStandIn("lookups-1", nextAddress());
-    store.put("servers", "lookups-1", createTargetEntry(lookups, "plain"));
-    lookups.setScript(async (received, socket) => {
-        if (respondHealth(received, socket, { name: "lookups-1" })) return;
-        record(`lookups-1 runs ${received.headers["attempt-id"]}`);
-        await sleep(lookupMs);
-        socket.write(formatResponse(received, "in stock"));
-    });
-    const models = [];
-    for (const name of ["model-1", "model-2", "model-3", "model-4"]) {
-        const model = await startTargetStandIn(name, nextAddress());
-        const sockets = new Set();
-        models.push({ name, sockets });
-        store.put("servers", name, createTargetEntry(model, "engine"));
-        model.setScript(async (received, socket) => {
-            const id = received.headers["attempt-id"];
-            record(`${name} runs ${id}`);
-            sockets.add(socket);
-            socket.write(formatStreamHead(received));
-            for (let event = 1; event <= eventCount; event++) {
-                if (socket.destroyed) return;
-                socket.write(formatChunk(formatEvent(event)));
-                await sleep(eventIntervalMs);
-            }
-            socket.write(formatChunk(""));
-            sockets.delete(socket);
-            record(`${name} has answered ${id}`);
-        });
-    }
-    const router = await startRouter({ name: "front-a-1", storeAddress: store.address });
-    await sleep(settleMs);
-    const startedAt = performance.now();
-    const pairs = Array.from({ length: clientCount }, (_, client) => sendPair(router.address, client));
-    await sleep(crashAfterMs);
+
+    let isOver = false;
+    const sendCalls = async router => {
+        for (let number = 1; !isOver; number++) {
+            const id = `${router.name}/${number}`;
+            const opts = { path: "/safe/x", id, timeoutMs: 3_000 };
+            record(`${id} sent`);
+            void call(router.address, { ...opts, headers: { Connection: "close", "Deadline-Ms": "2500" } }).then(
+                answer => {
+                    record(`${id}: ${answer.status}, limit ${answer.headers["server-limit"]}`);
+                    if (answer.headers["server-limit"] !== undefined && !passedOnAt.has(router.name))
+                        passedOnAt.set(router.name, performance.now());
+                },
+            );
+            await sleep(1_000 / callsPerSecond);
+        }
+    };
+
+    // Each router has an address of the store of its own, so that the store can turn one of them away.
+    const otherStoreAddress = await store.openAddress();
+    const first = await startRouter({ name: "front-a-1", zone: "zone-a", cores: 1, storeAddress: store.address });
+    const other = await startRouter({ name: "front-b-1", zone: "zone-b", cores: 0.5, storeAddress: otherStoreAddress });
+    await sleep(1_000);
+    void sendCalls(first);
+    void sendCalls(other);
+    await sleep(500);
+    headers = { "Server-Limit": String(limitPerSecond) };
+    const namedAt = performance.now();
+    record(`worker-1 names its limit, ${limitPerSecond}`);
+    await sleep(stableMs);
     if (hasTrouble) {
-        const [crashed] = models;
-        record(`${crashed.name} crashes with ${crashed.sockets.size} streams`);
-        for (const socket of crashed.sockets) socket.resetAndDestroy();
+        store.setFault("busy", [otherStoreAddress]);
+        store.muteWatches([otherStoreAddress]);
+        record("the store turns front-b-1 away");
     }
-    const results = await Promise.all(pairs);
-    record(`${Math.round(performance.now() - startedAt)} ms after the requests:`);
-    for (const { ids: [lookupId, streamId], lookup, stream, isClosed } of results) {
-        const events = stream.body.toString("latin1").split("\n\n").length - 1;
-        record(
-            `${lookupId}: ${lookup.status}, complete ${lookup.isComplete}; ${streamId}: ${stream.status}, `
-                + `${events} events, complete ${stream.isComplete}; connection closed ${isClosed}`,
-        );
-    }
-    // A connection that is closed is a final answer too, although not a complete one.
-    const unanswered = results.filter(({ stream, isClosed }) => !stream.isComplete && !isClosed);
-    const isBroken = unanswered.length >= minUnanswered;
-    const summary =
-        `${unanswered.length} of ${clientCount} streams have no final answer ${graceMs} ms after their route's `
-        + `timeoutMs (allowed: ${minUnanswered - 1}, and a quarter of those that last so long)`;
-    return { isBroken, summary };
+    const refusedAt = performance.now();
+    await sleep(300);
+    // A larger machine, which the routers prefer as coordinator.
+    await startRouter({ name: "front-a-2", zone: "zone-a", cores: 2.9, storeAddress: store.address });
+    await sleep(refusalMs - (performance.now() - refusedAt));
+    isOver = true;
+    record("the store takes front-b-1 back");
+    store.setFault("none", []);
+    await sleep(300);
+
+    const counted = arrivals.filter(({ at, router }) =>
+        at > namedAt + stableMs && at > (passedOnAt.get(router) ?? Infinity) + 500
+    );
+    let most = 0;
+    for (const { at: from } of counted)
+        most = Math.max(most, counted.filter(({ at }) => at >= from && at < from + windowMs).length);
+    const summary = `worker-1 got at most ${most} requests in 4 s from routers that had passed its limit on `
+        + `(allowed: ${maxInWindow})`;
+    return { isBroken: most > maxInWindow, summary };
 });
