--- a/review/harness-2/startModel.mjs
+++ b/review/harness-2/startModel.mjs
@@ -45,7 +45,7 @@
     const run = async (received, socket) => {
         const isPoison = received.headers["prompt-prefix"].includes(poisonPart);
         record(`${name} runs ${received.headers["attempt-id"]}`);
-        if (isPoison) onPoison();
+        if (isPoison) onPoison(received.headers["attempt-id"]);
         await sleep(prefillMs);
         if (isPoison && crashesAfter === "nothing") return crash();
         socket.write(formatStreamHead(received));
