--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -21,7 +21,7 @@
 const beforeMs = 8_000;
 const poisonIntervalMs = 1_000;
 const soundIntervalMs = 500;
-const othersIntervalMs = 100;
+const othersIntervalMs = 50;
 
 /** Time from the first request with the part to the first sound request of the subject. */
 const firstSoundAfterMs = 4_000;
