Turn one of three routers away in review/9

There are three now, with sizes and the stable window of a site that has both disruptions, and the limit counts from the first answer that names it.

--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -29,7 +29,7 @@
 const maxInWindow = 1.5 * limitPerSecond * windowMs / 1_000 + 5;
 
 /** `stableWindowMs` of the site. */
-const stableMs = 3_000;
+const stableMs = 4_000;
 
 /** Less than the 9 s for which the site's store turns machines away. */
 const refusalMs = 8_500;
@@ -44,12 +44,15 @@
     /** Time at which each router first passed on an answer with the limit. */
     const passedOnAt = new Map();
     let headers = {};
+    /** Time at which the worker first named its limit. */
+    let namedAt = Infinity;
     worker.setScript(async (received, socket) => {
         if (respondHealth(received, socket, { name: "worker-1" })) return;
         const id = received.headers["attempt-id"];
         arrivals.push({ at: performance.now(), router: id.split("/")[0] });
         record(`worker-1 runs ${id}`);
         await sleep(workMs);
+        if (headers["Server-Limit"] !== undefined) namedAt = Math.min(namedAt, performance.now());
         socket.write(formatResponse(received, "ok", { headers }));
     });
 
@@ -72,14 +75,16 @@
 
     // Each router has an address of the store of its own, so that the store can turn one of them away.
     const otherStoreAddress = await store.openAddress();
-    const first = await startRouter({ name: "front-a-1", zone: "zone-a", cores: 1, storeAddress: store.address });
-    const other = await startRouter({ name: "front-b-1", zone: "zone-b", cores: 0.5, storeAddress: otherStoreAddress });
+    const start = (name, zone, cores, storeAddress) => startRouter({ name, zone, cores, storeAddress });
+    const routers = [
+        await start("front-a-1", "zone-a", 1.2, store.address),
+        await start("front-b-1", "zone-b", 0.5, otherStoreAddress),
+        await start("front-c-1", "zone-c", 0.5, store.address),
+    ];
     await sleep(1_000);
-    void sendCalls(first);
-    void sendCalls(other);
+    for (const router of routers) void sendCalls(router);
     await sleep(500);
     headers = { "Server-Limit": String(limitPerSecond) };
-    const namedAt = performance.now();
     record(`worker-1 names its limit, ${limitPerSecond}`);
     await sleep(stableMs);
     if (hasTrouble) {
@@ -90,7 +95,7 @@
     const refusedAt = performance.now();
     await sleep(300);
     // A larger machine, which the routers prefer as coordinator.
-    await startRouter({ name: "front-a-2", zone: "zone-a", cores: 2.9, storeAddress: store.address });
+    await start("front-a-2", "zone-a", 2.9, store.address);
     await sleep(refusalMs - (performance.now() - refusedAt));
     isOver = true;
     record("the store takes front-b-1 back");
