Count crashes of engines after the first event against the prompt

Cause: the first event of a request cleared all of its parts, and a broken attempt named its parts only if it had not started. So no crash after the first event counted against a part, and one start released a quarantined part.

Change: only a complete response clears a part. Attempts name their parts when they complete or break, at any moment.

The unit tests that released a part by its start now do so by its completion; they assert the same.

--- a/packages/placement/src/createPartQuarantine.ts
+++ b/packages/placement/src/createPartQuarantine.ts
@@ -1,13 +1,13 @@
 /**
  * Finds prompt parts that crash engines, and decides which requests with such a part may still run. A part is suspected
- * if requests with it were waiting for their first event at engines that crashed, and none with it has started since.
+ * if requests with it were in progress at engines that crashed, and none with it has completed since.
  */
 import type { PromptSize, QuarantinedPart } from "@rhubarbwheel/types/placement";
 
 export interface PartQuarantine {
-    /** Records the parts of a request that has started. Returns those that are released by it. */
-    readonly recordStart: (partIds: readonly string[]) => readonly string[];
-    /** Records the parts of requests that had not started when an engine crashed. Returns newly quarantined parts. */
+    /** Records the parts of a request whose response is complete. Returns those that are released by it. */
+    readonly recordCompletion: (partIds: readonly string[]) => readonly string[];
+    /** Records the parts of requests that were in progress when an engine crashed. Returns newly quarantined parts. */
     readonly recordCrash: (partIds: Iterable<string>, now: number) => readonly string[];
     /** Whether a part is quarantined. */
     readonly hasQuarantined: (partIds: readonly string[]) => boolean;
@@ -21,21 +21,21 @@
     readonly merge: (parts: readonly QuarantinedPart[], now: number) => void;
 }
 
-/** Crashes without a start in between after which a part that has never started is quarantined. */
+/** Crashes without a complete response in between after which a part without complete responses is quarantined. */
 export const crashesBeforeQuarantine = 3;
 
 /**
- * Crashes for a part that has started before: more, because it has repeatedly waited together with one that crashes
- * engines.
+ * Crashes for a part with complete responses before: more, because requests with it may have run repeatedly beside one that
+ * crashes engines.
  */
-export const crashesOfStartedPart = 6;
+export const crashesOfCompletedPart = 6;
 
-/** Maximum number of remembered parts that have started. */
-const maxStartedParts = 10_000;
+/** Maximum number of remembered parts with complete responses. */
+const maxCompletedParts = 10_000;
 
 /**
  * Crashes within this time count once: engines that fail together share a cause, such as their power supply, and any
- * common part was waiting at several of them.
+ * common part was in progress at several of them.
  */
 export const crashGroupMs = 700;
 
@@ -80,8 +80,8 @@
 
 export function createPartQuarantine(): PartQuarantine {
     const suspicions = new Map<string, Suspicion>();
-    /** Parts that have started, least recently started first. */
-    const startedParts = new Map<string, true>();
+    /** Parts with complete responses, least recently completed first. */
+    const completedParts = new Map<string, true>();
     const states = new Map<string, QuarantineState>();
 
     const setState = (id: string, state: QuarantineState): void => {
@@ -100,7 +100,7 @@
         if (isCurrent && now - existing.lastCrashAt < crashGroupMs) return false;
         const crashes = (isCurrent ? existing.crashes : 0) + 1;
         suspicions.delete(id);
-        if (crashes >= (startedParts.has(id) ? crashesOfStartedPart : crashesBeforeQuarantine)) return true;
+        if (crashes >= (completedParts.has(id) ? crashesOfCompletedPart : crashesBeforeQuarantine)) return true;
         suspicions.set(id, { crashes, lastCrashAt: now });
         return false;
     };
@@ -121,13 +121,13 @@
     };
 
     return {
-        recordStart: partIds => {
+        recordCompletion: partIds => {
             for (const id of partIds) {
                 suspicions.delete(id);
-                startedParts.delete(id);
-                startedParts.set(id, true);
+                completedParts.delete(id);
+                completedParts.set(id, true);
             }
-            evictOldest(startedParts, maxStartedParts);
+            evictOldest(completedParts, maxCompletedParts);
             const released = partIds.filter(isQuarantined);
             for (const id of released) setState(id, { ...states.get(id)!, isReleased: true });
             return released;
--- a/packages/placement/src/createQuarantineTracker.ts
+++ b/packages/placement/src/createQuarantineTracker.ts
@@ -7,7 +7,7 @@
 import type { AttemptNoticeMessage } from "@rhubarbwheel/types/placement";
 import type { PlacementEffect, PlacementEvent, PlacementSlice } from "@rhubarbwheel/types/placement-events";
 import { createCrashDetector } from "./createCrashDetector.js";
-import type { CrashDetector } from "./createCrashDetector.js";
+import type { Crash, CrashDetector } from "./createCrashDetector.js";
 import type { PartQuarantine } from "./createPartQuarantine.js";
 
 export interface QuarantineTrackerOptions {
@@ -22,7 +22,7 @@
 /** Numbers of the tracker's log events. */
 export const quarantineLogEvents = { partQuarantined: 1714, partReleased: 1715 } as const;
 
-/** Interval at which broken targets are checked for crashes, in addition to each attempt notice. */
+/** Interval at which attempts that have ended are classified, in addition to each attempt notice. */
 const checkIntervalMs = 100;
 
 export function createQuarantineTracker(opts: QuarantineTrackerOptions): PlacementSlice {
@@ -52,27 +52,30 @@
     };
 
     const handleNotice = (notice: AttemptNoticeMessage, now: number): void => {
-        const { service, target, partIds = [] } = notice;
-        if (notice.result === "broken") {
-            getOrCreateDetector(service).recordBroken(target, partIds, now);
-            checkAt = Math.min(checkAt, now + checkIntervalMs);
-            return;
-        }
-        if (notice.result !== undefined) return;
-        const released = quarantine.recordStart(partIds);
-        if (released.length === 0) return;
+        const { service, target, result, partIds = [] } = notice;
+        if (result === "broken") getOrCreateDetector(service).recordBroken(target, partIds, now);
+        else if (result === "complete") getOrCreateDetector(service).recordComplete(target, partIds, now);
+        else return;
+        checkAt = Math.min(checkAt, now + checkIntervalMs);
+    };
+
+    const handleCrash = (service: string, { target, partIds }: Crash, now: number): void => {
+        const added = quarantine.recordCrash(partIds, now);
+        for (const part of added) log("partQuarantined", { service, part, target });
+        if (added.length > 0) announce(added, now);
+    };
+
+    const handleCompletion = (service: string, partIds: readonly string[], now: number): void => {
+        const released = quarantine.recordCompletion(partIds);
         for (const part of released) log("partReleased", { service, part });
-        announce(released, now);
+        if (released.length > 0) announce(released, now);
     };
 
-    const checkCrashes = (now: number): void => {
+    const checkAttempts = (now: number): void => {
         checkAt = Infinity;
         for (const [service, detector] of detectors) {
-            for (const { target, partIds } of detector.takeCrashes(now)) {
-                const added = quarantine.recordCrash(partIds, now);
-                for (const part of added) log("partQuarantined", { service, part, target });
-                if (added.length > 0) announce(added, now);
-            }
+            for (const crash of detector.takeCrashes(now)) handleCrash(service, crash, now);
+            for (const partIds of detector.takeCompletions(now)) handleCompletion(service, partIds, now);
             if (detector.isPending()) checkAt = now + checkIntervalMs;
         }
     };
@@ -89,7 +92,7 @@
             effects = [];
             handleEvent(event);
             const isNotice = event.type === "routerMessage" && event.message.type === "attemptNotice";
-            if (event.now >= checkAt || (isNotice && checkAt !== Infinity)) checkCrashes(event.now);
+            if (event.now >= checkAt || (isNotice && checkAt !== Infinity)) checkAttempts(event.now);
             return effects;
         },
         getWakeAt: () => checkAt,
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -78,8 +78,7 @@
     entry.responseStarted = true;
     recordLoad(context, entry, attempt, event.load);
     context.pools.get(entry.request.service)?.model.start(event.requestId, context.now);
-    const partIds = listSharedPartIds(entry.request.prompt);
-    sendAttemptNotice(context, entry, attempt, { load: event.load, partIds });
+    sendAttemptNotice(context, entry, attempt, { load: event.load });
 }
 
 /** Whether the call may be retried after `result`. */
@@ -153,10 +152,8 @@
     const latencyMs = (attempt.startedAt ?? context.now) - attempt.sentAt;
     context.pools.get(entry.request.service)?.model.end(event.requestId, result, latencyMs, context.now);
     recordCutOff(context, entry, attempt.target, event);
-    // The attempts that had not started are those that may have crashed the target.
-    const partIds = result === "broken" && attempt.startedAt === undefined
-        ? listSharedPartIds(entry.request.prompt)
-        : undefined;
+    // A target may crash at any moment of a response, so only a complete one shows that the prompt did not crash it.
+    const partIds = result === "broken" || result === "complete" ? listSharedPartIds(entry.request.prompt) : undefined;
     sendAttemptNotice(context, entry, attempt, { result, load, partIds });
     entry.responseStarted ||= event.responseStarted;
     if (result !== "unsent" && result !== "misdirected") entry.countedAttempts += 1;
--- a/packages/placement/test/createPartQuarantine.test.ts
+++ b/packages/placement/test/createPartQuarantine.test.ts
@@ -3,7 +3,7 @@
 import * as assert from "uvu/assert";
 import {
     crashesBeforeQuarantine,
-    crashesOfStartedPart,
+    crashesOfCompletedPart,
     crashGroupMs,
     createPartQuarantine,
     minProbeIntervalMs,
@@ -26,26 +26,26 @@
 }
 
 // Guards against requests that crash one engine after the other.
-test("a part that waited at several engines that crashed is quarantined", () => {
+test("a part that was in progress at several engines that crashed is quarantined", () => {
     const quarantine = createPartQuarantine();
     assert.equal(recordCrashes(quarantine, ["bad"], crashesBeforeQuarantine), [[], [], ["bad"]]);
     assert.not(quarantine.mayPlace(["common", "bad"], 3_000));
     assert.ok(quarantine.mayPlace(["common", "other"], 3_000));
 });
 
-test("a part that has started since the first crash is not quarantined", () => {
+test("a part that has completed since the first crash is not quarantined", () => {
     const quarantine = createPartQuarantine();
     recordCrashes(quarantine, ["common"], crashesBeforeQuarantine - 1);
-    quarantine.recordStart(["common"]);
+    quarantine.recordCompletion(["common"]);
     assert.equal(quarantine.recordCrash(["common"], 5_000), []);
     assert.not(quarantine.hasQuarantined(["common"]));
 });
 
-test("a part that has started before needs more crashes", () => {
+test("a part that has completed before needs more crashes", () => {
     const quarantine = createPartQuarantine();
-    quarantine.recordStart(["common"]);
-    const added = recordCrashes(quarantine, ["common"], crashesOfStartedPart);
-    assert.equal(added.findIndex(parts => parts.length > 0), crashesOfStartedPart - 1);
+    quarantine.recordCompletion(["common"]);
+    const added = recordCrashes(quarantine, ["common"], crashesOfCompletedPart);
+    assert.equal(added.findIndex(parts => parts.length > 0), crashesOfCompletedPart - 1);
 });
 
 // Guards against a quarantine of the parts that all requests share after a power failure of many engines.
@@ -70,13 +70,13 @@
     assert.ok(tryPlace(quarantine, ["bad"], 30_001));
 });
 
-test("a probe that starts releases the part", () => {
+test("a probe that completes releases the part", () => {
     const quarantine = createPartQuarantine();
     recordCrashes(quarantine, ["bad"], crashesBeforeQuarantine);
     assert.ok(tryPlace(quarantine, ["bad"], 2 * groupMs + minProbeIntervalMs));
-    assert.equal(quarantine.recordStart(["bad"]), ["bad"]);
+    assert.equal(quarantine.recordCompletion(["bad"]), ["bad"]);
     assert.not(quarantine.hasQuarantined(["bad"]));
-    assert.equal(quarantine.recordStart(["bad"]), []);
+    assert.equal(quarantine.recordCompletion(["bad"]), []);
 });
 
 test("of several parts that the same crashes quarantine, requests with a single one show which is at fault", () => {
@@ -85,7 +85,7 @@
     assert.equal(added, ["session", "bad"]);
     assert.not(quarantine.mayPlace(["session", "bad"], 2_000));
     assert.ok(tryPlace(quarantine, ["session"], 2_000));
-    quarantine.recordStart(["session"]);
+    quarantine.recordCompletion(["session"]);
     assert.ok(tryPlace(quarantine, ["session"], 2_001));
     assert.ok(tryPlace(quarantine, ["session", "bad"], 2_001), "the probe of the other part");
     assert.not(tryPlace(quarantine, ["session", "bad"], 2_002));
@@ -98,12 +98,12 @@
     const quarantined = first.list(["bad"], 2_000);
     second.merge(quarantined, 500_000);
     assert.not(second.mayPlace(["bad"], 500_001));
-    second.recordStart(["bad"]);
+    second.recordCompletion(["bad"]);
     second.merge(quarantined, 500_002);
     assert.not(second.hasQuarantined(["bad"]), "an older state has no effect");
     first.merge(second.list(["bad"], 500_003), 2_001);
     assert.not(first.hasQuarantined(["bad"]));
-    recordCrashes(first, ["bad"], crashesOfStartedPart);
+    recordCrashes(first, ["bad"], crashesOfCompletedPart);
     second.merge(first.list(["bad"], 6_000), 500_004);
     assert.ok(second.hasQuarantined(["bad"]));
 });
--- a/packages/placement/test/localPlacement.test.ts
+++ b/packages/placement/test/localPlacement.test.ts
@@ -194,7 +194,8 @@
     assert.is(formatEffects(harness.reduce({ type: "wake", now: 95 })), "fail PROMPT_QUARANTINED");
 });
 
-test("the coordinator learns which shared parts of a prompt started or broke before their start", () => {
+// Guards against crashes after the first event that no coordinator relates to the prompt.
+test("the coordinator learns of the shared parts of a prompt when its response is complete or cut off, at any moment", () => {
     const harness = createUnresponsiveHarness();
     const { router, address } = harness.findCoordinator("assistant", 0);
     const listPartIds = (effects: ReturnType<typeof harness.reduce>) =>
@@ -214,13 +215,17 @@
         } as const;
         return findAttempt(harness.reduce({ type: "routerMessage", from: router, address, message, now: 10 }));
     };
+    const start = ({ requestId, attempt }: ReturnType<typeof place>) =>
+        harness.reduce({ type: "attemptStarted", requestId, attempt, now: 20 });
+    assert.equal(listPartIds(harness.finish(place(), 20, { result: "broken" })), [["common", "bad"]]);
     const broken = place();
-    assert.equal(listPartIds(harness.finish(broken, 20, { result: "broken" })), [["common", "bad"]]);
-    const { requestId, attempt, ...started } = place();
-    const effects = harness.reduce({ type: "attemptStarted", requestId, attempt, now: 20 });
-    assert.equal(listPartIds(effects), [["common", "bad"]]);
-    const ended = harness.finish({ requestId, attempt, ...started }, 30, { result: "broken", responseStarted: true });
-    assert.equal(listPartIds(ended), [undefined]);
+    assert.equal(listPartIds(start(broken)), [undefined]);
+    const ended = harness.finish(broken, 30, { result: "broken", responseStarted: true });
+    assert.equal(listPartIds(ended), [["common", "bad"]]);
+    const complete = place();
+    start(complete);
+    assert.equal(listPartIds(harness.finish(complete, 30, { responseStarted: true })), [["common", "bad"]]);
+    assert.equal(listPartIds(harness.finish(place(), 30, { result: "failed" })), [undefined]);
 });
 
 test("a local placement is reported to the coordinator at once", () => {
--- a/packages/placement/test/quarantine.test.ts
+++ b/packages/placement/test/quarantine.test.ts
@@ -2,7 +2,7 @@
 import type { PlacementRequest } from "@rhubarbwheel/types/placement";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { createCrashDetector } from "../src/createCrashDetector.js";
+import { completionGraceMs, createCrashDetector } from "../src/createCrashDetector.js";
 import { createPartQuarantine } from "../src/createPartQuarantine.js";
 import { createPlacementCoordinator } from "../src/createPlacementCoordinator.js";
 import { createQuarantineTracker } from "../src/createQuarantineTracker.js";
@@ -41,7 +41,7 @@
     const announcedTo = new Set<string>();
     const sendNotice = (request: PlacementRequest, target: string, now: number, result?: "broken" | "complete") => {
         const { requestId, service, prompt } = request;
-        const partIds = result === "complete" ? undefined : prompt?.parts.slice(0, -1).map(({ id }) => id);
+        const partIds = result === undefined ? undefined : prompt?.parts.slice(0, -1).map(({ id }) => id);
         const message = {
             type: "attemptNotice",
             requestId,
@@ -145,6 +145,24 @@
     assert.not(detector.isPending());
 });
 
+// Guards against engines that crash as they end a response, whose request then looks sound.
+test("a response that completes just before its target crashes does not count as complete", () => {
+    const detector = createCrashDetector({ countAssigned: () => 0 });
+    detector.recordComplete("target-1", ["earlier"], 0);
+    detector.recordComplete("target-2", ["elsewhere"], completionGraceMs);
+    detector.recordComplete("target-1", ["bad"], completionGraceMs);
+    assert.equal(detector.takeCompletions(completionGraceMs), [["earlier"]]);
+    detector.recordBroken("target-1", ["sound"], completionGraceMs + 1);
+    detector.recordComplete("target-1", ["late"], completionGraceMs + 2);
+    assert.equal(detector.takeCrashes(completionGraceMs + 3).map(({ partIds }) => [...partIds]), [[
+        "bad",
+        "sound",
+        "late",
+    ]]);
+    assert.equal(detector.takeCompletions(3 * completionGraceMs), [["elsewhere"]]);
+    assert.not(detector.isPending());
+});
+
 test("a target that keeps running other attempts has not crashed", () => {
     const detector = createCrashDetector({ countAssigned: () => 1 });
     detector.recordBroken("target-1", ["a"], 0);
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -121,13 +121,15 @@
     1714: {
         name: "partQuarantined",
         level: "warn",
-        message: "Engines crashed while requests with this prompt part waited to start; such requests are refused.",
+        message:
+            "Engines crashed repeatedly with requests in progress that have this prompt part; such requests are refused.",
         fields: ["service", "part", "target"],
     },
     1715: {
         name: "partReleased",
         level: "info",
-        message: "A request with a quarantined prompt part has started; such requests are admitted again.",
+        message:
+            "A response to a request with a quarantined prompt part is complete; such requests are admitted again.",
         fields: ["service", "part"],
     },
     1716: {
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -21,7 +21,7 @@
     readonly id: string;
     /** Increases with each quarantine and each probe, so that routers can tell which of two states is newer. */
     readonly generation: number;
-    /** Whether a request with the part has started since. */
+    /** Whether a response to a request with the part has completed since. */
     readonly isReleased: boolean;
     /** Time until one request with the part may run, to find out whether the part still crashes engines. */
     readonly probeInMs: number;
@@ -156,7 +156,7 @@
     /** Time from the send of the attempt to the event that the notice reports; 0 for an unused placement. */
     readonly latencyMs: number;
     readonly load?: ReportedLoad;
-    /** Ids of the prompt parts that other requests may share, if the attempt has started or broke before its start. */
+    /** Ids of the prompt parts that other requests may share, if the response is complete or was cut off. */
     readonly partIds?: readonly string[];
 }
 
