Find the part at fault among those that engines crash on together

Cause: all parts that the same crashes explain are quarantined, and a request with more than one of them was never let through, because its crash would not show which is at fault. Parts that always occur together were therefore never released.

Change: such parts are a suspect group. A request with some of a group, but not all, runs as a probe; if it completes, its parts are released, and if its engine crashes, its parts are the smaller group of suspects. Probes run one at a time for each part and each engine. A crash with a quarantined part in progress makes no other part more suspect. Event 1720 tells of narrowed groups, 1714 has the number of suspects.

--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -39,6 +39,7 @@
     isReleased: boolean,
     probeInMs: double,
     probeIntervalMs: double,
+    group: optional(string),
 });
 
 const promptSize = struct<PromptSize>({
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -221,12 +221,13 @@
         }
         const partIds = listSharedPartIds(request.prompt);
         quarantine.merge(request.quarantinedParts ?? [], event.now);
+        const excluded = [...request.excluded, ...quarantine.listProbedTargets(partIds, event.now)];
         const placement: AdmittedChoice | Refusal = quarantine.mayPlace(partIds, event.now)
-            ? choosePlacement(pool, request, event.now)
+            ? choosePlacement(pool, { ...request, excluded }, event.now)
             : { refusal: "partQuarantined" };
         if (!("refusal" in placement)) {
             assign(pool, request, placement, event.now);
-            quarantine.recordPlacement(partIds, event.now);
+            quarantine.recordPlacement(partIds, placement.target, event.now);
         }
         const states = quarantine.list(partIds, event.now);
         sendReply(event, {
--- a/packages/placement/src/createQuarantineTracker.ts
+++ b/packages/placement/src/createQuarantineTracker.ts
@@ -20,11 +20,18 @@
 }
 
 /** Numbers of the tracker's log events. */
-export const quarantineLogEvents = { partQuarantined: 1714, partReleased: 1715 } as const;
+export const quarantineLogEvents = {
+    partQuarantined: 1714,
+    partReleased: 1715,
+    suspectsNarrowed: 1720,
+} as const;
 
 /** Interval at which attempts that have ended are classified, in addition to each attempt notice. */
 const checkIntervalMs = 100;
 
+/** Keeps notices below the size at which datagrams are fragmented. */
+const maxPartsPerNotice = 16;
+
 export function createQuarantineTracker(opts: QuarantineTrackerOptions): PlacementSlice {
     const { quarantine, view } = opts;
     const detectors = new Map<string, CrashDetector>();
@@ -46,29 +53,36 @@
     };
 
     const announce = (partIds: readonly string[], now: number): void => {
-        const message = { type: "quarantineNotice", parts: quarantine.list(partIds, now) } as const;
-        for (const { router, address } of view.listRouters())
-            if (router !== opts.router) effects.push({ type: "sendToRouter", router, address, message });
+        const states = quarantine.list(partIds, now);
+        for (let start = 0; start < states.length; start += maxPartsPerNotice) {
+            const message = {
+                type: "quarantineNotice",
+                parts: states.slice(start, start + maxPartsPerNotice),
+            } as const;
+            for (const { router, address } of view.listRouters())
+                if (router !== opts.router) effects.push({ type: "sendToRouter", router, address, message });
+        }
     };
 
     const handleNotice = (notice: AttemptNoticeMessage, now: number): void => {
         const { service, target, result, partIds = [] } = notice;
         if (result === "broken") getOrCreateDetector(service).recordBroken(target, partIds, now);
         else if (result === "complete") getOrCreateDetector(service).recordComplete(target, partIds, now);
-        else return;
+        else return quarantine.recordUnused(partIds, now);
         checkAt = Math.min(checkAt, now + checkIntervalMs);
     };
 
     const handleCrash = (service: string, { target, partIds }: Crash, now: number): void => {
-        const added = quarantine.recordCrash(partIds, now);
-        for (const part of added) log("partQuarantined", { service, part, target });
-        if (added.length > 0) announce(added, now);
+        const { quarantined, narrowed } = quarantine.recordCrash(partIds, now);
+        for (const part of quarantined) log("partQuarantined", { service, part, target, suspects: quarantined.length });
+        for (const part of narrowed) log("suspectsNarrowed", { service, part, target, suspects: narrowed.length });
+        announce([...narrowed, ...quarantined], now);
     };
 
     const handleCompletion = (service: string, partIds: readonly string[], now: number): void => {
         const released = quarantine.recordCompletion(partIds);
         for (const part of released) log("partReleased", { service, part });
-        if (released.length > 0) announce(released, now);
+        announce(released, now);
     };
 
     const checkAttempts = (now: number): void => {
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -153,8 +153,12 @@
     context.pools.get(entry.request.service)?.model.end(event.requestId, result, latencyMs, context.now);
     recordCutOff(context, entry, attempt.target, event);
     // A target may crash at any moment of a response, so only a complete one shows that the prompt did not crash it.
-    const partIds = result === "broken" || result === "complete" ? listSharedPartIds(entry.request.prompt) : undefined;
-    sendAttemptNotice(context, entry, attempt, { result, load, partIds });
+    const partIds = listSharedPartIds(entry.request.prompt);
+    sendAttemptNotice(context, entry, attempt, {
+        result,
+        load,
+        partIds: result === "cancelled" || partIds.length === 0 ? undefined : partIds,
+    });
     entry.responseStarted ||= event.responseStarted;
     if (result !== "unsent" && result !== "misdirected") entry.countedAttempts += 1;
     if (result === "failed" || result === "broken") entry.mayHaveRun = true;
--- a/packages/placement/test/quarantine.test.ts
+++ b/packages/placement/test/quarantine.test.ts
@@ -109,6 +109,7 @@
         isReleased: false,
         probeInMs: 9_000,
         probeIntervalMs: 20_000,
+        group: "bad:1",
     };
     const request = createRequest("", { prompt: { promptTokens: 120, outputTokens: 50, parts } });
     const ask = (quarantinedParts: PlacementRequest["quarantinedParts"], requestId: string, now: number) => {
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -123,7 +123,7 @@
         level: "warn",
         message:
             "Engines crashed repeatedly with requests in progress that have this prompt part; such requests are refused.",
-        fields: ["service", "part", "target"],
+        fields: ["service", "part", "target", "suspects"],
     },
     1715: {
         name: "partReleased",
@@ -156,6 +156,12 @@
         message: "Responses of a target were cut off several times in a row; calls go to other targets for some time.",
         fields: ["target", "service", "reason", "pauseMs"],
     },
+    1720: {
+        name: "suspectsNarrowed",
+        level: "warn",
+        message: "An engine crashed on a probe of some of the quarantined prompt parts; one of these is at fault.",
+        fields: ["service", "part", "target", "suspects"],
+    },
     1730: {
         name: "rolloutOrderChanged",
         level: "info",
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -23,10 +23,12 @@
     readonly generation: number;
     /** Whether a response to a request with the part has completed since. */
     readonly isReleased: boolean;
-    /** Time until one request with the part may run, to find out whether the part still crashes engines. */
+    /** Time until one request with all parts of the group may run, to find out whether they still crash engines. */
     readonly probeInMs: number;
     /** Time between that probe and the next one. */
     readonly probeIntervalMs: number;
+    /** Name of the parts that explain the same crashes; omitted for a part that alone explains them. */
+    readonly group?: string;
 }
 
 /** Input of a coordinator's placement decision. */
@@ -156,7 +158,7 @@
     /** Time from the send of the attempt to the event that the notice reports; 0 for an unused placement. */
     readonly latencyMs: number;
     readonly load?: ReportedLoad;
-    /** Ids of the prompt parts that other requests may share, if the response is complete or was cut off. */
+    /** Ids of the prompt parts that other requests may share, if the attempt has ended but was not cancelled. */
     readonly partIds?: readonly string[];
 }
 
