Tell all routers which one coordinates a pool

Cause: each router chooses the coordinator from the list of routers that the store gives it. A router that the store turns away keeps its old list. When a router is added that coordinates the pool, it goes on asking the one before, and both grant the whole rate.

A router with an older list asks it until its own list is as new, also if it was the coordinator itself. One that does not reply is suspected like any other. Events 1721 and 1722.

--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -61,6 +61,8 @@
     readonly listRouters: () => readonly RouterEntry[];
     /** Time since the kind was last confirmed; Infinity if it never was. */
     readonly getAgeMs: (kind: ViewKind, now: number) => number;
+    /** Revision of the store as of which the kind is known; 0 if it never was read. */
+    readonly getRevision: (kind: ViewKind) => number;
     /** Whether every kind has been read at least once, as serving requires. */
     readonly isComplete: () => boolean;
 }
@@ -311,6 +313,7 @@
         getColdRemainingMs: targets.getColdRemainingMs,
         listRouters: () => routerList,
         getAgeMs: (kind, now) => now - kinds[kind].confirmedAt,
+        getRevision: kind => kinds[kind].revision,
         isComplete: () => followedKinds.every(kind => kinds[kind].known),
     };
 }
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -4,6 +4,7 @@
 import type {
     AttemptNoticeMessage,
     ColdNoticeMessage,
+    CoordinatorNoticeMessage,
     InFlightAttempt,
     InFlightAttemptsMessage,
     PlacementMessage,
@@ -114,6 +115,11 @@
         startedAtUnixMs: optional(integer),
         coldForMs: double,
     }),
+    coordinatorNotice: struct<WithoutType<CoordinatorNoticeMessage>>({
+        service: string,
+        incarnation: integer,
+        revision: integer,
+    }),
     confirmationAsk: struct<WithoutType<ConfirmationRequestMessage>>({ sequence: integer }),
     confirmationReply: struct<WithoutType<ConfirmationReplyMessage>>({
         sequence: integer,
--- a/packages/placement/src/coordinatorLogEvents.ts
+++ b/packages/placement/src/coordinatorLogEvents.ts
@@ -2,6 +2,7 @@
 export const coordinatorLogEvents = {
     sharesContended: 1713,
     targetCold: 1717,
+    coordinationStarted: 1722,
     rolloutTaken: 1732,
     rolloutReleased: 1733,
     rolloutDecided: 1734,
--- a/packages/placement/src/createCoordinatorSelector.ts
+++ b/packages/placement/src/createCoordinatorSelector.ts
@@ -1,6 +1,7 @@
 /**
  * Selects the coordinator of each pool: the first router by rendezvous hashing that is not suspected. Routers on the
- * larger hosts rank first, because a coordinator handles the placement requests of the whole pool beside its callers.
+ * larger hosts rank first, because a coordinator handles the placement requests of the whole pool beside its callers. A
+ * router that has become the coordinator by a newer list of routers than this router's goes before all others.
  */
 import { rankByRendezvous } from "@rhubarbwheel/membership/chooseByRendezvous";
 import type { RouterEntry } from "@rhubarbwheel/types/fleet";
@@ -12,14 +13,27 @@
     timeoutsBeforeSuspicion,
 } from "./placementSettings.js";
 
+/** A router that coordinates a pool. */
+export type Coordinator = Pick<RouterEntry, "router" | "incarnation" | "address">;
+
+/** What a router says about itself when it becomes the coordinator of a pool. */
+export interface CoordinatorClaim extends Coordinator {
+    /** Revision of the list of routers by which it is the coordinator. */
+    readonly revision: number;
+}
+
 export interface CoordinatorSelector {
     /**
      * `undefined` while no router is registered. Routers that select different coordinators place without knowledge of
      * each other's requests.
      */
-    readonly find: (service: string, now: number) => RouterEntry | undefined;
+    readonly find: (service: string, now: number) => Coordinator | undefined;
     /** First router by rank, whether suspected or not. */
     readonly findFirst: (service: string) => RouterEntry | undefined;
+    /** Returns the router of that name, if it is listed or has claimed to be a coordinator. */
+    readonly findRouter: (router: string) => Coordinator | undefined;
+    /** Records what a router says about itself; true if it changes the selection. */
+    readonly recordClaim: (service: string, claim: CoordinatorClaim) => boolean;
     /** Records a message from the router, which ends a suspicion. */
     readonly recordMessage: (router: string, now: number) => void;
     /**
@@ -36,6 +50,8 @@
     readonly router: string;
     /** Must return the same array until a router changes. */
     readonly listRouters: () => readonly RouterEntry[];
+    /** Revision of the list of routers. */
+    readonly getRevision: () => number;
 }
 
 /** Fraction of the cores of the largest host from which a host counts as one of the larger ones. */
@@ -65,6 +81,18 @@
     /** Routers by rank per service: needed for every message, and changes only with the list of routers. */
     const rankings = new Map<string, readonly RouterEntry[]>();
     let rankedRouters: readonly RouterEntry[] = [];
+    /** Newest claim for each service. */
+    const claims = new Map<string, CoordinatorClaim>();
+
+    /** Claim by a newer list than that of this router, which may be turned away by the store. */
+    const findClaim = (service: string): CoordinatorClaim | undefined => {
+        const claim = claims.get(service);
+        return claim !== undefined && claim.revision > opts.getRevision() ? claim : undefined;
+    };
+
+    const findRouter = (router: string): Coordinator | undefined =>
+        opts.listRouters().find(listed => listed.router === router)
+            ?? [...claims.values()].find(claim => claim.router === router);
 
     const rankRouters = (service: string): readonly RouterEntry[] => {
         const listed = opts.listRouters();
@@ -79,12 +107,12 @@
         return ranked;
     };
 
-    const isSuspected = ({ router, incarnation }: RouterEntry, now: number): boolean => {
+    const isSuspected = ({ router, incarnation }: Coordinator, now: number): boolean => {
         const suspicion = suspicions.get(router);
         return router !== opts.router && suspicion?.incarnation === incarnation && suspicion.suspectedUntil > now;
     };
 
-    const getOrCreateSuspicion = ({ router, incarnation }: RouterEntry, now: number): Suspicion => {
+    const getOrCreateSuspicion = ({ router, incarnation }: Coordinator, now: number): Suspicion => {
         const existing = suspicions.get(router);
         if (existing?.incarnation === incarnation) return existing;
         const suspicion = {
@@ -100,10 +128,19 @@
 
     return {
         find: (service, now) => {
+            const claim = findClaim(service);
+            if (claim !== undefined && !isSuspected(claim, now)) return claim;
             const ranked = rankRouters(service);
             return ranked.find(entry => !isSuspected(entry, now)) ?? ranked[0];
         },
         findFirst: service => rankRouters(service)[0],
+        findRouter,
+        recordClaim: (service, claim) => {
+            const before = findClaim(service);
+            if (claim.revision < (before?.revision ?? 0)) return false;
+            claims.set(service, claim);
+            return findClaim(service) !== undefined && before?.router !== claim.router;
+        },
         recordMessage: (router, now) => {
             suspicions.delete(router);
             lastMessageAt.set(router, now);
@@ -115,7 +152,7 @@
             return true;
         },
         recordTimeout: (router, now) => {
-            const entry = opts.listRouters().find(listed => listed.router === router);
+            const entry = findRouter(router);
             if (entry === undefined) return false;
             const suspicion = getOrCreateSuspicion(entry, now);
             if (suspicion.timeouts === 0) suspicion.firstTimeoutAt = now;
--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -1,8 +1,14 @@
 /** Slice of the entry router, which handles each request from its arrival to its end. */
 import { otherRouterRetryAfterMs } from "@rhubarbwheel/routing/computeRetryAfterMs";
 import type { RouterEntry } from "@rhubarbwheel/types/fleet";
-import type { PlacementEvent, PlacementSlice, RequestRoutedEvent } from "@rhubarbwheel/types/placement-events";
-import { createCoordinatorSelector } from "./createCoordinatorSelector.js";
+import type { CoordinatorNoticeMessage } from "@rhubarbwheel/types/placement";
+import type {
+    PlacementEvent,
+    PlacementSlice,
+    RequestRoutedEvent,
+    RouterMessageEvent,
+} from "@rhubarbwheel/types/placement-events";
+import { type Coordinator, createCoordinatorSelector } from "./createCoordinatorSelector.js";
 import { createSendRateLimiter } from "./createSendRateLimiter.js";
 import {
     type EntryContext,
@@ -27,7 +33,7 @@
     readonly countRequests: () => number;
     readonly hasRequest: (requestId: string) => boolean;
     /** Router to which the placement requests of the service are sent; `undefined` if none is registered. */
-    readonly findCoordinator: (service: string, now: number) => RouterEntry | undefined;
+    readonly findCoordinator: (service: string, now: number) => Coordinator | undefined;
     /** First router by rank, whether suspected or not. */
     readonly findFirstCoordinator: (service: string) => RouterEntry | undefined;
 }
@@ -55,6 +61,17 @@
     placeRequest(context, entry);
 }
 
+function handleCoordinatorNotice(
+    context: EntryContext,
+    { from, address }: RouterMessageEvent,
+    { service, incarnation, revision }: CoordinatorNoticeMessage,
+): void {
+    const claim = { router: from, incarnation, address, revision };
+    if (!context.coordinators.recordClaim(service, claim)) return;
+    const known = context.view.getRevision("routers");
+    logEntryEvent(context, "coordinatorClaimed", { service, router: from, revision, known });
+}
+
 function handleEvent(context: EntryContext, event: PlacementEvent): void {
     if (event.type === "requestRouted") handleRequestRouted(context, event);
     else if (event.type === "attemptStarted") handleAttemptStarted(context, event);
@@ -64,6 +81,7 @@
     else if (event.type === "routerMessage") {
         context.coordinators.recordMessage(event.from, event.now);
         if (event.message.type === "placementReply") handleReply(context, event, event.message);
+        else if (event.message.type === "coordinatorNotice") handleCoordinatorNotice(context, event, event.message);
     }
     else if (event.type === "drainRequested" && context.drainingSince === undefined) {
         context.drainingSince = event.now;
@@ -86,7 +104,11 @@
         ...opts,
         requests: new Map(),
         pools: new Map(),
-        coordinators: createCoordinatorSelector({ router, listRouters: view.listRouters }),
+        coordinators: createCoordinatorSelector({
+            router,
+            listRouters: view.listRouters,
+            getRevision: () => view.getRevision("routers"),
+        }),
         coldRateLimiter: createSendRateLimiter(),
         localRateLimiter: createSendRateLimiter(localRateWindowMs),
         noticeSentAt: new Map(),
--- a/packages/placement/src/createRolloutCoordinator.ts
+++ b/packages/placement/src/createRolloutCoordinator.ts
@@ -7,20 +7,21 @@
 import { computeCanaryTargets } from "@rhubarbwheel/rollout/computeCanaryTargets";
 import { canaryBurstShare } from "@rhubarbwheel/rollout/rolloutSettings";
 import type { LogEffect } from "@rhubarbwheel/types/effects";
-import type { RouterEntry, TargetEntry } from "@rhubarbwheel/types/fleet";
+import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { AttemptNoticeMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
 import type { PlacementEffect, PlacementSlice } from "@rhubarbwheel/types/placement-events";
 import type { RolloutEntry, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/rollout";
 import { coordinatorLogEvents } from "./coordinatorLogEvents.js";
 import { createActiveRollout } from "./createActiveRollout.js";
 import type { ActiveRollout, RolloutBounds, RolloutExecutionOptions } from "./createActiveRollout.js";
+import type { CoordinatorSelector } from "./createCoordinatorSelector.js";
 import type { Choice } from "./createPoolModel.js";
 
 export interface RolloutCoordinatorOptions extends RolloutExecutionOptions {
     /** Name of this router. */
     readonly router: string;
     /** Router that this one regards as the coordinator of a service. */
-    readonly findCoordinator: (service: string, now: number) => RouterEntry | undefined;
+    readonly findCoordinator: CoordinatorSelector["find"];
     readonly getBounds: () => RolloutBounds | undefined;
 }
 
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -25,6 +25,7 @@
     entryDrainStarted: 1707,
     targetNoticed: 1716,
     targetBypassed: 1719,
+    coordinatorClaimed: 1721,
 } as const;
 
 export interface EntryRouterOptions {
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -131,7 +131,7 @@
     else if (context.now >= pendingPlacement.retryAt) {
         pendingPlacement.retryAt = Infinity;
         if (!context.coordinators.tryTakeRetry(coordinator, pendingPlacement.sentAt, context.now)) return;
-        const routerEntry = context.view.listRouters().find(listed => listed.router === coordinator);
+        const routerEntry = context.coordinators.findRouter(coordinator);
         if (routerEntry !== undefined)
             sendPlacementRequest(context, entry, routerEntry.router, routerEntry.address);
     }
--- a/packages/placement/test/createCoordinatorSelector.test.ts
+++ b/packages/placement/test/createCoordinatorSelector.test.ts
@@ -12,12 +12,18 @@
 
 function createSelectorHarness(router = "r1") {
     let routers = createRouterEntries(names);
-    const selector = createCoordinatorSelector({ router, listRouters: () => routers });
+    let revision = 10;
+    const selector = createCoordinatorSelector({
+        router,
+        listRouters: () => routers,
+        getRevision: () => revision,
+    });
     const find = (now: number): string | undefined => selector.find("assistant", now)?.router;
     return {
         ...selector,
         find,
         setRouters: (next: RouterEntry[]) => (routers = next),
+        setRevision: (next: number) => (revision = next),
         /** Records a timeout every 50 ms, starting at `from`, until the router is suspected; returns the time. */
         recordTimeoutsUntilSuspected: (router: string, from: number): number => {
             for (let now = from; now < from + 10_000; now += 50) if (selector.recordTimeout(router, now)) return now;
@@ -37,7 +43,11 @@
 test("routers on larger hosts are selected first, and smaller ones while those are suspected", () => {
     const cores: Readonly<Record<string, number>> = { r2: 1.4, r4: 0.8 };
     const routers = createRouterEntries(names).map(entry => ({ ...entry, cores: cores[entry.router] ?? 0.3 }));
-    const selector = createCoordinatorSelector({ router: "r1", listRouters: () => routers });
+    const selector = createCoordinatorSelector({
+        router: "r1",
+        listRouters: () => routers,
+        getRevision: () => 1,
+    });
     const services = Array.from({ length: 20 }, (_, index) => `service-${index}`);
     const listSelected = (now: number) => [...new Set(services.map(name => selector.find(name, now)?.router))].sort();
     assert.equal(listSelected(0), ["r2", "r4"]);
@@ -108,4 +118,37 @@
     assert.is(selector.find(1_000), undefined);
 });
 
+const claim = { router: "r9", incarnation: 1, address: "r9:7400", revision: 12 };
+
+// Guards against two coordinators of a pool while the store turns some routers away.
+test("a router that coordinates by a newer list is selected until this router's list is as new", () => {
+    const selector = createSelectorHarness(first);
+    assert.ok(selector.recordClaim("assistant", claim));
+    assert.is(selector.find(0), "r9", "also by the coordinator before it");
+    assert.is(selector.findRouter("r9")?.address, "r9:7400");
+    assert.not(selector.recordClaim("assistant", claim), "a repeated notice changes nothing");
+    selector.setRevision(12);
+    assert.is(selector.find(0), first);
+});
+
+test("an older claim has no effect", () => {
+    const selector = createSelectorHarness(self);
+    assert.not(selector.recordClaim("assistant", { ...claim, revision: 10 }));
+    assert.is(selector.find(0), first);
+    selector.recordClaim("assistant", claim);
+    assert.not(selector.recordClaim("assistant", { ...claim, router: "r8", revision: 11 }));
+    assert.is(selector.find(0), "r9");
+    assert.ok(selector.recordClaim("assistant", { ...claim, router: "r8", revision: 13 }));
+    assert.is(selector.find(0), "r8");
+});
+
+test("an unresponsive router that has claimed to coordinate is suspected like any other", () => {
+    const selector = createSelectorHarness(self);
+    selector.recordClaim("assistant", claim);
+    const suspectedAt = selector.recordTimeoutsUntilSuspected("r9", 0);
+    assert.is(selector.find(suspectedAt), first);
+    selector.recordMessage("r9", suspectedAt + 10);
+    assert.is(selector.find(suspectedAt + 10), "r9");
+});
+
 test.run();
--- a/packages/placement/test/entryHarness.ts
+++ b/packages/placement/test/entryHarness.ts
@@ -79,7 +79,11 @@
         finish,
         /** Router to which the first placement request is sent. */
         findCoordinator: (service: string, now: number) => {
-            const found = createCoordinatorSelector({ router: "r1", listRouters: view.listRouters }).find(service, now);
+            const found = createCoordinatorSelector({
+                router: "r1",
+                listRouters: view.listRouters,
+                getRevision: () => view.getRevision("routers"),
+            }).find(service, now);
             if (found === undefined) throw new Error("No coordinator was selected.");
             return found;
         },
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -6,6 +6,7 @@
 import type { RelaySelectorOptions } from "@rhubarbwheel/fleet-view/createRelaySelector";
 import { createRouterFailureDetector } from "@rhubarbwheel/fleet-view/createRouterFailureDetector";
 import type { VersionFilterOptions } from "@rhubarbwheel/fleet-view/createVersionFilter";
+import { createCoordinatorAnnouncer } from "@rhubarbwheel/placement/createCoordinatorAnnouncer";
 import { createEntryRouter } from "@rhubarbwheel/placement/createEntryRouter";
 import { createPartQuarantine } from "@rhubarbwheel/placement/createPartQuarantine";
 import { createPlacementCoordinator } from "@rhubarbwheel/placement/createPlacementCoordinator";
@@ -79,6 +80,7 @@
         targetBreaker,
         random: opts.random,
     });
+    const announcer = createCoordinatorAnnouncer({ router, view, findFirst: entry.findFirstCoordinator });
     const slices: readonly PlacementSlice[] = [
         view,
         confirmer,
@@ -90,6 +92,7 @@
         quarantineTracker,
         ...(rolloutCoordinator === undefined ? [] : [rolloutCoordinator]),
         entry,
+        announcer,
     ];
 
     return {
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -162,6 +162,19 @@
         message: "An engine crashed on a probe of some of the quarantined prompt parts; one of these is at fault.",
         fields: ["service", "part", "target", "suspects"],
     },
+    1721: {
+        name: "coordinatorClaimed",
+        level: "warn",
+        message:
+            "A router coordinates a pool by a newer list of routers than this router's; placement requests go to it.",
+        fields: ["service", "router", "revision", "known"],
+    },
+    1722: {
+        name: "coordinationStarted",
+        level: "info",
+        message: "This router has become the first by rank for a pool, and tells all others.",
+        fields: ["service", "routers"],
+    },
     1730: {
         name: "rolloutOrderChanged",
         level: "info",
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -168,6 +168,19 @@
     readonly parts: readonly QuarantinedPart[];
 }
 
+/**
+ * From a router that has become the coordinator of a pool to all others. Those that the store turns away do not have it in
+ * their list of routers.
+ */
+export interface CoordinatorNoticeMessage {
+    readonly type: "coordinatorNotice";
+    readonly service: string;
+    /** Incarnation of the sender. */
+    readonly incarnation: number;
+    /** Revision of the list of routers by which the sender is the coordinator. */
+    readonly revision: number;
+}
+
 /** An attempt that has not ended; `Holding` on the wire. */
 export interface InFlightAttempt {
     readonly requestId: string;
@@ -196,5 +209,6 @@
     | QuarantineNoticeMessage
     | TargetNoticeMessage
     | ColdNoticeMessage
+    | CoordinatorNoticeMessage
     | ConfirmationRequestMessage
     | ConfirmationReplyMessage;
