Refuse responses without a length that end before the call is written

Callers saw: a target answers a call of 12 MB at once with a 200 without a length, sends part of its body and resets the connection. A call of 200 bytes gets 502, as it should.

Cause: a reset that arrives with the last bytes looks like a normal end, so the connection pool makes an empty write when a socket ends, which fails after a reset. While the call is being written the empty write waits behind it, and undici destroys the socket before it fails.

Change: a connection that ends while bytes of the call are unwritten counts as failed. A target that closes its connection then resets it in any case, because it has not read the call. Responses with a length or chunks are complete by themselves.

--- a/packages/forwarding/src/createConnectionPool.ts
+++ b/packages/forwarding/src/createConnectionPool.ts
@@ -12,8 +12,8 @@
     /** Whether the response on the connection is not read at the moment. */
     isPaused: boolean;
     /**
-     * Whether the current or most recent socket was reset or failed with another error. After a socket has ended, this
-     * is known only in the next iteration of the event loop.
+     * Whether the current or most recent socket was reset, failed with another error, or ended before the call was written.
+     * After a socket has ended, this is known only in the next iteration of the event loop.
      */
     hasSocketError: boolean;
     /** What has been received of the bodies of all responses; counted by the user of the connection. */
@@ -78,7 +78,12 @@
                     socket?.on("error", recordError);
                     // A reset that arrives together with the last bytes looks like a normal end, because libuv reports
                     // only the end of the stream. An empty write fails after a reset, and otherwise sends nothing.
-                    socket?.once("end", () => socket.write("", recordError));
+                    socket?.once("end", () => {
+                        // The empty write would wait behind the rest of the call, and a target that closes its connection
+                        // before it has read the call resets it. So the end of the response cannot be confirmed.
+                        if (socket.writableLength > 0) connection.hasSocketError = true;
+                        else socket.write("", recordError);
+                    });
                     onConnected(...result);
                 });
             },
