Refuse responses whose status is none

Callers saw: a response with a status above 599 reached them as it was.

Cause: every status below 200 counted as informational, and none was too large.

Change: a status below 100 or above 599 ends the attempt like bytes that are not HTTP.

--- a/packages/forwarding/src/checkResponse.ts
+++ b/packages/forwarding/src/checkResponse.ts
@@ -15,6 +15,8 @@
 /** Check of a response that is read to its end. */
 export type ReadableCheck = Exclude<ResponseCheck, { readonly type: "invalid" | "failed"; }>;
 
+const maxStatus = 599;
+
 function getForm(call: OpenCall, status: number): "events" | "body" | "error" {
     // Without the target's word that the call has not run, a status that promises it is only a failure.
     if (status >= 500 || !mayRelayStatus(status)) return "error";
@@ -26,6 +28,7 @@
  * connection that is in use for another call.
  */
 export function checkResponse(call: OpenCall, status: number, metadata: ResponseMetadata): ResponseCheck {
+    if (status > maxStatus) return { type: "invalid", reason: `${status} is not a status` };
     if (metadata.callerId === undefined) return { type: "invalid", reason: `status ${status} without an id` };
     if (metadata.callerId !== call.metadata.callerId)
         return { type: "invalid", reason: `status ${status} with the id of another call` };
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -173,6 +173,7 @@
         onResponseStart: (_controller, status, headers) => {
             if (isFinished) return;
             if (status >= 200) return handleResponseHead(status, headers as Headers);
+            if (status < 100) return failAttempt(`${status} is not a status`);
             informationalResponses += 1;
             if (informationalResponses > maxInformationalResponses)
                 failAttempt("too many informational responses", true);
--- a/packages/target-client/src/runAttempt.ts
+++ b/packages/target-client/src/runAttempt.ts
@@ -163,6 +163,7 @@
         onResponseStart: (_controller, status, headers) => {
             if (isEnding) return;
             if (status >= 200) return handleResponseStart(status, headers);
+            if (status < 100) return fail(`${status} is not a status`);
             informationalCount += 1;
             if (informationalCount > limits.maxInformationalResponses) fail("too many informational responses");
         },
--- a/packages/target-client/test/plainFaults.test.ts
+++ b/packages/target-client/test/plainFaults.test.ts
@@ -44,6 +44,7 @@
     ["headers over the limit", `${okStatus}x-large: ${"x".repeat(20_000)}\r\n\r\n`, "UND_ERR_HEADERS_OVERFLOW"],
     ["100 that was not requested", `HTTP/1.1 100 Continue\r\n\r\n${complete}`, closed],
     ["101 that was not requested", "HTTP/1.1 101 No\r\nconnection: upgrade\r\nupgrade: other\r\n\r\n", closed],
+    ["000 before a response", `HTTP/1.1 000 No\r\ncontent-length: 0\r\n\r\n${complete}`, "0 is not a status"],
     ["too many 103", earlyHints.repeat(9), "too many informational responses"],
     ["500", "HTTP/1.1 500 Error\r\ncontent-length: 0\r\n\r\n", "status 500"],
     [
