Stop reading the socket, not the parser, for slow callers

Cause: the relay paused undici's parser while the caller did not read. If the parser was paused at the last byte, the socket reported its end at once, and undici asserts then that the parser is not paused. Nothing catches that error.

Change: the read limiter hands no bytes of the socket to undici while the caller does not read, so the end of the socket is reported only once all of it is read. The parser is never paused.

--- a/packages/forwarding/src/createConnectionPool.ts
+++ b/packages/forwarding/src/createConnectionPool.ts
@@ -126,6 +126,7 @@
     const release = (connection: Connection): void => {
         connection.idleSince = opts.getNow();
         connection.isPaused = false;
+        connection.reads?.resume();
         const connections = idleByAddress.get(connection.address) ?? [];
         if (connections.length >= opts.maxIdlePerTarget) return destroy(connection);
         connections.push(connection);
--- a/packages/forwarding/src/createReadLimiter.ts
+++ b/packages/forwarding/src/createReadLimiter.ts
@@ -18,6 +18,12 @@
 export interface SocketReads {
     /** Called when a call begins on the connection. */
     readonly startResponse: () => void;
+    /**
+     * Stops passing bytes to the parser, except for the rest of a slice. The parser itself must not be paused: undici throws
+     * if a connection ends then.
+     */
+    readonly pause: () => void;
+    readonly resume: () => void;
 }
 
 /** Bytes outside the body that belong to a chunk: its size and line ends. */
@@ -158,6 +164,7 @@
         let passedAt = 0;
         let bodyBytes = body.bytes;
         let bodyPieces = body.pieces;
+        let isPaused = false;
 
         /** Counts what the parser has handled since the last count. */
         const countHandled = (): void => {
@@ -181,6 +188,8 @@
         socket.read = (size?: number): Buffer | null => {
             if (size !== undefined) return read(size);
             countHandled();
+            // eslint-disable-next-line no-restricted-syntax -- undici and node:stream expect null for "nothing to read"
+            if (isPaused) return null;
             const unreadBytes = socket.readableLength;
             if (unreadBytes > 0 && reads.isBlocked) {
                 reads.waiting.add(socket);
@@ -210,6 +219,15 @@
                 freeOtherLeft = freeOtherBytes;
                 sliceBytes = firstSliceBytes;
             },
+            pause: () => {
+                isPaused = true;
+            },
+            resume: () => {
+                if (!isPaused) return;
+                isPaused = false;
+                // undici reads the socket, whose end is also reported only once it is read.
+                if (!socket.destroyed) socket.emit("readable");
+            },
         };
     };
 
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -96,13 +96,13 @@
 
     const pause = (): void => {
         connection.isPaused = true;
-        controller?.pause();
+        connection.reads?.pause();
     };
 
     const resume = (): void => {
         if (isFinished) return;
         connection.isPaused = false;
-        controller?.resume();
+        connection.reads?.resume();
     };
 
     const finishAttempt = (result: PlacedAttemptResult, details: Partial<AttemptOutcome> = {}): void => {
