Close the connection of a pipelined stream that breaks before its turn

Cause: a begun response is broken off by closing its socket, and a response that waits for its turn has none yet.

Change: the connection is closed when the response gets it, after what was written. The responses before it are not cut off.

Test: pipelinedCalls.test.ts.

--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -10,6 +10,7 @@
     StartAttemptEffect,
 } from "@rhubarbwheel/types/placement-events";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { ConnectionPool } from "./createConnectionPool.js";
 import { sendBufferedResponse } from "./createResponseRelay.js";
 import type { HeaderCodec } from "./headerCodec.js";
@@ -64,6 +65,12 @@
     return response.destroyed || incoming.socket.destroyed || incoming.socket.readableEnded;
 }
 
+/** Closes the caller's connection after what was written. A pipelined response gets it when those before it have ended. */
+function closeAfterSending(response: ServerResponse): void {
+    if (response.socket) return response.socket.destroySoon();
+    response.once("socket", (socket: Socket) => process.nextTick(() => socket.destroySoon()));
+}
+
 export function createForwarder(opts: ForwarderOptions) {
     const { dispatch } = opts;
     const memoryBudget = createMemoryBudget({
@@ -241,7 +248,7 @@
         if (!response.headersSent) sendErrorResponse(response, "TARGET_BROKEN");
         // Events that were just written are still delivered, unless the caller does not read them.
         else if (response.writableNeedDrain) response.destroy();
-        else response.socket?.destroySoon();
+        else closeAfterSending(response);
     };
 
     return {
