Lower what the quarantine and the announcer cost for each request

Change: the announcer keeps the time of its next notice, the tracker classifies at each notice only while an attempt is broken, and the quarantine returns at once while it has no states. The decisions are the same.

--- a/packages/placement/src/createCoordinatorAnnouncer.ts
+++ b/packages/placement/src/createCoordinatorAnnouncer.ts
@@ -30,6 +30,11 @@
     const { router, view } = opts;
     /** Pools for which this router is the first by rank. */
     const announcements = new Map<string, Announcement>();
+    let nextDueAt = Infinity;
+
+    const updateNextDue = (): void => {
+        nextDueAt = Math.min(Infinity, ...[...announcements.values()].map(({ dueAt }) => dueAt));
+    };
 
     const updateAnnouncements = (now: number): void => {
         const services = new Set(view.listServices());
@@ -67,9 +72,15 @@
 
     return {
         reduce: event => {
-            if (mayChangeRank(event)) updateAnnouncements(event.now);
-            return sendDue(event.now);
+            if (mayChangeRank(event)) {
+                updateAnnouncements(event.now);
+                updateNextDue();
+            }
+            if (event.now < nextDueAt) return [];
+            const effects = sendDue(event.now);
+            updateNextDue();
+            return effects;
         },
-        getWakeAt: () => Math.min(Infinity, ...[...announcements.values()].map(({ dueAt }) => dueAt)),
+        getWakeAt: () => nextDueAt,
     };
 }
--- a/packages/placement/src/createCrashDetector.ts
+++ b/packages/placement/src/createCrashDetector.ts
@@ -11,7 +11,9 @@
     readonly takeCrashes: (now: number) => readonly Crash[];
     /** Returns the parts of each complete response after which the target has not crashed. */
     readonly takeCompletions: (now: number) => readonly (readonly string[])[];
-    /** Whether a target with a broken attempt, or a complete response, has not been classified yet. */
+    /** Whether a target with a broken attempt has not been classified yet. */
+    readonly hasBroken: () => boolean;
+    /** Whether such a target, or a complete response, has not been classified yet. */
     readonly isPending: () => boolean;
 }
 
@@ -86,6 +88,7 @@
             const index = completions.findIndex(({ completedAt }) => now - completedAt < completionGraceMs);
             return completions.splice(0, index < 0 ? completions.length : index).map(({ partIds }) => partIds);
         },
+        hasBroken: () => brokenTargets.size > 0,
         isPending: () => brokenTargets.size > 0 || completions.length > 0,
     };
 }
--- a/packages/placement/src/createPartQuarantine.ts
+++ b/packages/placement/src/createPartQuarantine.ts
@@ -3,7 +3,7 @@
  * crashes are quarantined as a suspect group: one of them is at fault, and the others may only occur together with it. A
  * request with some of a group, but not with all, shows which.
  */
-import type { PromptSize, QuarantinedPart } from "@rhubarbwheel/types/placement";
+import type { PlacementRequest, PromptSize, QuarantinedPart } from "@rhubarbwheel/types/placement";
 import { createPartSuspicions } from "./createPartSuspicions.js";
 import type { Suspect } from "./createPartSuspicions.js";
 import { createSuspectGroups } from "./createSuspectGroups.js";
@@ -21,10 +21,10 @@
     /** Whether the request may be placed: it has no quarantined part, or a probe of those that it has is due. */
     readonly mayPlace: (partIds: readonly string[], now: number) => boolean;
     /**
-     * Targets that the request must not be placed at if it is a probe: they have another one in progress, and a crash would
-     * not show which of them has caused it.
+     * Excludes the targets that have a probe in progress if the request is one too: a crash would not show which of them has
+     * caused it.
      */
-    readonly listProbedTargets: (partIds: readonly string[], now: number) => readonly string[];
+    readonly excludeProbedTargets: (request: PlacementRequest, now: number) => PlacementRequest;
     /** Records that a request was placed. If it has a quarantined part, it was a probe, and the next one is due later. */
     readonly recordPlacement: (partIds: readonly string[], target: string, now: number) => void;
     /** Returns the states of those parts that are or were quarantined, and of others of their suspect groups. */
@@ -99,7 +99,10 @@
     /** Time until which the last probe at each target may still crash it. */
     const probedUntil = new Map<string, number>();
 
-    const isQuarantined = (id: string): boolean => states.get(id)?.isReleased === false;
+    // Nearly always there is no state, and these functions run for each request.
+    const isQuarantined = (id: string): boolean => states.size > 0 && states.get(id)?.isReleased === false;
+
+    const hasQuarantined = (partIds: readonly string[]): boolean => states.size > 0 && partIds.some(isQuarantined);
 
     const setState = (id: string, state: QuarantineState): void => {
         states.delete(id);
@@ -229,20 +232,22 @@
             if (ids.some(isQuarantined)) return { quarantined: [], narrowed: narrowGroups(ids, now) };
             return { quarantined: quarantine(suspicions.recordCrash(ids, now), now), narrowed: [] };
         },
-        hasQuarantined: partIds => partIds.some(isQuarantined),
-        mayPlace: (partIds, now) => listProbes(partIds).every(probe => isDue(probe, now)),
-        listProbedTargets: (partIds, now) => {
-            if (!partIds.some(isQuarantined)) return [];
+        hasQuarantined,
+        mayPlace: (partIds, now) => !hasQuarantined(partIds) || listProbes(partIds).every(probe => isDue(probe, now)),
+        excludeProbedTargets: (request, now) => {
+            if (!hasQuarantined(listSharedPartIds(request.prompt))) return request;
             for (const [target, until] of probedUntil) if (until <= now) probedUntil.delete(target);
-            return [...probedUntil.keys()];
+            return { ...request, excluded: [...request.excluded, ...probedUntil.keys()] };
         },
         recordPlacement: (partIds, target, now) => {
+            if (!hasQuarantined(partIds)) return;
             for (const { partIds: probed, isNarrowing } of listProbes(partIds)) {
                 for (const id of probed) delayNextProbe(id, isNarrowing, now);
                 probedUntil.set(target, now + minNarrowingIntervalMs);
             }
         },
         list: (partIds, now) => {
+            if (states.size === 0) return [];
             const known = partIds.filter(id => states.has(id));
             const companions = known.filter(isQuarantined)
                 .flatMap(id => groups.listMembers(states.get(id)!.group))
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -221,9 +221,8 @@
         }
         const partIds = listSharedPartIds(request.prompt);
         quarantine.merge(request.quarantinedParts ?? [], event.now);
-        const excluded = [...request.excluded, ...quarantine.listProbedTargets(partIds, event.now)];
         const placement: AdmittedChoice | Refusal = quarantine.mayPlace(partIds, event.now)
-            ? choosePlacement(pool, { ...request, excluded }, event.now)
+            ? choosePlacement(pool, quarantine.excludeProbedTargets(request, event.now), event.now)
             : { refusal: "partQuarantined" };
         if (!("refusal" in placement)) {
             assign(pool, request, placement, event.now);
--- a/packages/placement/src/createQuarantineTracker.ts
+++ b/packages/placement/src/createQuarantineTracker.ts
@@ -36,6 +36,8 @@
     const { quarantine, view } = opts;
     const detectors = new Map<string, CrashDetector>();
     let checkAt = Infinity;
+    /** Whether a target has a broken attempt that is not classified yet. */
+    let hasBroken = false;
     let effects: PlacementEffect[] = [];
 
     const log = (event: keyof typeof quarantineLogEvents, fields: LogEffect["fields"]): void => {
@@ -66,7 +68,10 @@
 
     const handleNotice = (notice: AttemptNoticeMessage, now: number): void => {
         const { service, target, result, partIds = [] } = notice;
-        if (result === "broken") getOrCreateDetector(service).recordBroken(target, partIds, now);
+        if (result === "broken") {
+            getOrCreateDetector(service).recordBroken(target, partIds, now);
+            hasBroken = true;
+        }
         else if (result === "complete") getOrCreateDetector(service).recordComplete(target, partIds, now);
         else return quarantine.recordUnused(partIds, now);
         checkAt = Math.min(checkAt, now + checkIntervalMs);
@@ -87,9 +92,11 @@
 
     const checkAttempts = (now: number): void => {
         checkAt = Infinity;
+        hasBroken = false;
         for (const [service, detector] of detectors) {
             for (const crash of detector.takeCrashes(now)) handleCrash(service, crash, now);
             for (const partIds of detector.takeCompletions(now)) handleCompletion(service, partIds, now);
+            hasBroken ||= detector.hasBroken();
             if (detector.isPending()) checkAt = now + checkIntervalMs;
         }
     };
@@ -106,7 +113,7 @@
             effects = [];
             handleEvent(event);
             const isNotice = event.type === "routerMessage" && event.message.type === "attemptNotice";
-            if (event.now >= checkAt || (isNotice && checkAt !== Infinity)) checkAttempts(event.now);
+            if (event.now >= checkAt || (isNotice && hasBroken)) checkAttempts(event.now);
             return effects;
         },
         getWakeAt: () => checkAt,
--- a/packages/placement/src/createSuspectGroups.ts
+++ b/packages/placement/src/createSuspectGroups.ts
@@ -18,7 +18,9 @@
     const groupsByPart = new Map<string, Set<string>>();
 
     const remove = (partId: string): void => {
-        for (const group of groupsByPart.get(partId) ?? []) {
+        const groups = groupsByPart.get(partId);
+        if (groups === undefined) return;
+        for (const group of groups) {
             const members = membersByGroup.get(group);
             members?.delete(partId);
             if (members?.size === 0) membersByGroup.delete(group);
