Log that the store has come back as another copy, and that a relayed list was ignored

The log of a late router does not tell whether the store came back from an older copy or whether the router's relays no longer hear the store: in both cases it is silent. What is done with the lists and the responses is unchanged.

--- a/packages/fleet-view/src/createStoreMirror.ts
+++ b/packages/fleet-view/src/createStoreMirror.ts
@@ -24,6 +24,16 @@
     readonly emit: (event: ViewEvent) => void;
     /** Called after the entries of a kind have changed. `changes` is omitted after a new list. */
     readonly onUpdated: (kind: ViewKind, changes?: readonly ViewChange[]) => void;
+    /** Called for a relayed list that is older than `ownRevision`, which is that of the entries in use. */
+    readonly onListIgnored?: (ignored: IgnoredList) => void;
+}
+
+export interface IgnoredList {
+    readonly kind: ViewKind;
+    /** Name of the router that sent the list. */
+    readonly relay: string;
+    readonly revision: number;
+    readonly ownRevision: number;
 }
 
 interface KindState {
@@ -133,8 +143,10 @@
         },
         /** Applies the list of a relay, unless this router knows something newer. */
         applyRelayedList: (kind: ViewKind, list: RelayedList, relay: string): void => {
-            const { revision = -Infinity } = kinds[kind];
-            if (list.revision > revision) emitList(kind, list, -Infinity, relay);
+            const { revision: ownRevision = -Infinity } = kinds[kind];
+            if (list.revision > ownRevision) emitList(kind, list, -Infinity, relay);
+            else if (list.revision < ownRevision)
+                opts.onListIgnored?.({ kind, relay, revision: list.revision, ownRevision });
         },
         /** Applies changes that a relay has sent after everything up to `fromRevision`. */
         applyRelayedChanges: (kind: ViewKind, update: RelayedChanges, relay: string): RelayResult => {
--- a/packages/telemetry/src/events/fleetViewEvents.ts
+++ b/packages/telemetry/src/events/fleetViewEvents.ts
@@ -107,4 +107,16 @@
         message: "This router watches these kinds in the store itself, because no relay confirms them.",
         fields: ["kinds", "overdueMs"],
     },
+    1617: {
+        name: "storeEraChanged",
+        level: "warn",
+        message: "The platform's store has come back from an older copy; its revisions belong to a new era.",
+        fields: ["era", "previousEra"],
+    },
+    1618: {
+        name: "relayedListIgnored",
+        level: "info",
+        message: "A list that a relay sent was ignored, because this router has newer entries.",
+        fields: ["kind", "relay", "revision", "ownRevision"],
+    },
 };
