--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -2,7 +2,6 @@
  * Slice that holds the router's view of the fleet (configuration, targets, closed failure domains, routers) and the age
  * of each part. It alone decides what may still be used once the store has stopped confirming a part.
  */
-import { createRouteTable } from "@rhubarbwheel/routing/createRouteTable";
 import type { RouteTable } from "@rhubarbwheel/routing/createRouteTable";
 import type { LogEffect } from "@rhubarbwheel/types/effects";
 import type { FleetConfiguration, PoolSpec, RouterEntry, TargetEntry, ViewKind } from "@rhubarbwheel/types/fleet";
@@ -18,6 +17,8 @@
     ViewListedEvent,
 } from "@rhubarbwheel/types/placement-events";
 import type { RolloutEntry } from "@rhubarbwheel/types/rollout";
+import type { StorePosition } from "@rhubarbwheel/types/storePosition";
+import { createAppliedConfiguration } from "./createAppliedConfiguration.js";
 import { createRolloutView } from "./createRolloutView.js";
 import type { RolloutQueries } from "./createRolloutView.js";
 import { createTargetList } from "./createTargetList.js";
@@ -61,8 +62,10 @@
     readonly listRouters: () => readonly RouterEntry[];
     /** Time since the kind was last confirmed; Infinity if it never was. */
     readonly getAgeMs: (kind: ViewKind, now: number) => number;
-    /** Revision of the store as of which the kind is known; 0 if it never was read. */
-    readonly getRevision: (kind: ViewKind) => number;
+    /** Position in the store as of which the kind is known; era and revision are 0 if it never was read. */
+    readonly getPosition: (kind: ViewKind) => StorePosition;
+    /** Highest era of the store that an entry of any kind belongs to; 0 before the first list. */
+    readonly getEra: () => number;
     /** Whether every kind has been read at least once, as serving requires. */
     readonly isComplete: () => boolean;
 }
@@ -79,12 +82,13 @@
     storeLost: 1607,
     storeRegained: 1608,
     clockJumped: 1609,
+    storeEraChanged: 1617,
     rolloutOrderChanged: 1730,
     versionHeld: 1731,
 } as const;
 
 interface KindState {
-    revision: number;
+    position: StorePosition;
     confirmedAt: number;
     known: boolean;
     /** Time of the first failed request for this kind since the last success; unset while requests succeed. */
@@ -94,7 +98,7 @@
 export function createFleetView(opts: FleetViewOptions): FleetView {
     const followedKinds = opts.rollouts === undefined ? viewKinds : viewKindsWithRollouts;
     const kinds = Object.fromEntries(viewKindsWithRollouts.map(kind => [kind, {
-        revision: 0,
+        position: { era: 0, revision: 0 },
         confirmedAt: -Infinity,
         known: false,
     }])) as unknown as Readonly<Record<ViewKind, KindState>>;
@@ -103,45 +107,20 @@
     let outageSeenAt = -Infinity;
     /** Time of the first response after the last request without one; undefined before it. */
     let outageEndedAt: number | undefined = -Infinity;
+    /** Highest era of any kind; undefined before the first list. */
+    let latestEra: number | undefined;
     const routers = new Map<string, RouterEntry>();
     let routerList: readonly RouterEntry[] = [];
     const closedDomains = new Set<string>();
-    let configuration: FleetConfiguration | undefined;
-    let routes: RouteTable | undefined;
-    let pools = new Map<string, PoolSpec>();
     let effects: PlacementEffect[] = [];
 
     const log = (event: keyof typeof fleetViewEvents, fields: LogEffect["fields"]): void => {
         effects.push({ type: "log", event: fleetViewEvents[event], fields });
     };
 
+    const configuration = createAppliedConfiguration({ log });
     const rollouts = opts.rollouts === undefined ? undefined : createRolloutView({ ...opts.rollouts, log });
 
-    const applyConfiguration = (
-        next: FleetConfiguration,
-        { revision, confirmedAt, relay, now }: ViewListedEvent | ViewChangedEvent,
-    ): void => {
-        if (configuration !== undefined && next.version <= configuration.version) {
-            if (next.version < configuration.version)
-                log("configurationIgnored", { version: next.version, inForce: configuration.version, revision });
-            return;
-        }
-        const ageMs = now - Math.max(confirmedAt, kinds.configuration.confirmedAt);
-        configuration = next;
-        routes = createRouteTable(next);
-        pools = new Map(next.pools.map(pool => [pool.service, pool]));
-        log("configurationApplied", {
-            version: next.version,
-            revision,
-            previousRevision: kinds.configuration.revision,
-            relay,
-            ageMs: ageMs === Infinity ? undefined : Math.round(ageMs),
-            routes: next.routes.length,
-            services: next.pools.length,
-            workspaces: next.workspaces?.length,
-        });
-    };
-
     const putTarget = (entry: TargetEntry, now: number): void => {
         const before = targets.get(entry.target);
         targets.put(entry, now);
@@ -184,7 +163,8 @@
     const applyChange = (kind: ViewKind, change: ViewChange, event: ViewListedEvent | ViewChangedEvent): void => {
         const { name, entry } = change;
         if (kind === "configuration") {
-            if (entry !== undefined) applyConfiguration(entry as FleetConfiguration, event);
+            const { position: { revision }, confirmedAt } = kinds.configuration;
+            if (entry !== undefined) configuration.apply(entry as FleetConfiguration, event, { revision, confirmedAt });
         }
         else if (kind === "targets") {
             if (entry === undefined) removeTarget(name, event.now);
@@ -210,14 +190,15 @@
             state.failingSince = undefined;
         }
         state.known = true;
-        state.revision = event.revision;
+        const { era, revision } = event;
+        state.position = { era, revision };
         state.confirmedAt = Math.max(state.confirmedAt, event.confirmedAt);
     };
 
     /** Leaves `failingSince` set, because a confirmation by a router does not end the outage of the store. */
     const confirmByRouter = ({ version, confirmedAt }: ConfigurationConfirmedEvent): void => {
         const state = kinds.configuration;
-        if (version === configuration?.version) state.confirmedAt = Math.max(state.confirmedAt, confirmedAt);
+        if (version === configuration.get()?.version) state.confirmedAt = Math.max(state.confirmedAt, confirmedAt);
     };
 
     const applyList = (event: ViewListedEvent): void => {
@@ -238,8 +219,18 @@
         log("storeLost", { kind, cause, reason, ageMs: Math.round(now - state.confirmedAt) });
     };
 
+    const recordEra = ({ kind, era, revision, relay }: ViewListedEvent | ViewChangedEvent): void => {
+        const previousEra = latestEra;
+        if (previousEra !== undefined && era <= previousEra) return;
+        latestEra = era;
+        if (previousEra === undefined) return;
+        const previousRevision = kinds[kind].position.revision;
+        log("storeEraChanged", { era, previousEra, kind, revision, previousRevision, relay });
+    };
+
     const handleEvent = (event: PlacementEvent): void => {
         if (event.type === "viewListed" || event.type === "viewChanged") {
+            recordEra(event);
             outageEndedAt ??= event.now;
             if (event.type === "viewListed") applyList(event);
             else for (const change of event.changes) applyChange(event.kind, change, event);
@@ -289,9 +280,9 @@
             return effects;
         },
         getWakeAt: () => targets.hasLapsed() ? getGraceEndsAt() : Infinity,
-        getConfiguration: () => configuration,
-        getRoutes: () => routes,
-        getPool: service => pools.get(service),
+        getConfiguration: configuration.get,
+        getRoutes: configuration.getRoutes,
+        getPool: configuration.getPool,
         listServices: targets.listServices,
         getCredentialFreshness: now => {
             if (!kinds.configuration.known) return "unknown";
@@ -313,7 +304,8 @@
         getColdRemainingMs: targets.getColdRemainingMs,
         listRouters: () => routerList,
         getAgeMs: (kind, now) => now - kinds[kind].confirmedAt,
-        getRevision: kind => kinds[kind].revision,
+        getPosition: kind => kinds[kind].position,
+        getEra: () => latestEra ?? 0,
         isComplete: () => followedKinds.every(kind => kinds[kind].known),
     };
 }
--- a/packages/fleet-view/src/createStoreMirror.ts
+++ b/packages/fleet-view/src/createStoreMirror.ts
@@ -1,7 +1,7 @@
 /**
  * Copy of the store's entries, from which this router relays them to others. Lists and changes arrive from the store
- * and from relays, late and more than once; the mirror passes on only what is newer than what it has, so that no kind
- * ever goes back to an earlier revision.
+ * and from relays, late and more than once; the mirror passes on only what is later than what it has, so that no kind
+ * ever goes back to an earlier position. What belongs to a later era begins with a list.
  */
 import type { ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
 import { viewKindsWithRollouts } from "@rhubarbwheel/types/fleet";
@@ -13,6 +13,8 @@
     RelayResult,
     StoreConfirmation,
 } from "@rhubarbwheel/types/relay";
+import { isLaterPosition } from "@rhubarbwheel/types/storePosition";
+import type { StorePosition } from "@rhubarbwheel/types/storePosition";
 import { getEntryName } from "./entryNames.js";
 import type { StoreFollowerEvent, ViewEvent } from "./followStore.js";
 
@@ -24,25 +26,25 @@
     readonly emit: (event: ViewEvent) => void;
     /** Called after the entries of a kind have changed. `changes` is omitted after a new list. */
     readonly onUpdated: (kind: ViewKind, changes?: readonly ViewChange[]) => void;
-    /** Called for a relayed list that is older than `ownRevision`, which is that of the entries in use. */
+    /** Called for a relayed list that is older than the entries in use. */
     readonly onListIgnored?: (ignored: IgnoredList) => void;
 }
 
-export interface IgnoredList {
+export interface IgnoredList extends StorePosition {
     readonly kind: ViewKind;
     /** Name of the router that sent the list. */
     readonly relay: string;
-    readonly revision: number;
-    readonly ownRevision: number;
+    /** Position of the entries in use. */
+    readonly own: StorePosition;
 }
 
 interface KindState {
     readonly entries: Map<string, AnyEntry>;
     /** Undefined until the kind has been listed. */
-    revision?: number;
-    /** Revision with which the entries last changed. */
-    contentRevision: number;
-    /** Monotonic time at which the revision last grew. */
+    position?: StorePosition;
+    /** Position at which the entries last changed; undefined until the kind has been listed. */
+    contentPosition?: StorePosition;
+    /** Monotonic time at which the position last advanced. */
     advancedAt: number;
     confirmedAt: number;
     /** Time of the first failed request since the last confirmation. */
@@ -65,7 +67,6 @@
 export function createStoreMirror(opts: StoreMirrorOptions) {
     const kinds = Object.fromEntries(viewKindsWithRollouts.map(kind => [kind, {
         entries: new Map(),
-        contentRevision: 0,
         advancedAt: -Infinity,
         confirmedAt: -Infinity,
         emittedConfirmedAt: -Infinity,
@@ -78,12 +79,12 @@
         else kinds[kind].entries.set(key, entry);
     };
 
-    const replaceEntries = (kind: ViewKind, { entries, revision }: RelayedList): void => {
+    const replaceEntries = (kind: ViewKind, { entries, era, revision }: RelayedList): void => {
         const state = kinds[kind];
         state.entries.clear();
         for (const entry of entries) state.entries.set(getEntryName(kind, entry), entry);
-        state.revision = revision;
-        state.contentRevision = revision;
+        state.position = { era, revision };
+        state.contentPosition = state.position;
         state.advancedAt = opts.getNow();
     };
 
@@ -96,34 +97,42 @@
     const emitList = (kind: ViewKind, list: RelayedList, confirmedAt: number, relay?: string): void => {
         replaceEntries(kind, list);
         kinds[kind].emittedConfirmedAt = confirmedAt;
-        const { entries, revision } = list;
-        opts.emit({ type: "viewListed", kind, entries, revision, confirmedAt, ...createSourceField(relay) });
+        const { entries, era, revision } = list;
+        opts.emit({ type: "viewListed", kind, entries, era, revision, confirmedAt, ...createSourceField(relay) });
         opts.onUpdated(kind);
     };
 
-    /** Advances the kind to `revision`, which is not less than its own; without changes, only confirms it. */
+    /** Advances the kind to a position that is not before its own; without changes, only confirms it. */
     const emitChanges = (
         kind: ViewKind,
         changes: readonly ViewChange[],
-        revision: number,
+        { era, revision }: StorePosition,
         relay?: string,
     ): void => {
         const state = kinds[kind];
         for (const change of changes) applyChange(kind, change);
-        if (revision !== state.revision) state.advancedAt = opts.getNow();
-        state.revision = revision;
-        if (changes.length > 0) state.contentRevision = revision;
+        if (isLaterPosition({ era, revision }, state.position)) state.advancedAt = opts.getNow();
+        state.position = { era, revision };
+        if (changes.length > 0) state.contentPosition = state.position;
         state.emittedConfirmedAt = state.confirmedAt;
         const { confirmedAt } = state;
-        opts.emit({ type: "viewChanged", kind, changes, revision, confirmedAt, ...createSourceField(relay) });
+        opts.emit({ type: "viewChanged", kind, changes, era, revision, confirmedAt, ...createSourceField(relay) });
         if (changes.length > 0) opts.onUpdated(kind, changes);
     };
 
-    /** Applies changes whose effect is not yet known. Those up to the own revision would undo later ones. */
+    /** Whether changes after `fromRevision` need entries that this router lacks, so that it must get a list first. */
+    const hasGap = (kind: ViewKind, { era, fromRevision }: Pick<RelayedChanges, "era" | "fromRevision">): boolean =>
+        isLaterPosition({ era, revision: fromRevision }, kinds[kind].position);
+
+    /** Changes up to the own position would undo later ones, and those of another era do not follow the entries. */
+    const isApplicable = (kind: ViewKind, update: RelayedChanges): boolean =>
+        update.era === kinds[kind].position?.era && isLaterPosition(update, kinds[kind].position);
+
+    /** Applies changes whose effect is not yet known; the others only confirm what this router has. */
     const applyChanges = (kind: ViewKind, update: RelayedChanges): void => {
-        const { revision = -Infinity } = kinds[kind];
-        if (update.revision > revision) emitChanges(kind, update.changes, update.revision);
-        else emitChanges(kind, [], revision);
+        const { position } = kinds[kind];
+        if (isApplicable(kind, update)) emitChanges(kind, update.changes, update);
+        else if (position !== undefined) emitChanges(kind, [], position);
     };
 
     return {
@@ -135,39 +144,38 @@
             }
             recordConfirmation(event.kind, event.confirmedAt);
             if (event.type === "viewChanged") return applyChanges(event.kind, event);
-            const { revision = -Infinity, advancedAt } = kinds[event.kind];
+            const { position, advancedAt } = kinds[event.kind];
+            if (position !== undefined && event.era < position.era) return;
             // Relayed changes may overtake a list. An older one that was requested after them is that of a store that
-            // has lost objects.
-            if (event.revision < revision && event.confirmedAt <= advancedAt) return;
-            emitList(event.kind, { entries: event.entries, revision: event.revision }, event.confirmedAt);
+            // has lost objects without saying so.
+            if (position !== undefined && isLaterPosition(position, event) && event.confirmedAt <= advancedAt) return;
+            emitList(event.kind, event, event.confirmedAt);
         },
         /** Applies the list of a relay, unless this router knows something newer. */
         applyRelayedList: (kind: ViewKind, list: RelayedList, relay: string): void => {
-            const { revision: ownRevision = -Infinity } = kinds[kind];
-            if (list.revision > ownRevision) emitList(kind, list, -Infinity, relay);
-            else if (list.revision < ownRevision)
-                opts.onListIgnored?.({ kind, relay, revision: list.revision, ownRevision });
+            const { position: own } = kinds[kind];
+            const { era, revision } = list;
+            if (isLaterPosition(list, own)) emitList(kind, list, -Infinity, relay);
+            else if (own !== undefined && isLaterPosition(own, list))
+                opts.onListIgnored?.({ kind, relay, era, revision, own });
         },
         /** Applies changes that a relay has sent after everything up to `fromRevision`. */
         applyRelayedChanges: (kind: ViewKind, update: RelayedChanges, relay: string): RelayResult => {
-            const { revision = -Infinity } = kinds[kind];
-            if (update.fromRevision > revision) return "gap";
-            if (update.revision > revision) emitChanges(kind, update.changes, update.revision, relay);
+            if (hasGap(kind, update)) return "gap";
+            if (isApplicable(kind, update)) emitChanges(kind, update.changes, update, relay);
             return "applied";
         },
         /** Confirms a kind of which a relay has sent everything up to `fromRevision`, and then nothing changed. */
-        confirm: (
-            kind: ViewKind,
-            { fromRevision, revision, confirmedAt }: RelayedConfirmation,
-        ): RelayResult => {
+        confirm: (kind: ViewKind, confirmation: RelayedConfirmation): RelayResult => {
             const state = kinds[kind];
-            if (state.revision === undefined || fromRevision > state.revision) return "gap";
+            const { position, contentPosition } = state;
+            if (position === undefined || contentPosition === undefined || hasGap(kind, confirmation)) return "gap";
             // A relay that lacks the last change confirms other entries than those of this router.
-            if (revision < state.contentRevision) return "applied";
-            recordConfirmation(kind, confirmedAt);
-            const isNewer = revision > state.revision;
-            if (isNewer || state.confirmedAt - state.emittedConfirmedAt >= minConfirmationAdvanceMs)
-                emitChanges(kind, [], Math.max(revision, state.revision));
+            if (isLaterPosition(contentPosition, confirmation)) return "applied";
+            recordConfirmation(kind, confirmation.confirmedAt);
+            const isLater = isLaterPosition(confirmation, position);
+            if (isLater || state.confirmedAt - state.emittedConfirmedAt >= minConfirmationAdvanceMs)
+                emitChanges(kind, [], isLater ? confirmation : position);
             return "applied";
         },
         /** Marks all kinds as unconfirmed, because the monotonic clock may have stood still. */
@@ -178,15 +186,15 @@
             }
         },
         getList: (kind: ViewKind): RelayedList | undefined => {
-            const { entries, revision } = kinds[kind];
-            return revision === undefined ? undefined : { entries: [...entries.values()], revision };
+            const { entries, position } = kinds[kind];
+            return position === undefined ? undefined : { entries: [...entries.values()], ...position };
         },
-        getRevision: (kind: ViewKind): number | undefined => kinds[kind].revision,
+        getPosition: (kind: ViewKind): StorePosition | undefined => kinds[kind].position,
         /** Undefined before the first list, and while requests to the store fail. */
         getConfirmation: (kind: ViewKind): StoreConfirmation | undefined => {
-            const { revision, confirmedAt, failingSince } = kinds[kind];
+            const { position, confirmedAt, failingSince } = kinds[kind];
             const isFailing = failingSince !== undefined && opts.getNow() - failingSince > maxFailingMs;
-            return revision === undefined || isFailing ? undefined : { revision, confirmedAt };
+            return position === undefined || isFailing ? undefined : { ...position, confirmedAt };
         },
     };
 }
--- a/packages/fleet-view/src/followStore.ts
+++ b/packages/fleet-view/src/followStore.ts
@@ -7,17 +7,17 @@
     ViewInterruptedEvent,
     ViewListedEvent,
 } from "@rhubarbwheel/types/placement-events";
+import { isLaterPosition } from "@rhubarbwheel/types/storePosition";
+import type { StorePosition } from "@rhubarbwheel/types/storePosition";
 
-export interface StoreList<K extends ViewKind> {
+/** Entries at a position, from which to watch for changes. */
+export interface StoreList<K extends ViewKind> extends StorePosition {
     readonly entries: readonly ViewEntries[K][];
-    /** Revision from which to watch for changes. */
-    readonly revision: number;
 }
 
-/** The newest entries up to `revision` cannot be applied, so what was applied before them is no longer confirmed. */
-export interface InvalidContents {
+/** The newest entries up to this position cannot be applied, so what was applied before them is no longer confirmed. */
+export interface InvalidContents extends StorePosition {
     readonly type: "invalid";
-    readonly revision: number;
     readonly reason: string;
 }
 
@@ -33,7 +33,7 @@
     | StoreUnavailable;
 
 export type StoreWatchResult<K extends ViewKind> =
-    | { readonly type: "changed"; readonly changes: readonly ViewChange<K>[]; readonly revision: number; }
+    | { readonly type: "changed"; readonly changes: readonly ViewChange<K>[]; } & StorePosition
     | InvalidContents
     /** The history since the revision has been compacted; a relist is needed. */
     | { readonly type: "historyGone"; }
@@ -53,7 +53,7 @@
 export interface StoreFollowerOptions<K extends ViewKind> {
     readonly kind: K;
     readonly list: () => Promise<StoreListResult<K>>;
-    /** Resolves when something has changed since `revision`, or after `timeoutMs`. */
+    /** Resolves when something has changed since `revision` of the store's present era, or after `timeoutMs`. */
     readonly watch: (revision: number, timeoutMs: number) => Promise<StoreWatchResult<K>>;
     /** Maximum duration of one watch; bounds the time to detect a dead connection. */
     readonly watchTimeoutMs: number;
@@ -65,8 +65,8 @@
     readonly needsFreshConfirmation?: boolean;
     /** Delay after a change, so that several in quick succession are read in one request; none if omitted. */
     readonly debounceMs?: number;
-    /** Revision up to which changes are known from elsewhere, such as another router; not used if undefined. */
-    readonly getKnownRevision?: () => number | undefined;
+    /** Position up to which changes are known from elsewhere, such as another router; not used if undefined. */
+    readonly getKnownPosition?: () => StorePosition | undefined;
     /** Waits while another router relays the changes, so that no watch is needed; at once if omitted. */
     readonly waitUntilNeeded?: () => Promise<void>;
     readonly emit: (event: StoreFollowerEvent) => void;
@@ -101,8 +101,8 @@
     const { kind } = opts;
     let stopped = false;
     let failures = 0;
-    /** Revision from which to watch; `undefined` if a relist is needed. */
-    let revision: number | undefined;
+    /** Position from which to watch; `undefined` if a relist is needed. */
+    let position: StorePosition | undefined;
     /** Incremented by a relist, so that responses to earlier requests are ignored. */
     let epoch = 0;
     let nextWatchTimeoutMs = opts.watchTimeoutMs;
@@ -134,7 +134,7 @@
 
     const handleInvalid = (contents: InvalidContents, requestSentAt: number): void => {
         invalid = contents;
-        revision = contents.revision;
+        position = contents;
         opts.emit({ type: "viewInterrupted", kind, cause: "request", requestSentAt, reason: contents.reason });
     };
 
@@ -147,47 +147,52 @@
         recordResponse();
         if (result.type === "invalid") return handleInvalid(result, confirmedAt);
         invalid = undefined;
-        revision = result.list.revision;
-        opts.emit({ type: "viewListed", kind, entries: result.list.entries, revision, confirmedAt });
+        const { entries, era, revision } = result.list;
+        position = { era, revision };
+        opts.emit({ type: "viewListed", kind, entries, era, revision, confirmedAt });
         updateNextWatchTimeout(confirmedAt);
     };
 
-    const watchOnce = async (ownRevision: number): Promise<void> => {
+    const watchOnce = async (ownPosition: StorePosition): Promise<void> => {
         const watchEpoch = epoch;
         await opts.waitUntilNeeded?.();
         if (stopped || watchEpoch !== epoch) return;
-        const from = Math.max(ownRevision, opts.getKnownRevision?.() ?? ownRevision);
+        const known = opts.getKnownPosition?.() ?? ownPosition;
+        const from = isLaterPosition(known, ownPosition) ? known : ownPosition;
         // Another router has relayed newer entries, which replace the invalid ones.
-        if (invalid !== undefined && from > invalid.revision) invalid = undefined;
+        if (invalid !== undefined && isLaterPosition(from, invalid)) invalid = undefined;
         const requestSentAt = opts.getNow();
         const timeoutMs = nextWatchTimeoutMs;
         nextWatchTimeoutMs = opts.watchTimeoutMs;
-        const result = await opts.watch(from, timeoutMs);
+        const result = await opts.watch(from.revision, timeoutMs);
         if (stopped || watchEpoch !== epoch) return;
         if (result.type === "unavailable") return handleFailure(result, requestSentAt);
-        // Revisions only grow, so a lower one comes from another store or one that has lost its objects.
-        if (result.type === "historyGone" || result.revision < from) {
-            revision = undefined;
+        // The changes after a revision say nothing to a router that knows this revision of another era. Within an era,
+        // revisions only grow, so a lower one comes from another store or one that has lost its objects.
+        if (result.type === "historyGone" || result.era !== from.era || result.revision < from.revision) {
+            position = undefined;
             return;
         }
         recordResponse();
         if (result.type === "invalid") return handleInvalid(result, requestSentAt);
         if (result.changes.length > 0) invalid = undefined;
-        if (invalid !== undefined) return handleInvalid({ ...invalid, revision: result.revision }, requestSentAt);
-        revision = result.revision;
+        const { changes, era, revision } = result;
+        if (invalid !== undefined) return handleInvalid({ ...invalid, era, revision }, requestSentAt);
+        position = { era, revision };
         // A response without changes is sent only at the end of the timeout.
-        const confirmedAt = result.changes.length === 0
+        const confirmedAt = changes.length === 0
             ? Math.min(opts.getNow(), requestSentAt + timeoutMs)
             : requestSentAt;
-        opts.emit({ type: "viewChanged", kind, changes: result.changes, fromRevision: from, revision, confirmedAt });
-        if (result.changes.length === 0) return;
+        const fromRevision = from.revision;
+        opts.emit({ type: "viewChanged", kind, changes, era, fromRevision, revision, confirmedAt });
+        if (changes.length === 0) return;
         if (opts.debounceMs !== undefined) await opts.sleep(opts.debounceMs);
         updateNextWatchTimeout(requestSentAt);
     };
 
     const run = async (): Promise<void> => {
         const runEpoch = epoch;
-        while (!stopped && runEpoch === epoch) await (revision === undefined ? listOnce() : watchOnce(revision));
+        while (!stopped && runEpoch === epoch) await (position === undefined ? listOnce() : watchOnce(position));
     };
 
     void run();
@@ -197,7 +202,7 @@
         },
         relist: () => {
             epoch += 1;
-            revision = undefined;
+            position = undefined;
             void run();
         },
     };
--- a/packages/fleet-view/test/createConfigurationConfirmer.test.ts
+++ b/packages/fleet-view/test/createConfigurationConfirmer.test.ts
@@ -54,7 +54,7 @@
             reduce(to, { type: "routerMessage", from, address: from, message, now });
     };
     const list = (router: string): void => {
-        const common = { type: "viewListed", revision: 1, confirmedAt: now, now } as const;
+        const common = { type: "viewListed", era: 1, revision: 1, confirmedAt: now, now } as const;
         reduce(router, { ...common, kind: "configuration", entries: [configuration] });
         reduce(router, { ...common, kind: "routers", entries: names.map(createRouterEntry) });
     };
@@ -70,7 +70,7 @@
                 now += stepMs;
                 for (const router of connected) {
                     const changes = [{ name: "main", entry: { ...configuration, version } }];
-                    const common = { revision: version, confirmedAt: now, now };
+                    const common = { era: 1, revision: version, confirmedAt: now, now };
                     reduce(router, { type: "viewChanged", kind: "configuration", changes, ...common });
                 }
                 for (const router of names) reduce(router, { type: "wake", now });
--- a/packages/fleet-view/test/createFleetView.test.ts
+++ b/packages/fleet-view/test/createFleetView.test.ts
@@ -40,7 +40,7 @@
         for (const effect of view.reduce(event)) if (effect.type === "log") events.push(effect.event);
     };
     const list = <K extends ViewKind>(kind: K, entries: readonly ViewEntries[K][], now: number): void =>
-        reduce({ type: "viewListed", kind, entries, revision: ++revision, confirmedAt: now, now });
+        reduce({ type: "viewListed", kind, entries, era: 1, revision: ++revision, confirmedAt: now, now });
     return {
         view,
         events,
@@ -51,12 +51,13 @@
                 type: "viewChanged",
                 kind,
                 changes: [{ name, entry }],
+                era: 1,
                 revision: ++revision,
                 confirmedAt: now,
                 now,
             }),
         confirm: (kind: ViewKind, now: number): void =>
-            reduce({ type: "viewChanged", kind, changes: [], revision, confirmedAt: now, now }),
+            reduce({ type: "viewChanged", kind, changes: [], era: 1, revision, confirmedAt: now, now }),
         interrupt: (kind: ViewKind, now: number, cause: StoreFailureCause = "store"): void =>
             reduce({ type: "viewInterrupted", kind, cause, requestSentAt: now, reason: "status 503", now }),
         listUsable: () => view.listUsableTargets("orders").map(entry => entry.target),
--- a/packages/fleet-view/test/createRouterFailureDetector.test.ts
+++ b/packages/fleet-view/test/createRouterFailureDetector.test.ts
@@ -27,7 +27,7 @@
         for (const effect of detector.reduce(event)) recorded.push({ at: event.now, effect });
     };
     const list = (entries: readonly RouterEntry[], now: number): void =>
-        reduce({ type: "viewListed", kind: "routers", entries, revision: 1, confirmedAt: now, now });
+        reduce({ type: "viewListed", kind: "routers", entries, era: 1, revision: 1, confirmedAt: now, now });
     list(names.map(name => createRouterEntry(name)), 0);
     return {
         reduce,
--- a/packages/fleet-view/test/followStore.test.ts
+++ b/packages/fleet-view/test/followStore.test.ts
@@ -62,15 +62,15 @@
     return lines;
 }
 
-const listed: StoreResult = { type: "listed", list: { entries: [{ failureDomain: "a" }], revision: 5 } };
-const unchanged: StoreResult = { type: "changed", changes: [], revision: 5 };
-const changed: StoreResult = { type: "changed", changes: [{ name: "a" }], revision: 8 };
+const listed: StoreResult = { type: "listed", list: { entries: [{ failureDomain: "a" }], era: 1, revision: 5 } };
+const unchanged = { type: "changed", changes: [], era: 1, revision: 5 } as const;
+const changed = { type: "changed", changes: [{ name: "a" }], era: 1, revision: 8 } as const;
 const failed: StoreResult = { type: "unavailable", cause: "store", reason: "status 503" };
 const historyGone: StoreResult = { type: "historyGone" };
 
 // Guards against credentials that stay accepted because a version that removes them could not be applied.
 test("entries that cannot be applied are not confirmed until others replace them", async () => {
-    const invalid: StoreResult = { type: "invalid", revision: 7, reason: "invalid" };
+    const invalid: StoreResult = { type: "invalid", era: 1, revision: 7, reason: "invalid" };
     const results = [listed, invalid, { ...unchanged, revision: 7 }, { ...changed, revision: 9 }];
     assert.equal(await follow(results), [
         "list",
@@ -217,6 +217,49 @@
     ]);
 });
 
+// Guards against CONFIG: a store that has come back from an older copy and has passed the old revision since.
+test("a relist follows when the response is of a later era, whatever its revision", async () => {
+    const lateChanges = { ...changed, era: 2, revision: 60 };
+    const listedAgain: StoreResult = { type: "listed", list: { entries: [], era: 2, revision: 3 } };
+    assert.equal(await follow([listed, lateChanges, listedAgain, { ...unchanged, era: 2 }]), [
+        "list",
+        "viewListed 1 confirmed at 0",
+        "watch 5",
+        "list",
+        "viewListed 0 confirmed at 20",
+        "watch 3",
+        "viewChanged 0 confirmed at 40",
+    ]);
+});
+
+// Guards against a watch from a revision of the lost history, which is higher than that of what a relay has sent since.
+test("a watch begins at what another router has relayed of a later era", async () => {
+    const overrides = { getKnownPosition: () => ({ era: 2, revision: 3 }) };
+    assert.equal(await follow([listed, { ...unchanged, era: 2, revision: 4 }], { overrides }), [
+        "list",
+        "viewListed 1 confirmed at 0",
+        "watch 3",
+        "viewChanged 0 confirmed at 20",
+    ]);
+});
+
+// Guards against a version that stays unconfirmed, because one of the lost history could not be applied.
+test("entries of a later era replace those that could not be applied", async () => {
+    const invalid: StoreResult = { type: "invalid", era: 1, revision: 7, reason: "invalid" };
+    const listedAgain: StoreResult = { type: "listed", list: { entries: [], era: 2, revision: 3 } };
+    assert.equal(await follow([listed, invalid, historyGone, listedAgain, { ...unchanged, era: 2 }]), [
+        "list",
+        "viewListed 1 confirmed at 0",
+        "watch 5",
+        "interrupted: invalid",
+        "watch 7",
+        "list",
+        "viewListed 0 confirmed at 30",
+        "watch 3",
+        "viewChanged 0 confirmed at 50",
+    ]);
+});
+
 test("a relist follows when the history has been compacted", async () => {
     assert.equal(await follow([listed, historyGone, listed]), [
         "list",
--- a/packages/fleet-view/test/relaySelectorHarness.ts
+++ b/packages/fleet-view/test/relaySelectorHarness.ts
@@ -50,9 +50,10 @@
     const harness = {
         list: (nextNames = names) => {
             routers = nextNames.map(name => createRouterEntry(name, overrides));
-            reduce({ type: "viewChanged", kind: "routers", changes: [], revision: 1, confirmedAt: now });
+            reduce({ type: "viewChanged", kind: "routers", changes: [], era: 1, revision: 1, confirmedAt: now });
         },
-        listKind: (kind: ViewKind) => reduce({ type: "viewListed", kind, entries: [], revision: 1, confirmedAt: now }),
+        listKind: (kind: ViewKind) =>
+            reduce({ type: "viewListed", kind, entries: [], era: 1, revision: 1, confirmedAt: now }),
         report: (relay: string, ageMs = 0, kinds: readonly ViewKind[] = viewKinds) => {
             const confirmedAt = Object.fromEntries(kinds.map(kind => [kind, now - ageMs]));
             reduce({ type: "relayReported", router: relay, incarnation: 1, confirmedAt });
--- a/packages/fleet-view/test/storeTrouble.property.test.ts
+++ b/packages/fleet-view/test/storeTrouble.property.test.ts
@@ -185,7 +185,7 @@
             const failed = await request(clock.getNow() + stepMs, listTimeoutMs);
             if (failed !== undefined) return failed;
             const now = clock.getNow();
-            return { type: "listed", list: { entries: listPresent(now), revision: countRevision(now) } };
+            return { type: "listed", list: { entries: listPresent(now), era: 1, revision: countRevision(now) } };
         },
         watch: async (revision: number, waitMs: number): Promise<StoreWatchResult<"targets">> => {
             const sentAt = clock.getNow();
@@ -201,6 +201,7 @@
                     name,
                     entry: isPresent ? createTarget(name) : undefined,
                 })),
+                era: 1,
                 revision: newest,
             };
         },
--- a/packages/peer-protocol/src/createRelayClient.ts
+++ b/packages/peer-protocol/src/createRelayClient.ts
@@ -1,6 +1,7 @@
 /** Connections to the routers that relay the store to this one. */
 import type { RouterEntry, ViewKind } from "@rhubarbwheel/types/fleet";
 import type { RelaySink } from "@rhubarbwheel/types/relay";
+import type { StorePosition } from "@rhubarbwheel/types/storePosition";
 import { connect } from "node:net";
 import {
     type ChangesFrame,
@@ -46,8 +47,8 @@
     const nonce = createNonce();
     /** Time at which each pending ping was sent, by sequence number. */
     const pingSentAt = new Map<number, number>();
-    /** Revision up to which the relay has sent each kind. */
-    const received: Partial<Record<ViewKind, number>> = {};
+    /** Position up to which the relay has sent each kind. */
+    const received: Partial<Record<ViewKind, StorePosition>> = {};
     let sequence = 0;
     let pingTimer: NodeJS.Timeout | undefined;
     let isClosed = false;
@@ -76,25 +77,28 @@
         const sentAt = pingSentAt.get(frame.sequence) ?? -Infinity;
         pingSentAt.delete(frame.sequence);
         const confirmedAt: Partial<Record<ViewKind, number>> = {};
-        for (const { kind, revision, ageMs } of frame.kinds) {
-            const fromRevision = received[kind] ?? Infinity;
-            received[kind] = revision;
+        for (const { kind, era, revision, ageMs } of frame.kinds) {
+            const from = received[kind];
+            // A relay begins each era with a list.
+            if (from?.era !== era) return failConnection(`gap in ${kind}`);
+            received[kind] = { era, revision };
             confirmedAt[kind] = sentAt - ageMs;
-            const result = sink.confirm(kind, { fromRevision, revision, confirmedAt: sentAt - ageMs });
-            if (result === "gap") return failConnection(`gap in ${kind}`);
+            const confirmation = { era, fromRevision: from.revision, revision, confirmedAt: sentAt - ageMs };
+            if (sink.confirm(kind, confirmation) === "gap") return failConnection(`gap in ${kind}`);
         }
         opts.onReport(entry, confirmedAt);
     };
 
-    const handleList = ({ kind, entries, revision }: ListFrame): void => {
-        received[kind] = revision;
-        sink.applyRelayedList(kind, { entries, revision }, entry.router);
+    const handleList = ({ kind, entries, era, revision }: ListFrame): void => {
+        received[kind] = { era, revision };
+        sink.applyRelayedList(kind, { entries, era, revision }, entry.router);
     };
 
-    const handleChanges = ({ kind, changes, fromRevision, revision }: ChangesFrame): void => {
-        const isInOrder = fromRevision === received[kind];
-        received[kind] = revision;
-        const update = { changes, fromRevision, revision };
+    const handleChanges = ({ kind, changes, era, fromRevision, revision }: ChangesFrame): void => {
+        const from = received[kind];
+        const isInOrder = from?.era === era && from.revision === fromRevision;
+        received[kind] = { era, revision };
+        const update = { changes, era, fromRevision, revision };
         if (!isInOrder || sink.applyRelayedChanges(kind, update, entry.router) === "gap")
             failConnection(`gap in ${kind}`);
     };
--- a/packages/peer-protocol/src/createRelayServer.ts
+++ b/packages/peer-protocol/src/createRelayServer.ts
@@ -2,7 +2,8 @@
 import type { ViewKind } from "@rhubarbwheel/types/fleet";
 import { viewKindsWithRollouts } from "@rhubarbwheel/types/fleet";
 import type { ViewChange } from "@rhubarbwheel/types/placement-events";
-import type { RelaySource } from "@rhubarbwheel/types/relay";
+import type { RelayedChanges, RelaySource } from "@rhubarbwheel/types/relay";
+import type { StorePosition } from "@rhubarbwheel/types/storePosition";
 import { createServer } from "node:net";
 import type { Socket } from "node:net";
 import { listenAt } from "./listenAt.js";
@@ -47,8 +48,8 @@
 
 interface Follower {
     readonly socket: Socket;
-    /** Revision up to which each kind has been sent. */
-    readonly sent: Partial<Record<ViewKind, number>>;
+    /** Position up to which each kind has been sent. */
+    readonly sent: Partial<Record<ViewKind, StorePosition>>;
 }
 
 export function createRelayServer(opts: RelayServerOptions) {
@@ -66,7 +67,8 @@
     const sendList = (follower: Follower, kind: ViewKind): void => {
         const list = source.getList(kind);
         if (list === undefined) return;
-        follower.sent[kind] = list.revision;
+        const { era, revision } = list;
+        follower.sent[kind] = { era, revision };
         write(follower.socket, encodeFrame({ type: "list", kind, ...list }));
     };
 
@@ -74,11 +76,12 @@
         opts.checkClocks();
         const kinds = viewKindsWithRollouts.flatMap(kind => {
             const confirmation = source.getConfirmation(kind);
-            if (confirmation === undefined || follower.sent[kind] === undefined) return [];
+            if (confirmation === undefined || follower.sent[kind]?.era !== confirmation.era) return [];
             const ageMs = opts.getNow() - confirmation.confirmedAt;
             if (ageMs === Infinity) return [];
-            follower.sent[kind] = confirmation.revision;
-            return [{ kind, revision: confirmation.revision, ageMs: Math.max(0, ageMs) }];
+            const { era, revision } = confirmation;
+            follower.sent[kind] = { era, revision };
+            return [{ kind, era, revision, ageMs: Math.max(0, ageMs) }];
         });
         write(follower.socket, encodeFrame({ type: "pong", sequence, kinds }));
     };
@@ -137,15 +140,9 @@
     server.maxConnections = maxConnections;
     server.on("error", error => opts.onProblem(error.message));
 
-    const encodeChanges = (
-        kind: ViewKind,
-        fromRevision: number,
-        revision: number,
-        changes: readonly ViewChange[],
-    ): string => {
-        const key = `${kind} ${fromRevision} ${revision}`;
-        if (lastEncoded.key !== key)
-            lastEncoded = { key, text: encodeFrame({ type: "changes", kind, fromRevision, revision, changes }) };
+    const encodeChanges = (kind: ViewKind, update: RelayedChanges): string => {
+        const key = `${kind} ${update.era} ${update.fromRevision} ${update.revision}`;
+        if (lastEncoded.key !== key) lastEncoded = { key, text: encodeFrame({ type: "changes", kind, ...update }) };
         return lastEncoded.text;
     };
 
@@ -153,14 +150,14 @@
         listen: (): Promise<void> => listenAt(server, opts.listen),
         /** Sends the changes of a kind to all followers, or its list if `changes` is omitted. */
         sendUpdate: (kind: ViewKind, changes?: readonly ViewChange[]): void => {
-            const revision = source.getRevision(kind);
-            if (revision === undefined) return;
+            const position = source.getPosition(kind);
+            if (position === undefined) return;
             for (const follower of followers) {
-                const fromRevision = follower.sent[kind];
-                if (changes === undefined || fromRevision === undefined) sendList(follower, kind);
+                const sent = follower.sent[kind];
+                if (changes === undefined || sent?.era !== position.era) sendList(follower, kind);
                 else {
-                    follower.sent[kind] = revision;
-                    write(follower.socket, encodeChanges(kind, fromRevision, revision, changes));
+                    follower.sent[kind] = position;
+                    write(follower.socket, encodeChanges(kind, { changes, ...position, fromRevision: sent.revision }));
                 }
             }
         },
--- a/packages/peer-protocol/src/relayFrames.ts
+++ b/packages/peer-protocol/src/relayFrames.ts
@@ -11,16 +11,20 @@
 import { matchesSignature } from "./matchesSignature.js";
 
 /** Routers of another version watch the store themselves, because entries are relayed as decoded by this one. */
-export const relayProtocolVersion = 1;
+export const relayProtocolVersion = 3;
 
 /** Version in a deployment with rollouts: followers must get the versions of targets and the orders. */
-export const rolloutsRelayProtocolVersion = 2;
+export const rolloutsRelayProtocolVersion = 4;
 
 /** Maximum length of a line: many times the largest list of a kind. */
 const maxLineChars = 32 * 1024 * 1024;
 
 const kindSchema = v.picklist(viewKindsWithRollouts);
-const revisionSchema = v.pipe(v.number(), v.integer());
+const integerSchema = v.pipe(v.number(), v.integer());
+
+/** Era of the store and revision in it. */
+const positionFields = { era: integerSchema, revision: integerSchema };
+
 const textSchema = v.pipe(v.string(), v.maxLength(200));
 
 const frameSchema = v.variant("type", [
@@ -31,23 +35,23 @@
     v.object({
         type: v.literal("pong"),
         sequence: v.number(),
-        /** Age in ms of each kind's confirmation by the store, and the revision up to which it has been relayed. */
+        /** Age in ms of each kind's confirmation by the store, and the position up to which it has been relayed. */
         kinds: v.array(
-            v.object({ kind: kindSchema, revision: revisionSchema, ageMs: v.pipe(v.number(), v.minValue(0)) }),
+            v.object({ kind: kindSchema, ...positionFields, ageMs: v.pipe(v.number(), v.minValue(0)) }),
         ),
     }),
     v.object({
         type: v.literal("list"),
         kind: kindSchema,
-        revision: revisionSchema,
+        ...positionFields,
         entries: v.array(v.looseObject({})),
     }),
     v.object({
         type: v.literal("changes"),
         kind: kindSchema,
-        /** Revision of the previous `list`, `changes` or `pong` of the kind on this connection. */
-        fromRevision: revisionSchema,
-        revision: revisionSchema,
+        ...positionFields,
+        /** Revision of the previous `list`, `changes` or `pong` of the kind on this connection, which is of the same era. */
+        fromRevision: integerSchema,
         changes: v.array(v.object({ name: v.string(), entry: v.optional(v.looseObject({})) })),
     }),
 ]);
--- a/packages/peer-protocol/test/relayConnection.test.ts
+++ b/packages/peer-protocol/test/relayConnection.test.ts
@@ -39,10 +39,10 @@
         key,
         listen: address,
         source: {
-            getList: kind => kind === "closedDomains" ? { entries, revision } : undefined,
-            getRevision: kind => kind === "closedDomains" ? revision : undefined,
+            getList: kind => kind === "closedDomains" ? { entries, era: 1, revision } : undefined,
+            getPosition: kind => kind === "closedDomains" ? { era: 1, revision } : undefined,
             getConfirmation: kind =>
-                kind === "closedDomains" ? { revision, confirmedAt: performance.now() - 200 } : undefined,
+                kind === "closedDomains" ? { era: 1, revision, confirmedAt: performance.now() - 200 } : undefined,
         },
         getNow: () => performance.now(),
         checkClocks: () => undefined,
@@ -100,9 +100,9 @@
     client.close();
     relay.server.close();
     assert.equal(lines, [
-        "list closedDomains {\"entries\":[{\"failureDomain\":\"a\"}],\"revision\":10}",
-        "changes closedDomains {\"changes\":[{\"name\":\"a\"}],\"fromRevision\":10,\"revision\":11}",
-        "list closedDomains {\"entries\":[{\"failureDomain\":\"b\"}],\"revision\":12}",
+        "list closedDomains {\"entries\":[{\"failureDomain\":\"a\"}],\"era\":1,\"revision\":10}",
+        "changes closedDomains {\"changes\":[{\"name\":\"a\"}],\"era\":1,\"fromRevision\":10,\"revision\":11}",
+        "list closedDomains {\"entries\":[{\"failureDomain\":\"b\"}],\"era\":1,\"revision\":12}",
     ]);
     const confirmedAt = reports[0]?.closedDomains ?? Infinity;
     assert.ok(confirmedAt >= startedAt - 300 && confirmedAt <= performance.now() - 200);
@@ -155,7 +155,7 @@
     const server = createServer(socket => {
         socket.on("error", () => undefined);
         socket.write(encodeFrame({ type: "welcome", nonce: "1", signature: "0".repeat(64) }));
-        socket.write(encodeFrame({ type: "list", kind: "closedDomains", revision: 99, entries: [] }));
+        socket.write(encodeFrame({ type: "list", kind: "closedDomains", era: 1, revision: 99, entries: [] }));
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     const { port } = server.address() as AddressInfo;
--- a/packages/placement/src/createCoordinatorAnnouncer.ts
+++ b/packages/placement/src/createCoordinatorAnnouncer.ts
@@ -11,7 +11,7 @@
 export interface CoordinatorAnnouncerOptions {
     /** Name of this router. */
     readonly router: string;
-    readonly view: Pick<FleetView, "listRouters" | "listServices" | "getRevision">;
+    readonly view: Pick<FleetView, "listRouters" | "listServices" | "getPosition">;
     readonly findFirst: CoordinatorSelector["findFirst"];
 }
 
@@ -49,7 +49,7 @@
         const routers = view.listRouters();
         const incarnation = routers.find(entry => entry.router === router)?.incarnation;
         if (incarnation === undefined) return [];
-        const revision = view.getRevision("routers");
+        const { revision } = view.getPosition("routers");
         const message = { type: "coordinatorNotice", service, incarnation, revision } as const;
         return routers.filter(entry => entry.router !== router)
             .map(entry => ({ type: "sendToRouter", router: entry.router, address: entry.address, message }));
--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -68,7 +68,7 @@
 ): void {
     const claim = { router: from, incarnation, address, revision };
     if (!context.coordinators.recordClaim(service, claim)) return;
-    const known = context.view.getRevision("routers");
+    const known = context.view.getPosition("routers").revision;
     logEntryEvent(context, "coordinatorClaimed", { service, router: from, revision, known });
 }
 
@@ -107,7 +107,7 @@
         coordinators: createCoordinatorSelector({
             router,
             listRouters: view.listRouters,
-            getRevision: () => view.getRevision("routers"),
+            getRevision: () => view.getPosition("routers").revision,
         }),
         coldRateLimiter: createSendRateLimiter(),
         localRateLimiter: createSendRateLimiter(localRateWindowMs),
--- a/packages/placement/test/createColdTargetGuard.test.ts
+++ b/packages/placement/test/createColdTargetGuard.test.ts
@@ -119,7 +119,7 @@
     tell(1);
     assert.is(view.getColdRemainingMs(target.target, 600), 500);
     const entries = [{ ...target, startedAtUnixMs: 2 }];
-    view.reduce({ type: "viewListed", kind: "targets", entries, revision: 2, confirmedAt: 650, now: 650 });
+    view.reduce({ type: "viewListed", kind: "targets", entries, era: 1, revision: 2, confirmedAt: 650, now: 650 });
     assert.is(view.getColdRemainingMs(target.target, 650), 0);
 });
 
--- a/packages/placement/test/createCoordinatorAnnouncer.test.ts
+++ b/packages/placement/test/createCoordinatorAnnouncer.test.ts
@@ -11,7 +11,11 @@
     let first = "r2";
     const announcer = createCoordinatorAnnouncer({
         router: "r1",
-        view: { listRouters: () => routers, listServices: () => ["assistant"], getRevision: () => 7 },
+        view: {
+            listRouters: () => routers,
+            listServices: () => ["assistant"],
+            getPosition: () => ({ era: 1, revision: 7 }),
+        },
         findFirst: () => routers.find(({ router }) => router === first),
     });
     const reduce = (event: PlacementEvent): readonly string[] =>
@@ -25,7 +29,15 @@
         wake: (now: number) => reduce({ type: "wake", now }),
         setFirst: (router: string, now: number) => {
             first = router;
-            return reduce({ type: "viewChanged", kind: "routers", changes: [], revision: 7, confirmedAt: now, now });
+            return reduce({
+                type: "viewChanged",
+                kind: "routers",
+                changes: [],
+                era: 1,
+                revision: 7,
+                confirmedAt: now,
+                now,
+            });
         },
     };
 }
--- a/packages/placement/test/createEntryRouter.test.ts
+++ b/packages/placement/test/createEntryRouter.test.ts
@@ -135,10 +135,26 @@
     const harness = createHarness();
     const closed = { failureDomain: "a" };
     const changes = [{ name: "a", entry: closed }];
-    harness.reduce({ type: "viewChanged", kind: "closedDomains", changes, revision: 2, confirmedAt: 0, now: 0 });
+    harness.reduce({
+        type: "viewChanged",
+        kind: "closedDomains",
+        changes,
+        era: 1,
+        revision: 2,
+        confirmedAt: 0,
+        now: 0,
+    });
     assert.is(findAttempt(harness.route(createRoutedRequest(), 1)).target, "target-2");
     const leaving = { name: "target-2", entry: { ...targets[1]!, state: "leaving" as const } };
-    harness.reduce({ type: "viewChanged", kind: "targets", changes: [leaving], revision: 3, confirmedAt: 0, now: 2 });
+    harness.reduce({
+        type: "viewChanged",
+        kind: "targets",
+        changes: [leaving],
+        era: 1,
+        revision: 3,
+        confirmedAt: 0,
+        now: 2,
+    });
     assert.is(formatEffects(harness.route(createRoutedRequest(), 3)), "fail NO_TARGET");
 });
 
--- a/packages/placement/test/handleTargetNotice.test.ts
+++ b/packages/placement/test/handleTargetNotice.test.ts
@@ -46,7 +46,7 @@
     const harness = createHarness(2);
     const [entry] = createTargets(1, { service: "orders", slots: 6 });
     const change = (changes: readonly { readonly name: string; readonly entry?: typeof entry; }[], now: number) =>
-        harness.reduce({ type: "viewChanged", kind: "targets", changes, revision: now, confirmedAt: now, now });
+        harness.reduce({ type: "viewChanged", kind: "targets", changes, era: 1, revision: now, confirmedAt: now, now });
     change([{ name: "target-1" }], 100);
     notice(harness, "target-1", { isLeaving: true }, 200);
     change([{ name: "target-1", entry }], 300);
--- a/packages/placement/test/rolloutCoordinator.test.ts
+++ b/packages/placement/test/rolloutCoordinator.test.ts
@@ -202,6 +202,7 @@
         type: "viewListed",
         kind: "targets",
         entries: inUse,
+        era: 1,
         revision: 90,
         confirmedAt: 2_000,
         now: 2_000,
--- a/packages/placement/test/rolloutHarness.ts
+++ b/packages/placement/test/rolloutHarness.ts
@@ -118,6 +118,7 @@
             type: "viewListed",
             kind,
             entries: entries as never,
+            era: 1,
             revision: ++listRevision,
             confirmedAt: now,
             now,
--- a/packages/placement/test/viewFixture.ts
+++ b/packages/placement/test/viewFixture.ts
@@ -52,6 +52,7 @@
                 type: "viewListed",
                 kind,
                 entries: entries as never,
+                era: 1,
                 revision: 1,
                 confirmedAt: 0,
                 now: 0,
--- a/packages/reducer/test/createCrashingEngines.ts
+++ b/packages/reducer/test/createCrashingEngines.ts
@@ -72,6 +72,7 @@
             type: "viewListed",
             kind,
             entries: entries as never,
+            era: 1,
             revision: 1,
             confirmedAt: 0,
             now: 0,
--- a/packages/reducer/test/staleRouterLists.test.ts
+++ b/packages/reducer/test/staleRouterLists.test.ts
@@ -90,7 +90,15 @@
     };
 
     const list = (router: string, kind: ViewKind, entries: readonly unknown[], revision: number): void =>
-        reduce(router, { type: "viewListed", kind, entries: entries as never, revision, confirmedAt: now, now });
+        reduce(router, {
+            type: "viewListed",
+            kind,
+            entries: entries as never,
+            era: 1,
+            revision,
+            confirmedAt: now,
+            now,
+        });
 
     return {
         arrivals,
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -11,6 +11,7 @@
     TargetNotice,
 } from "./placement.js";
 import type { RolloutStatusWrittenEvent, WriteRolloutStatusEffect } from "./rollout.js";
+import type { StorePosition } from "./storePosition.js";
 
 /** Metadata of a call for the reducer; the forwarder keeps headers and body. */
 export interface RoutedRequest {
@@ -97,11 +98,10 @@
 }
 
 /** Complete list of the store's entries of one kind. */
-export interface ViewListedEvent<K extends ViewKind = ViewKind> extends TimedEvent {
+export interface ViewListedEvent<K extends ViewKind = ViewKind> extends TimedEvent, StorePosition {
     readonly type: "viewListed";
     readonly kind: K;
     readonly entries: readonly ViewEntries[K][];
-    readonly revision: number;
     /** Time as of which the list was current. */
     readonly confirmedAt: number;
     /** Router that relayed the list; omitted for a list from the store. */
@@ -114,12 +114,11 @@
     readonly entry?: ViewEntries[K];
 }
 
-/** Changes since the last `viewListed` or `viewChanged` of the same kind, possibly none. */
-export interface ViewChangedEvent<K extends ViewKind = ViewKind> extends TimedEvent {
+/** Changes since the last `viewListed` or `viewChanged` of the same kind, possibly none; of the same era. */
+export interface ViewChangedEvent<K extends ViewKind = ViewKind> extends TimedEvent, StorePosition {
     readonly type: "viewChanged";
     readonly kind: K;
     readonly changes: readonly ViewChange<K>[];
-    readonly revision: number;
     readonly confirmedAt: number;
     /** Router that relayed the changes; omitted for those from the store. */
     readonly relay?: string;
--- a/packages/types/src/relay.ts
+++ b/packages/types/src/relay.ts
@@ -1,27 +1,25 @@
 /** Entries of the store on their way from router to router. Times are monotonic milliseconds of the receiving router. */
 import type { ViewEntries, ViewKind } from "./fleet.js";
 import type { ViewChange } from "./placement-events.js";
+import type { StorePosition } from "./storePosition.js";
 
 /** All entries of one kind. */
-export interface RelayedList {
+export interface RelayedList extends StorePosition {
     readonly entries: readonly ViewEntries[ViewKind][];
-    readonly revision: number;
 }
 
-/** Changes of one kind after `fromRevision`, up to and including `revision`. */
-export interface RelayedChanges {
+/** Changes of one kind after `fromRevision`, up to and including `revision`, all of one era. */
+export interface RelayedChanges extends StorePosition {
     readonly changes: readonly ViewChange[];
     readonly fromRevision: number;
-    readonly revision: number;
 }
 
-export interface StoreConfirmation {
-    readonly revision: number;
-    /** Time as of which the store had nothing newer than `revision`. */
+export interface StoreConfirmation extends StorePosition {
+    /** Time as of which the store had nothing later than this position. */
     readonly confirmedAt: number;
 }
 
-/** Confirmation of what was sent up to `fromRevision`, after which nothing changed. */
+/** Confirmation of what was sent up to `fromRevision` of the same era, after which nothing changed. */
 export interface RelayedConfirmation extends StoreConfirmation {
     readonly fromRevision: number;
 }
@@ -33,7 +31,8 @@
 export interface RelaySource {
     /** Undefined until the kind has been listed. */
     readonly getList: (kind: ViewKind) => RelayedList | undefined;
-    readonly getRevision: (kind: ViewKind) => number | undefined;
+    /** Undefined until the kind has been listed. */
+    readonly getPosition: (kind: ViewKind) => StorePosition | undefined;
     /** Undefined before the first list, and while requests to the store fail. */
     readonly getConfirmation: (kind: ViewKind) => StoreConfirmation | undefined;
 }
