Register again if the store has come back without this router

A router that had started just before the store came back from an older copy was in no list of routers afterwards, or with the address key and incarnation of its earlier process: a lost registration was noticed only by a router that had seen itself listed. Other routers then neither follow it nor ask it, and the shares of the others are too large.

On the first list of a new era a router registers again unless its own incarnation is in it.

--- a/packages/fleet-view/src/createRouterFailureDetector.ts
+++ b/packages/fleet-view/src/createRouterFailureDetector.ts
@@ -1,15 +1,22 @@
 /**
  * Slice that removes the entries of failed routers from the store. Routers form a ring by name; each sends heartbeats
- * to its successor and deregisters it after a long silence. A router whose own entry was removed registers again.
- * Otherwise replaced hosts would stay listed, and each live router's fraction of the fleet's limits would shrink.
+ * to its successor and deregisters it after a long silence. A router whose own entry was removed registers again, also if
+ * the store has come back from a copy without it. Otherwise replaced hosts would stay listed, and each live router's fraction of the fleet's limits would shrink.
  */
 import type { RouterEntry } from "@rhubarbwheel/types/fleet";
-import type { PlacementEffect, PlacementEvent, PlacementSlice } from "@rhubarbwheel/types/placement-events";
+import type {
+    PlacementEffect,
+    PlacementEvent,
+    PlacementSlice,
+    ViewChangedEvent,
+    ViewListedEvent,
+} from "@rhubarbwheel/types/placement-events";
 import type { FleetView } from "./createFleetView.js";
 
 export interface RouterFailureDetectorOptions {
     /** Name of this router. */
     readonly router: string;
+    readonly incarnation: number;
     readonly view: FleetView;
 }
 
@@ -43,11 +50,24 @@
     let successorHeardAt = 0;
     let otherHeardAt = -Infinity;
     let wasListed = false;
+    /** Era of the last list of routers; undefined before the first one. */
+    let listEra: number | undefined;
     let isDraining = false;
     let nextHeartbeatAt = Infinity;
     let effects: PlacementEffect[] = [];
 
-    const handleRouterList = (now: number): void => {
+    /** Returns whether the store has come back from an older copy, which may lack the entry of this router. */
+    const recordEra = (era: number): boolean => {
+        const isLater = listEra !== undefined && era > listEra;
+        listEra = era;
+        return isLater;
+    };
+
+    const isOwnEntry = (entry: RouterEntry): boolean =>
+        entry.router === router && entry.incarnation === opts.incarnation;
+
+    const handleRouterList = ({ era, now }: ViewListedEvent | ViewChangedEvent): void => {
+        const isNewEra = recordEra(era);
         const routers = view.listRouters();
         // Most events only confirm the list.
         if (routers === routerList) return;
@@ -58,7 +78,9 @@
         successor = found;
         if (nextHeartbeatAt === Infinity) nextHeartbeatAt = now + heartbeatIntervalMs;
         const isListed = routers.some(entry => entry.router === router);
-        if (wasListed && !isListed && !isDraining) {
+        // The copy may have the entry of an earlier process of this router.
+        const isLost = isNewEra ? !routers.some(isOwnEntry) : wasListed && !isListed;
+        if (isLost && !isDraining) {
             effects.push(
                 { type: "log", event: failureDetectorLogEvents.announcedAgain, fields: { router } },
                 { type: "announceRouter" },
@@ -95,7 +117,7 @@
 
     const handleEvent = (event: PlacementEvent): void => {
         if ((event.type === "viewListed" || event.type === "viewChanged") && event.kind === "routers")
-            handleRouterList(event.now);
+            handleRouterList(event);
         else if (event.type === "routerMessage") handleMessage(event.from, event.now);
         else if (event.type === "drainRequested") isDraining = true;
         // The monotonic clock may have stood still during a suspension, so the silence is measured anew.
--- a/packages/fleet-view/test/createRouterFailureDetector.test.ts
+++ b/packages/fleet-view/test/createRouterFailureDetector.test.ts
@@ -13,22 +13,22 @@
 const names = ["r1", "r2", "r3"];
 
 /** Router r1 of three; r2 is its successor, and r3 sends heartbeats to r1. */
-function createHarness() {
+function createHarness(initialNames = names) {
     const view = createFleetView({
         getMaxCredentialAgeMs: () => 4_500,
         entryRestoreMs: 1_900,
         maxLapseMs: 2_900,
         getRegion: () => undefined,
     });
-    const detector = createRouterFailureDetector({ router: "r1", view });
+    const detector = createRouterFailureDetector({ router: "r1", incarnation: 1, view });
     const recorded: { readonly at: number; readonly effect: PlacementEffect; }[] = [];
     const reduce = (event: PlacementEvent): void => {
         view.reduce(event);
         for (const effect of detector.reduce(event)) recorded.push({ at: event.now, effect });
     };
-    const list = (entries: readonly RouterEntry[], now: number): void =>
-        reduce({ type: "viewListed", kind: "routers", entries, era: 1, revision: 1, confirmedAt: now, now });
-    list(names.map(name => createRouterEntry(name)), 0);
+    const list = (entries: readonly RouterEntry[], now: number, era = 1): void =>
+        reduce({ type: "viewListed", kind: "routers", entries, era, revision: 1, confirmedAt: now, now });
+    list(initialNames.map(name => createRouterEntry(name)), 0);
     return {
         reduce,
         list,
@@ -101,10 +101,31 @@
     assert.is(harness.countRegistrations(), 1);
 });
 
+// Guards against a router that no other one finds: its registration was lost before it had seen it.
+test("a router that is not listed after the store has come back from an older copy registers again", () => {
+    const harness = createHarness(["r2", "r3"]);
+    harness.list([createRouterEntry("r2")], 1_000);
+    assert.is(harness.countRegistrations(), 0, "its registration may be under way");
+    harness.list([createRouterEntry("r2")], 2_000, 2);
+    harness.list([createRouterEntry("r2"), createRouterEntry("r3")], 2_500, 2);
+    assert.is(harness.countRegistrations(), 1);
+    harness.list(names.map(name => createRouterEntry(name)), 3_000, 2);
+    harness.list(names.map(name => createRouterEntry(name)), 4_000, 3);
+    assert.is(harness.countRegistrations(), 1);
+});
+
+// Guards against a router that others take for its earlier process, with another key and incarnation.
+test("a router registers again if the copy has the entry of its earlier process", () => {
+    const harness = createHarness();
+    harness.list([createRouterEntry("r1", 0), createRouterEntry("r2")], 1_000, 2);
+    assert.is(harness.countRegistrations(), 1);
+});
+
 test("a router that drains does not register again", () => {
     const harness = createHarness();
     harness.reduce({ type: "drainRequested", now: 500 });
     harness.list([createRouterEntry("r2"), createRouterEntry("r3")], 1_000);
+    harness.list([createRouterEntry("r2"), createRouterEntry("r3")], 2_000, 2);
     assert.is(harness.countRegistrations(), 0);
 });
 
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -22,6 +22,8 @@
 import { reduceOverSlices } from "./reduceOverSlices.js";
 
 export interface PlacementReducerOptions {
+    /** Incarnation of this router's process, as in its entry of the store. */
+    readonly incarnation: number;
     readonly view: FleetViewOptions;
     readonly entry: Omit<EntryRouterOptions, "view" | "random" | "quarantine" | "targetNotices" | "targetBreaker">;
     readonly relay: Pick<RelaySelectorOptions, "getMaxAgeMs">;
@@ -41,7 +43,7 @@
     const { router, failureDomain } = opts.entry;
     const view = createFleetView({ ...opts.view, rollouts: opts.rollouts });
     const confirmer = createConfigurationConfirmer({ router, view, random: opts.random });
-    const failureDetector = createRouterFailureDetector({ router, view });
+    const failureDetector = createRouterFailureDetector({ router, incarnation: opts.incarnation, view });
     const relaySelector = createRelaySelector({
         ...opts.relay,
         router,
--- a/packages/reducer/test/createCrashingEngines.ts
+++ b/packages/reducer/test/createCrashingEngines.ts
@@ -51,6 +51,7 @@
 
 function createRouter() {
     const reducer = createPlacementReducer({
+        incarnation: 1,
         view: {
             getMaxCredentialAgeMs: () => 4_500,
             entryRestoreMs: 1_900,
--- a/packages/reducer/test/staleRouterLists.test.ts
+++ b/packages/reducer/test/staleRouterLists.test.ts
@@ -30,6 +30,7 @@
 
 function createReducer(router: string) {
     return createPlacementReducer({
+        incarnation: 1,
         view: {
             getMaxCredentialAgeMs: () => 60_000,
             entryRestoreMs: 1_900,
