Compare the lists of routers of two coordinators by era and revision

After the store has come back from an older copy, a router that it turns away has a list of the lost history, with a higher revision than all new ones.

Notices carry the era beside the revision, and claims are ordered as positions. With a comparison by revision alone the new test of createCoordinatorSelector fails.

--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -119,6 +119,7 @@
         service: string,
         incarnation: integer,
         revision: integer,
+        era: integer,
     }),
     confirmationAsk: struct<WithoutType<ConfirmationRequestMessage>>({ sequence: integer }),
     confirmationReply: struct<WithoutType<ConfirmationReplyMessage>>({
--- a/packages/peer-protocol/test/placementCodec.test.ts
+++ b/packages/peer-protocol/test/placementCodec.test.ts
@@ -97,7 +97,7 @@
         latencyMs: 3.5,
         partIds: ["5c1e07a2", "b2"],
     },
-    { type: "coordinatorNotice", service: "assistant", incarnation: 1_765_000_000_000, revision: 7 },
+    { type: "coordinatorNotice", service: "assistant", incarnation: 1_765_000_000_000, era: 2, revision: 7 },
     { type: "quarantineNotice", parts: [quarantinedPart] },
     { type: "targetNotice", target: "t", isLeaving: true, ageMs: 12.5, isAnnounced: false },
     {
--- a/packages/placement/src/createCoordinatorAnnouncer.ts
+++ b/packages/placement/src/createCoordinatorAnnouncer.ts
@@ -49,8 +49,7 @@
         const routers = view.listRouters();
         const incarnation = routers.find(entry => entry.router === router)?.incarnation;
         if (incarnation === undefined) return [];
-        const { revision } = view.getPosition("routers");
-        const message = { type: "coordinatorNotice", service, incarnation, revision } as const;
+        const message = { type: "coordinatorNotice", service, incarnation, ...view.getPosition("routers") } as const;
         return routers.filter(entry => entry.router !== router)
             .map(entry => ({ type: "sendToRouter", router: entry.router, address: entry.address, message }));
     };
--- a/packages/placement/src/createCoordinatorSelector.ts
+++ b/packages/placement/src/createCoordinatorSelector.ts
@@ -5,6 +5,8 @@
  */
 import { rankByRendezvous } from "@rhubarbwheel/membership/chooseByRendezvous";
 import type { RouterEntry } from "@rhubarbwheel/types/fleet";
+import { isLaterPosition } from "@rhubarbwheel/types/storePosition";
+import type { StorePosition } from "@rhubarbwheel/types/storePosition";
 import {
     maxSuspicionMs,
     minSuspicionMs,
@@ -16,11 +18,11 @@
 /** A router that coordinates a pool. */
 export type Coordinator = Pick<RouterEntry, "router" | "incarnation" | "address">;
 
-/** What a router says about itself when it becomes the coordinator of a pool. */
-export interface CoordinatorClaim extends Coordinator {
-    /** Revision of the list of routers by which it is the coordinator. */
-    readonly revision: number;
-}
+/**
+ * What a router says about itself when it becomes the coordinator of a pool, with the position of the list of routers by
+ * which it is.
+ */
+export interface CoordinatorClaim extends Coordinator, StorePosition {}
 
 export interface CoordinatorSelector {
     /**
@@ -50,8 +52,8 @@
     readonly router: string;
     /** Must return the same array until a router changes. */
     readonly listRouters: () => readonly RouterEntry[];
-    /** Revision of the list of routers. */
-    readonly getRevision: () => number;
+    /** Position of the list of routers. */
+    readonly getListPosition: () => StorePosition;
 }
 
 /** Fraction of the cores of the largest host from which a host counts as one of the larger ones. */
@@ -87,7 +89,7 @@
     /** Claim by a newer list than that of this router, which may be turned away by the store. */
     const findClaim = (service: string): CoordinatorClaim | undefined => {
         const claim = claims.get(service);
-        return claim !== undefined && claim.revision > opts.getRevision() ? claim : undefined;
+        return claim !== undefined && isLaterPosition(claim, opts.getListPosition()) ? claim : undefined;
     };
 
     const findRouter = (router: string): Coordinator | undefined =>
@@ -137,7 +139,7 @@
         findRouter,
         recordClaim: (service, claim) => {
             const before = findClaim(service);
-            if (claim.revision < (before?.revision ?? 0)) return false;
+            if (before !== undefined && isLaterPosition(before, claim)) return false;
             claims.set(service, claim);
             return findClaim(service) !== undefined && before?.router !== claim.router;
         },
--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -64,12 +64,19 @@
 function handleCoordinatorNotice(
     context: EntryContext,
     { from, address }: RouterMessageEvent,
-    { service, incarnation, revision }: CoordinatorNoticeMessage,
+    { service, incarnation, era, revision }: CoordinatorNoticeMessage,
 ): void {
-    const claim = { router: from, incarnation, address, revision };
+    const claim = { router: from, incarnation, address, era, revision };
     if (!context.coordinators.recordClaim(service, claim)) return;
-    const known = context.view.getPosition("routers").revision;
-    logEntryEvent(context, "coordinatorClaimed", { service, router: from, revision, known });
+    const known = context.view.getPosition("routers");
+    logEntryEvent(context, "coordinatorClaimed", {
+        service,
+        router: from,
+        era,
+        revision,
+        knownEra: known.era,
+        known: known.revision,
+    });
 }
 
 function handleEvent(context: EntryContext, event: PlacementEvent): void {
@@ -107,7 +114,7 @@
         coordinators: createCoordinatorSelector({
             router,
             listRouters: view.listRouters,
-            getRevision: () => view.getPosition("routers").revision,
+            getListPosition: () => view.getPosition("routers"),
         }),
         coldRateLimiter: createSendRateLimiter(),
         localRateLimiter: createSendRateLimiter(localRateWindowMs),
--- a/packages/placement/test/createCoordinatorSelector.test.ts
+++ b/packages/placement/test/createCoordinatorSelector.test.ts
@@ -12,18 +12,18 @@
 
 function createSelectorHarness(router = "r1") {
     let routers = createRouterEntries(names);
-    let revision = 10;
+    let position = { era: 1, revision: 10 };
     const selector = createCoordinatorSelector({
         router,
         listRouters: () => routers,
-        getRevision: () => revision,
+        getListPosition: () => position,
     });
     const find = (now: number): string | undefined => selector.find("assistant", now)?.router;
     return {
         ...selector,
         find,
         setRouters: (next: RouterEntry[]) => (routers = next),
-        setRevision: (next: number) => (revision = next),
+        setListPosition: (era: number, revision: number) => (position = { era, revision }),
         /** Records a timeout every 50 ms, starting at `from`, until the router is suspected; returns the time. */
         recordTimeoutsUntilSuspected: (router: string, from: number): number => {
             for (let now = from; now < from + 10_000; now += 50) if (selector.recordTimeout(router, now)) return now;
@@ -46,7 +46,7 @@
     const selector = createCoordinatorSelector({
         router: "r1",
         listRouters: () => routers,
-        getRevision: () => 1,
+        getListPosition: () => ({ era: 1, revision: 1 }),
     });
     const services = Array.from({ length: 20 }, (_, index) => `service-${index}`);
     const listSelected = (now: number) => [...new Set(services.map(name => selector.find(name, now)?.router))].sort();
@@ -118,7 +118,7 @@
     assert.is(selector.find(1_000), undefined);
 });
 
-const claim = { router: "r9", incarnation: 1, address: "r9:7400", revision: 12 };
+const claim = { router: "r9", incarnation: 1, address: "r9:7400", era: 1, revision: 12 };
 
 // Guards against two coordinators of a pool while the store turns some routers away.
 test("a router that coordinates by a newer list is selected until this router's list is as new", () => {
@@ -127,7 +127,7 @@
     assert.is(selector.find(0), "r9", "also by the coordinator before it");
     assert.is(selector.findRouter("r9")?.address, "r9:7400");
     assert.not(selector.recordClaim("assistant", claim), "a repeated notice changes nothing");
-    selector.setRevision(12);
+    selector.setListPosition(1, 12);
     assert.is(selector.find(0), first);
 });
 
@@ -142,6 +142,18 @@
     assert.is(selector.find(0), "r8");
 });
 
+// Guards against LIMIT: after the store has come back from an older copy, the lists of the lost history have higher revisions.
+test("a claim by a list of a later era goes before one of an earlier era with a higher revision", () => {
+    const selector = createSelectorHarness(self);
+    selector.recordClaim("assistant", claim);
+    assert.ok(selector.recordClaim("assistant", { ...claim, router: "r8", era: 2, revision: 9 }));
+    assert.is(selector.find(0), "r8");
+    assert.not(selector.recordClaim("assistant", { ...claim, revision: 30 }));
+    selector.setListPosition(2, 9);
+    assert.is(selector.find(0), first);
+    assert.not(selector.recordClaim("assistant", { ...claim, revision: 30 }));
+});
+
 test("an unresponsive router that has claimed to coordinate is suspected like any other", () => {
     const selector = createSelectorHarness(self);
     selector.recordClaim("assistant", claim);
--- a/packages/placement/test/entryHarness.ts
+++ b/packages/placement/test/entryHarness.ts
@@ -82,7 +82,7 @@
             const found = createCoordinatorSelector({
                 router: "r1",
                 listRouters: view.listRouters,
-                getRevision: () => view.getPosition("routers").revision,
+                getListPosition: () => view.getPosition("routers"),
             }).find(service, now);
             if (found === undefined) throw new Error("No coordinator was selected.");
             return found;
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -167,7 +167,7 @@
         level: "warn",
         message:
             "A router coordinates a pool by a newer list of routers than this router's; placement requests go to it.",
-        fields: ["service", "router", "revision", "known"],
+        fields: ["service", "router", "era", "revision", "knownEra", "known"],
     },
     1722: {
         name: "coordinationStarted",
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -1,5 +1,6 @@
 /** Messages and data types for placing requests on targets. Durations are in ms. */
 import type { ConfirmationReplyMessage, ConfirmationRequestMessage } from "./confirmation.js";
+import type { StorePosition } from "./storePosition.js";
 
 /** A segment of a prompt. A target that has it and all preceding parts cached skips their prefill. */
 export interface PromptPart {
@@ -169,16 +170,14 @@
 }
 
 /**
- * From a router that has become the coordinator of a pool to all others. Those that the store turns away do not have it in
- * their list of routers.
+ * From a router that has become the coordinator of a pool to all others, with the position of the list of routers by which
+ * it is. Those that the store turns away do not have it in their list.
  */
-export interface CoordinatorNoticeMessage {
+export interface CoordinatorNoticeMessage extends StorePosition {
     readonly type: "coordinatorNotice";
     readonly service: string;
     /** Incarnation of the sender. */
     readonly incarnation: number;
-    /** Revision of the list of routers by which the sender is the coordinator. */
-    readonly revision: number;
 }
 
 /** An attempt that has not ended; `Holding` on the wire. */
