Order the states of a rollout by era and revision

After the store has come back from an older copy, a coordinator that had written the status of an order ignored what the store then had of it, because the response to its write had a higher revision: the other routers followed the older state, and the status was not written again. A conditional write could also be accepted for another state of the order whose revision had been given out again.

--- a/packages/fleet-view/src/createRolloutView.ts
+++ b/packages/fleet-view/src/createRolloutView.ts
@@ -2,6 +2,8 @@
 import type { LogEffect } from "@rhubarbwheel/types/effects";
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { RolloutEntry, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/rollout";
+import { isLaterPosition } from "@rhubarbwheel/types/storePosition";
+import type { StorePosition } from "@rhubarbwheel/types/storePosition";
 import { createVersionFilter, getVersion } from "./createVersionFilter.js";
 import type { VersionFilterOptions } from "./createVersionFilter.js";
 import { getRunningPhase } from "./rolloutOrders.js";
@@ -25,13 +27,13 @@
     let targets: readonly TargetEntry[] = [];
     /** Time of the last event. */
     let lastNow = 0;
-    /** Revisions of orders that were applied from the response to a write, and that the store has yet to report. */
-    const writtenRevisions = new Map<string, number>();
+    /** Positions of orders that were applied from the response to a write, and that the store has yet to report. */
+    const writtenPositions = new Map<string, StorePosition>();
 
     const putOrder = (order: RolloutEntry): void => {
         const before = filter.getOrder(order.service);
         filter.putOrder(order);
-        const isSame = before?.revision === order.revision
+        const isSame = before?.era === order.era && before.revision === order.revision
             && JSON.stringify(before.status) === JSON.stringify(order.status);
         if (isSame) return;
         const { service, targetVersion, revision, status } = order;
@@ -59,20 +61,20 @@
 
     return {
         applyChange: (service: string, order: RolloutEntry | undefined): void => {
-            const writtenRevision = writtenRevisions.get(service);
+            const written = writtenPositions.get(service);
             // The response to a write may overtake the watch, which then reports earlier states.
-            if (order !== undefined && writtenRevision !== undefined && order.revision < writtenRevision) return;
-            writtenRevisions.delete(service);
+            if (order !== undefined && written !== undefined && isLaterPosition(written, order)) return;
+            writtenPositions.delete(service);
             if (order === undefined) removeOrder(service);
             else putOrder(order);
         },
         /** Applies the order that the store returned to a write, or the status that it has accepted. */
-        applyWrite: ({ service, result, revision, status, entry }: RolloutStatusWrittenEvent): void => {
+        applyWrite: ({ service, result, era, revision, status, entry }: RolloutStatusWrittenEvent): void => {
             const known = filter.getOrder(service);
-            const isAccepted = result === "ok" && known?.revision === revision;
+            const isAccepted = result === "ok" && known?.era === era && known.revision === revision;
             const next = entry ?? (isAccepted ? { ...known, status } : undefined);
-            if (next === undefined || known === undefined || next.revision < known.revision) return;
-            writtenRevisions.set(service, next.revision);
+            if (next === undefined || known === undefined || isLaterPosition(known, next)) return;
+            writtenPositions.set(service, { era: next.era, revision: next.revision });
             putOrder(next);
         },
         applyTargets: (listed: readonly TargetEntry[], now: number): void => {
--- a/packages/fleet-view/test/createVersionFilter.test.ts
+++ b/packages/fleet-view/test/createVersionFilter.test.ts
@@ -29,6 +29,7 @@
         targetVersion,
         durationMs: 12_000,
         createdRevision: revision - revision % 10,
+        era: 1,
         revision,
         ...(status === undefined ? {} : { status: { state: "running", ...full } }),
     };
--- a/packages/placement/src/createRolloutStatusWriter.ts
+++ b/packages/placement/src/createRolloutStatusWriter.ts
@@ -1,7 +1,9 @@
-/** Writes the status of one order: one write at a time, conditional on the revision, with retries. */
+/** Writes the status of one order: one write at a time, conditional on the order's position, with retries. */
 import type { RolloutDecision } from "@rhubarbwheel/rollout/createRolloutDecider";
 import type { PlacementEffect } from "@rhubarbwheel/types/placement-events";
 import type { RolloutEntry, RolloutStatus, RolloutStatusWrittenEvent } from "@rhubarbwheel/types/rollout";
+import { isLaterPosition } from "@rhubarbwheel/types/storePosition";
+import type { StorePosition } from "@rhubarbwheel/types/storePosition";
 
 /** Backoff after the first failed write, which doubles with each further failure, and time between two writes. */
 const minBackoffMs = 100;
@@ -15,8 +17,8 @@
     let isWriting = false;
     let failures = 0;
     let retryAt = -Infinity;
-    /** Revision of the last conflict; a write on a newer one need not wait. */
-    let refusedRevision = Infinity;
+    /** Position of the last conflict, which a write on a later one need not wait for; undefined after another result. */
+    let refused: StorePosition | undefined;
 
     return {
         /** Returns whether the decision is new. */
@@ -30,16 +32,18 @@
             wanted = status;
         },
         /** Returns the effect of a write that is due. */
-        write: ({ service, revision }: RolloutEntry, now: number): readonly PlacementEffect[] => {
+        write: (order: RolloutEntry, now: number): readonly PlacementEffect[] => {
             if (wanted === undefined || isWriting) return [];
-            if (now < retryAt && revision <= refusedRevision) return [];
+            const hasChanged = refused !== undefined && isLaterPosition(order, refused);
+            if (now < retryAt && !hasChanged) return [];
             isWriting = true;
-            return [{ type: "writeRolloutStatus", service, revision, status: wanted }];
+            const { service, era, revision } = order;
+            return [{ type: "writeRolloutStatus", service, era, revision, status: wanted }];
         },
         /** Returns the time until the write is tried again; `undefined` if it succeeded. */
-        handleResult: ({ result, revision, now }: RolloutStatusWrittenEvent): number | undefined => {
+        handleResult: ({ result, era, revision, now }: RolloutStatusWrittenEvent): number | undefined => {
             isWriting = false;
-            refusedRevision = result === "conflict" ? revision : Infinity;
+            refused = result === "conflict" ? { era, revision } : undefined;
             if (result === "ok") {
                 failures = 0;
                 retryAt = now + minBackoffMs;
--- a/packages/placement/test/rolloutCoordinator.test.ts
+++ b/packages/placement/test/rolloutCoordinator.test.ts
@@ -118,8 +118,8 @@
     store.order("v2");
     router.readStore(1_000);
     router.setDecision("rollBack", "tooFewResponses");
-    const { revision, status } = store.get()!;
-    store.write({ service: "orders", revision, status: { ...status!, phase: "shifting" } });
+    const { era, revision, status } = store.get()!;
+    store.write({ service: "orders", era, revision, status: { ...status!, phase: "shifting" } });
     router.readStore(9_000);
     assert.equal(router.deciders.map(({ phase }) => phase), ["observing", "shifting"]);
     router.setDecision("complete");
@@ -129,6 +129,23 @@
     assert.is(store.get()?.status?.state, "completed");
 });
 
+// Guards against an order that stays as it was before the store came back, because its revision was higher then.
+test("a status that the store has lost is written again", () => {
+    const { store, router } = startRollout();
+    const copy = store.get()!;
+    router.setDecision("shift");
+    router.wake(2_000);
+    assert.equal([store.get()?.status?.phase, router.view.rollouts?.getOrder("orders")?.status?.phase], [
+        "shifting",
+        "shifting",
+    ]);
+    store.restoreCopy(copy);
+    router.readStore(3_000);
+    assert.is(router.view.rollouts?.getOrder("orders")?.era, 2);
+    router.wake(3_500);
+    assert.is(store.get()?.status?.phase, "shifting");
+});
+
 test("an order that is removed ends, and its version gets nothing more", () => {
     const { store, router } = startRollout();
     store.remove();
--- a/packages/placement/test/rolloutHarness.ts
+++ b/packages/placement/test/rolloutHarness.ts
@@ -24,13 +24,14 @@
 
 /** The store: one order with conditional writes. */
 export function createFakeStore() {
+    let era = 1;
     let revision = 10;
     let order: RolloutEntry | undefined;
     let isDown = false;
     const writes: string[] = [];
-    const put = (next: Omit<RolloutEntry, "revision">): void => {
+    const put = (next: Omit<RolloutEntry, "era" | "revision">): void => {
         revision += 1;
-        order = { ...next, revision };
+        order = { ...next, era, revision };
     };
     return {
         writes,
@@ -38,6 +39,13 @@
             put({ service: "orders", targetVersion, durationMs: 12_000, createdRevision: revision + 1 }),
         remove: () => (order = undefined),
         get: () => order,
+        getEra: () => era,
+        /** Comes back with an earlier state of the order, whose revision is lower. */
+        restoreCopy: (copy: RolloutEntry) => {
+            era += 1;
+            revision = copy.revision;
+            order = { ...copy, era };
+        },
         setDown: (down: boolean) => (isDown = down),
         write: (
             { revision: expected, status, ...rest }: Omit<RolloutStatusWrittenEvent, "result" | "type" | "now">,
@@ -108,8 +116,8 @@
         for (const effect of coordinator.reduce(event)) {
             if (effect.type !== "writeRolloutStatus") continue;
             if (isKilled) return;
-            const { service, revision, status } = effect;
-            reduce({ ...store.write({ service, revision, status }), now: event.now });
+            const { service, era, revision, status } = effect;
+            reduce({ ...store.write({ service, era, revision, status }), now: event.now });
         }
     };
     let listRevision = 0;
@@ -118,7 +126,7 @@
             type: "viewListed",
             kind,
             entries: entries as never,
-            era: 1,
+            era: store.getEra(),
             revision: ++listRevision,
             confirmedAt: now,
             now,
--- a/packages/placement/test/rolloutPlacement.test.ts
+++ b/packages/placement/test/rolloutPlacement.test.ts
@@ -12,6 +12,7 @@
         targetVersion: "v2",
         durationMs: 12_000,
         createdRevision: 1,
+        era: 1,
         revision: 2,
         status: { state: "running", phase, targetVersion: "v2", replacedVersions: ["v1"], startedAtUnixMs: 1 },
     };
--- a/packages/types/src/rollout.ts
+++ b/packages/types/src/rollout.ts
@@ -1,5 +1,6 @@
 /** Rollouts: operators' orders that move the calls of a service to targets of another version. */
 import type { TimedEvent } from "./placement-events.js";
+import type { StorePosition } from "./storePosition.js";
 
 export type RolloutState = "running" | "completed" | "rolledBack";
 
@@ -16,27 +17,24 @@
     readonly startedAtUnixMs: number;
 }
 
-export interface RolloutEntry {
+/** An order at the position of its last change, on which a write of the status is conditional. */
+export interface RolloutEntry extends StorePosition {
     readonly service: string;
     readonly targetVersion: string;
     readonly durationMs: number;
     /** Revision of the store at which the order was created. */
     readonly createdRevision: number;
-    /** Revision on which a write of the status is conditional. */
-    readonly revision: number;
     readonly status?: RolloutStatus;
 }
 
-/** `conflict`: the order has changed since `revision`. `unavailable`: the status may have been written. */
+/** `conflict`: the order has changed since its position. `unavailable`: the status may have been written. */
 export type RolloutWriteResult = "ok" | "conflict" | "unavailable";
 
-/** Result of `writeRolloutStatus`. */
-export interface RolloutStatusWrittenEvent extends TimedEvent {
+/** Result of `writeRolloutStatus`, with the position on which the write was conditional. */
+export interface RolloutStatusWrittenEvent extends TimedEvent, StorePosition {
     readonly type: "rolloutStatusWritten";
     readonly service: string;
     readonly result: RolloutWriteResult;
-    /** Revision on which the write was conditional. */
-    readonly revision: number;
     readonly status: RolloutStatus;
     /** The order as the store returned it. */
     readonly entry?: RolloutEntry;
@@ -44,10 +42,9 @@
     readonly reason?: string;
 }
 
-/** Writes the status of an order if the order's revision in the store is still `revision`. */
-export interface WriteRolloutStatusEffect {
+/** Writes the status of an order if the order in the store is still the one of this position. */
+export interface WriteRolloutStatusEffect extends StorePosition {
     readonly type: "writeRolloutStatus";
     readonly service: string;
-    readonly revision: number;
     readonly status: RolloutStatus;
 }
