--- a/packages/fleet-view/src/createRouterFailureDetector.ts
+++ b/packages/fleet-view/src/createRouterFailureDetector.ts
@@ -1,7 +1,8 @@
 /**
  * Slice that removes the entries of failed routers from the store. Routers form a ring by name; each sends heartbeats
  * to its successor and deregisters it after a long silence. A router whose own entry was removed registers again, also if
- * the store has come back from a copy without it. Otherwise replaced hosts would stay listed, and each live router's fraction of the fleet's limits would shrink.
+ * the store has come back from a copy without it. Otherwise replaced hosts would stay listed, and each live router's
+ * fraction of the fleet's limits would shrink.
  */
 import type { RouterEntry } from "@rhubarbwheel/types/fleet";
 import type {
