--- a/packages/fleet-view/test/createStoreMirror.test.ts
+++ b/packages/fleet-view/test/createStoreMirror.test.ts
@@ -126,7 +126,7 @@
         assert.ok(last === undefined || (position !== undefined && !isLaterPosition(last, position)));
         last = position;
     }
-    fleet.settle();
+    fleet.runUntilSettled();
     assert.equal(fleet.listStates().map(({ names }) => names), [0, 1, 2].map(() => fleet.getNewestNames()));
 }
 
--- a/packages/fleet-view/test/modelFleet.ts
+++ b/packages/fleet-view/test/modelFleet.ts
@@ -175,7 +175,7 @@
             sendUpdates();
         },
         /** Lets the two routers that read the store catch up, and delivers what they relay. */
-        settle: (): void => {
+        runUntilSettled: (): void => {
             for (const index of relayIndexes) {
                 for (let count = 0; count < settleRequests; count++) {
                     routers[index]!.deliver();
