--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -220,12 +220,11 @@
     };
 
     const recordEra = ({ kind, era, revision, relay }: ViewListedEvent | ViewChangedEvent): void => {
-        const previousEra = latestEra;
-        if (previousEra !== undefined && era <= previousEra) return;
-        latestEra = era;
-        if (previousEra === undefined) return;
-        const previousRevision = kinds[kind].position.revision;
-        log("storeEraChanged", { era, previousEra, kind, revision, previousRevision, relay });
+        if (latestEra !== undefined && era > latestEra) {
+            const previousRevision = kinds[kind].position.revision;
+            log("storeEraChanged", { era, previousEra: latestEra, kind, revision, previousRevision, relay });
+        }
+        latestEra = Math.max(era, latestEra ?? era);
     };
 
     const handleEvent = (event: PlacementEvent): void => {
