Log and count the outcomes of model requests by the size of the response

Events of the fleet view move to a module of their own, as placement-events.ts had grown too long. No decision changes.

--- a/packages/fleet-view/src/createAppliedConfiguration.ts
+++ b/packages/fleet-view/src/createAppliedConfiguration.ts
@@ -3,7 +3,7 @@
 import type { RouteTable } from "@rhubarbwheel/routing/createRouteTable";
 import type { LogEffect } from "@rhubarbwheel/types/effects";
 import type { FleetConfiguration, PoolSpec } from "@rhubarbwheel/types/fleet";
-import type { ViewChangedEvent, ViewListedEvent } from "@rhubarbwheel/types/placement-events";
+import type { ViewChangedEvent, ViewListedEvent } from "@rhubarbwheel/types/view-events";
 
 export interface AppliedConfigurationOptions {
     readonly log: (event: "configurationApplied" | "configurationIgnored", fields: LogEffect["fields"]) => void;
--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -6,18 +6,16 @@
 import type { LogEffect } from "@rhubarbwheel/types/effects";
 import type { FleetConfiguration, PoolSpec, RouterEntry, TargetEntry, ViewKind } from "@rhubarbwheel/types/fleet";
 import { viewKinds, viewKindsWithRollouts } from "@rhubarbwheel/types/fleet";
+import type { PlacementEffect, PlacementEvent, PlacementSlice } from "@rhubarbwheel/types/placement-events";
+import type { RolloutEntry } from "@rhubarbwheel/types/rollout";
+import type { StorePosition } from "@rhubarbwheel/types/storePosition";
 import type {
     ConfigurationConfirmedEvent,
-    PlacementEffect,
-    PlacementEvent,
-    PlacementSlice,
     ViewChange,
     ViewChangedEvent,
     ViewInterruptedEvent,
     ViewListedEvent,
-} from "@rhubarbwheel/types/placement-events";
-import type { RolloutEntry } from "@rhubarbwheel/types/rollout";
-import type { StorePosition } from "@rhubarbwheel/types/storePosition";
+} from "@rhubarbwheel/types/view-events";
 import { createAppliedConfiguration } from "./createAppliedConfiguration.js";
 import { createRolloutView } from "./createRolloutView.js";
 import type { RolloutQueries } from "./createRolloutView.js";
--- a/packages/fleet-view/src/createRouterFailureDetector.ts
+++ b/packages/fleet-view/src/createRouterFailureDetector.ts
@@ -5,13 +5,8 @@
  * fraction of the fleet's limits would shrink.
  */
 import type { RouterEntry } from "@rhubarbwheel/types/fleet";
-import type {
-    PlacementEffect,
-    PlacementEvent,
-    PlacementSlice,
-    ViewChangedEvent,
-    ViewListedEvent,
-} from "@rhubarbwheel/types/placement-events";
+import type { PlacementEffect, PlacementEvent, PlacementSlice } from "@rhubarbwheel/types/placement-events";
+import type { ViewChangedEvent, ViewListedEvent } from "@rhubarbwheel/types/view-events";
 import type { FleetView } from "./createFleetView.js";
 
 export interface RouterFailureDetectorOptions {
--- a/packages/fleet-view/src/createStoreMirror.ts
+++ b/packages/fleet-view/src/createStoreMirror.ts
@@ -5,7 +5,6 @@
  */
 import type { ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
 import { viewKindsWithRollouts } from "@rhubarbwheel/types/fleet";
-import type { ViewChange } from "@rhubarbwheel/types/placement-events";
 import type {
     RelayedChanges,
     RelayedConfirmation,
@@ -15,6 +14,7 @@
 } from "@rhubarbwheel/types/relay";
 import { isLaterPosition } from "@rhubarbwheel/types/storePosition";
 import type { StorePosition } from "@rhubarbwheel/types/storePosition";
+import type { ViewChange } from "@rhubarbwheel/types/view-events";
 import { getEntryName } from "./entryNames.js";
 import type { StoreFollowerEvent, ViewEvent } from "./followStore.js";
 
--- a/packages/fleet-view/src/followStore.ts
+++ b/packages/fleet-view/src/followStore.ts
@@ -1,14 +1,14 @@
 /** Keeps a view of one kind of entries in sync with the platform's store: lists them once, then watches for changes. */
 import type { ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
+import { isLaterPosition } from "@rhubarbwheel/types/storePosition";
+import type { StorePosition } from "@rhubarbwheel/types/storePosition";
 import type {
     StoreFailureCause,
     ViewChange,
     ViewChangedEvent,
     ViewInterruptedEvent,
     ViewListedEvent,
-} from "@rhubarbwheel/types/placement-events";
-import { isLaterPosition } from "@rhubarbwheel/types/storePosition";
-import type { StorePosition } from "@rhubarbwheel/types/storePosition";
+} from "@rhubarbwheel/types/view-events";
 
 /** Entries at a position, from which to watch for changes. */
 export interface StoreList<K extends ViewKind> extends StorePosition {
--- a/packages/fleet-view/test/createFleetView.test.ts
+++ b/packages/fleet-view/test/createFleetView.test.ts
@@ -1,7 +1,8 @@
 /** Tests what a router may still use after parts of its view have gone stale. All times are on a fake clock. */
 import type { FleetConfiguration, TargetEntry, ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
 import { viewKinds } from "@rhubarbwheel/types/fleet";
-import type { PlacementEvent, StoreFailureCause } from "@rhubarbwheel/types/placement-events";
+import type { PlacementEvent } from "@rhubarbwheel/types/placement-events";
+import type { StoreFailureCause } from "@rhubarbwheel/types/view-events";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createFleetView } from "../src/createFleetView.js";
--- a/packages/fleet-view/test/mirrorHarness.ts
+++ b/packages/fleet-view/test/mirrorHarness.ts
@@ -1,6 +1,6 @@
 /** A mirror of the store with one kind of entries, and what it has passed on. */
 import type { ClosedDomainEntry } from "@rhubarbwheel/types/fleet";
-import type { ViewChange } from "@rhubarbwheel/types/placement-events";
+import type { ViewChange } from "@rhubarbwheel/types/view-events";
 import { createStoreMirror, type StoreMirror } from "../src/createStoreMirror.js";
 import type { ViewEvent } from "../src/followStore.js";
 
--- a/packages/fleet-view/test/modelFleet.ts
+++ b/packages/fleet-view/test/modelFleet.ts
@@ -2,8 +2,8 @@
  * A store with one kind of entries, which may come back from an older copy, and three routers: the first two read it,
  * with responses that can be late, and relay it to the third on connections that can be late too.
  */
-import type { ViewChange } from "@rhubarbwheel/types/placement-events";
 import type { StorePosition } from "@rhubarbwheel/types/storePosition";
+import type { ViewChange } from "@rhubarbwheel/types/view-events";
 import { createEntries, createHarness, kind, listNames, type MirrorHarness } from "./mirrorHarness.js";
 
 interface HistoryEntry {
--- a/packages/fleet-view/test/storeTrouble.property.test.ts
+++ b/packages/fleet-view/test/storeTrouble.property.test.ts
@@ -4,7 +4,8 @@
  * live targets whose entries lapsed in an outage until they can have restored them. All times are on a fake clock.
  */
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
-import type { PlacementEvent, StoreFailureCause } from "@rhubarbwheel/types/placement-events";
+import type { PlacementEvent } from "@rhubarbwheel/types/placement-events";
+import type { StoreFailureCause } from "@rhubarbwheel/types/view-events";
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
--- a/packages/forwarding/src/createEventSplitter.ts
+++ b/packages/forwarding/src/createEventSplitter.ts
@@ -4,6 +4,8 @@
 export interface SplitResult {
     /** Empty if no event has ended. */
     readonly completeEvents: Buffer;
+    /** Number of events in `completeEvents`. */
+    readonly eventCount: number;
     /** Id of the last complete event that has one. */
     readonly lastEventId?: string;
 }
@@ -35,6 +37,20 @@
     return 0;
 }
 
+/** Counts the events in `bytes`, each of which ends with a blank line. */
+function countEvents(bytes: Buffer): number {
+    let count = 0;
+    let hasContent = false;
+    let lineStart = 0;
+    for (let end = bytes.indexOf(lineFeed); end >= 0; end = bytes.indexOf(lineFeed, lineStart)) {
+        const isBlank = end === lineStart || (end === lineStart + 1 && bytes[lineStart] === carriageReturn);
+        if (isBlank && hasContent) count += 1;
+        hasContent = !isBlank;
+        lineStart = end + 1;
+    }
+    return count;
+}
+
 function findLastEventId(events: Buffer): string | undefined {
     const text = events.toString("latin1");
     const start = text.startsWith("id:") ? Math.max(0, text.lastIndexOf("\nid:") + 1) : text.lastIndexOf("\nid:") + 1;
@@ -53,12 +69,16 @@
             const end = findLastEventEnd(searched) - tail.length;
             if (end <= 0) {
                 incompleteEvent.append(chunk);
-                return { completeEvents: emptyBuffer };
+                return { completeEvents: emptyBuffer, eventCount: 0 };
             }
             const eventEnd = chunk.subarray(0, end);
             const completeEvents = tail.length === 0 ? eventEnd : Buffer.concat([incompleteEvent.take(), eventEnd]);
             incompleteEvent.append(chunk.subarray(end));
-            return { completeEvents, lastEventId: findLastEventId(completeEvents) };
+            return {
+                completeEvents,
+                eventCount: countEvents(completeEvents),
+                lastEventId: findLastEventId(completeEvents),
+            };
         },
         countIncompleteBytes: incompleteEvent.getLength,
     };
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -12,6 +12,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { ConnectionPool } from "./createConnectionPool.js";
+import { createProgressReporter } from "./createProgressReporter.js";
 import { sendBufferedResponse } from "./createResponseRelay.js";
 import type { HeaderCodec } from "./headerCodec.js";
 import { mayRelayStatus, type OpenCall } from "./openCall.js";
@@ -81,6 +82,10 @@
     const openCalls = new Map<string, OpenCall>();
     /** Memory of the response to the last attempt of each request, which an open call or attempt may use. */
     const responseMemory = new Map<string, MemoryReservation>();
+    const progress = createProgressReporter({
+        getNow: opts.getNow,
+        onProgress: attempts => dispatch({ type: "attemptsProgressed", attempts }),
+    });
     /** Functions that cancel the in-flight attempts, by request id. An attempt may outlive its call. */
     const cancelFunctions = new Map<string, () => void>();
 
@@ -191,6 +196,7 @@
         responseMemory.get(requestId)?.release();
         const reservation = memoryBudget.open(`target ${effect.target}`);
         responseMemory.set(requestId, reservation);
+        let eventCount = 0;
         const cancel = runAttempt(call, effect, {
             headerCodec: opts.headerCodec,
             connectionPool: opts.connectionPool,
@@ -198,10 +204,15 @@
             reservation,
             onNotice: notice => dispatchNotice(effect, notice, sentAt),
             onStarted: load => dispatch({ type: "attemptStarted", requestId, attempt, load }),
+            onEvents: count => {
+                eventCount = count;
+                progress.record({ requestId, attempt, eventCount });
+            },
             onFinished: outcome => {
                 cancelFunctions.delete(requestId);
+                progress.remove(requestId);
                 releaseResponseMemory(requestId);
-                dispatch({ type: "attemptFinished", requestId, attempt, ...outcome });
+                dispatch({ type: "attemptFinished", requestId, attempt, eventCount, ...outcome });
             },
         });
         cancelFunctions.set(requestId, cancel);
@@ -220,6 +231,7 @@
     const cancelAttempt = ({ requestId }: CancelAttemptEffect): void => {
         cancelFunctions.get(requestId)?.();
         cancelFunctions.delete(requestId);
+        progress.remove(requestId);
         releaseResponseMemory(requestId);
     };
 
--- a/packages/forwarding/src/createResponseRelay.ts
+++ b/packages/forwarding/src/createResponseRelay.ts
@@ -16,6 +16,8 @@
     readonly resume: () => void;
     /** Called when the first part of the response has been sent to the caller. */
     readonly onStarted: () => void;
+    /** Called with the number of events that the attempt has sent to the caller, each time it has grown. */
+    readonly onEvents: (eventCount: number) => void;
 }
 
 export interface RelayOutcome {
@@ -63,6 +65,7 @@
     /** Whether something has been sent since the event loop last ran its callbacks. */
     let hasSent = false;
     let chunkCount = 0;
+    let eventCount = 0;
     let isStarted = false;
     /** Whether the response of the target is not read until the caller has read what was written. */
     let isPaused = false;
@@ -123,6 +126,8 @@
             write(events.completeEvents);
             call.lastEventId = events.lastEventId ?? call.lastEventId;
             if (!isStarted) start();
+            eventCount += events.eventCount;
+            opts.onEvents(eventCount);
         }
         return tryReserve(splitter.countIncompleteBytes()) ? undefined : memoryExhausted;
     };
--- a/packages/forwarding/src/runAttempt.ts
+++ b/packages/forwarding/src/runAttempt.ts
@@ -26,6 +26,8 @@
     /** Memory for what is received of the response. */
     readonly reservation: MemoryReservation;
     readonly onStarted: (load: ReportedLoad | undefined) => void;
+    /** Called with the number of events of a stream that the attempt has sent to the caller. */
+    readonly onEvents: (eventCount: number) => void;
     /** Called with what the target says about itself, before the attempt starts or finishes. */
     readonly onNotice: (notice: TargetNotice) => void;
     /** Called exactly once, unless the attempt is cancelled by the function that `runAttempt` returns. */
@@ -146,6 +148,7 @@
             pause,
             resume,
             onStarted: () => context.onStarted(getLoad()),
+            onEvents: context.onEvents,
         });
     };
 
--- a/packages/forwarding/test/createEventSplitter.property.test.ts
+++ b/packages/forwarding/test/createEventSplitter.property.test.ts
@@ -8,17 +8,19 @@
     maxLength: 40,
 }).map(parts => parts.join(""));
 
-/** Splits the pieces; returns the complete events, the last id, and the length of the rest. */
+/** Splits the pieces; returns the complete events, their number, the last id, and the length of the rest. */
 function splitEvents(pieces: readonly Buffer[]) {
     const splitter = createEventSplitter();
     let events = "";
+    let eventCount = 0;
     let lastEventId: string | undefined;
     for (const piece of pieces) {
         const result = splitter.push(piece);
         events += result.completeEvents.toString("latin1");
+        eventCount += result.eventCount;
         lastEventId = result.lastEventId ?? lastEventId;
     }
-    return { events, lastEventId, incompleteBytes: splitter.countIncompleteBytes() };
+    return { events, eventCount, lastEventId, incompleteBytes: splitter.countIncompleteBytes() };
 }
 
 test("any split of the same stream gives the same events", () => {
@@ -33,6 +35,8 @@
             const whole = splitEvents([bytes]);
             assert.equal(splitEvents(pieces), whole);
             assert.is(whole.events.length + whole.incompleteBytes, bytes.length);
+            const events = whole.events.split(/\r?\n\r?\n/).map(event => event.replace(/^(\r?\n)+/, ""));
+            assert.is(whole.eventCount, events.filter(event => event !== "").length);
         }),
         { seed: 32, numRuns: 1_000 },
     );
--- a/packages/peer-protocol/src/createRelayServer.ts
+++ b/packages/peer-protocol/src/createRelayServer.ts
@@ -1,9 +1,9 @@
 /** Relays the store's entries to other routers over TCP: a list of each kind first, then the changes as they arrive. */
 import type { ViewKind } from "@rhubarbwheel/types/fleet";
 import { viewKindsWithRollouts } from "@rhubarbwheel/types/fleet";
-import type { ViewChange } from "@rhubarbwheel/types/placement-events";
 import type { RelayedChanges, RelaySource } from "@rhubarbwheel/types/relay";
 import type { StorePosition } from "@rhubarbwheel/types/storePosition";
+import type { ViewChange } from "@rhubarbwheel/types/view-events";
 import { createServer } from "node:net";
 import type { Socket } from "node:net";
 import { listenAt } from "./listenAt.js";
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -46,6 +46,7 @@
 const promptSize = struct<PromptSize>({
     promptTokens: integer,
     outputTokens: integer,
+    expectedOutputTokens: optional(integer),
     parts: list(struct<PromptPart>({ id: string, tokens: integer })),
 });
 
@@ -88,6 +89,7 @@
         waitMs: optional(double),
         maxWaitMs: optional(double),
         usedRatio: optional(double),
+        runningRequests: optional(integer),
         refusal: optional(stringEnum(["overloaded", "shareUsed", "noTarget", "partQuarantined", "limited"])),
         retryAfterMs: optional(double),
         quarantinedParts: optional(wrappedList(quarantinedPart)),
--- a/packages/peer-protocol/test/placementCodec.test.ts
+++ b/packages/peer-protocol/test/placementCodec.test.ts
@@ -9,7 +9,12 @@
     requestId: "r1.abc.7",
     service: "assistant",
     workspace: "ada",
-    prompt: { promptTokens: 12_000, outputTokens: 384, parts: [{ id: "5c1e07a2", tokens: 800 }] },
+    prompt: {
+        promptTokens: 12_000,
+        outputTokens: 384,
+        expectedOutputTokens: 120,
+        parts: [{ id: "5c1e07a2", tokens: 800 }],
+    },
     latencyTargetMs: 600,
     waitedMs: 1.25,
     timeLeftMs: 14_998.75,
@@ -34,6 +39,7 @@
         newTokens: 12,
         prefixSource: "u",
         waitMs: 0.5,
+        runningRequests: 17,
     },
     {
         type: "placementReply",
--- a/packages/peer-protocol/test/relayConnection.test.ts
+++ b/packages/peer-protocol/test/relayConnection.test.ts
@@ -1,6 +1,6 @@
 /** Guards against relayed entries that reach a stranger, come from one, arrive in part, or seem newer than they are. */
 import type { RouterEntry, ViewEntries, ViewKind } from "@rhubarbwheel/types/fleet";
-import type { ViewChange } from "@rhubarbwheel/types/placement-events";
+import type { ViewChange } from "@rhubarbwheel/types/view-events";
 import { connect, createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import { test } from "uvu";
--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -18,7 +18,13 @@
     logEntryEvent,
 } from "./entryState.js";
 import { getOrCreatePool } from "./getOrCreatePool.js";
-import { endTimedOut, handleAttemptFinished, handleAttemptStarted, handleCallerGone } from "./handleAttemptEvents.js";
+import {
+    endTimedOut,
+    handleAttemptFinished,
+    handleAttemptsProgressed,
+    handleAttemptStarted,
+    handleCallerGone,
+} from "./handleAttemptEvents.js";
 import { handleTargetNoticed } from "./handleTargetNotice.js";
 import {
     drainAcceptRatio,
@@ -48,6 +54,7 @@
         mayHaveRun: false,
         responseStarted: false,
         excluded: [],
+        eventCount: 0,
     };
     context.requests.set(request.requestId, entry);
     const { drainingSince } = context;
@@ -82,6 +89,7 @@
 function handleEvent(context: EntryContext, event: PlacementEvent): void {
     if (event.type === "requestRouted") handleRequestRouted(context, event);
     else if (event.type === "attemptStarted") handleAttemptStarted(context, event);
+    else if (event.type === "attemptsProgressed") handleAttemptsProgressed(context, event);
     else if (event.type === "attemptFinished") handleAttemptFinished(context, event);
     else if (event.type === "targetNoticed") handleTargetNoticed(context, event);
     else if (event.type === "callerGone") handleCallerGone(context, event.requestId);
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -35,6 +35,8 @@
     readonly waitMs: number;
     /** Prompt tokens that need prefill at the target. */
     readonly newTokens: number;
+    /** Requests in progress at the target. */
+    readonly runningRequests: number;
     /** Target from which cached parts of the prompt are transferred. */
     readonly prefixSource?: string;
 }
@@ -203,6 +205,7 @@
                 target: entry.target,
                 waitMs,
                 newTokens: prefill?.newTokens ?? 0,
+                runningRequests: model.count(),
                 prefixSource: prefill?.prefixSource,
             };
         }
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -62,6 +62,8 @@
     readonly sentAt: number;
     readonly newTokens: number;
     startedAt?: number;
+    /** Events of a stream that the attempt has sent to the caller, as of the last report of the forwarder. */
+    eventCount: number;
     cancelled: boolean;
 }
 
@@ -81,6 +83,8 @@
     responseStarted: boolean;
     /** Targets that the request must not be placed at again. */
     readonly excluded: string[];
+    /** Events that attempts before the current one have sent to the caller. */
+    eventCount: number;
     /** Coordinator of the last placement request. */
     coordinator?: string;
 }
@@ -128,6 +132,14 @@
     return entry.deadlineAt - context.now;
 }
 
+/** Log fields of the size of a prompt, and of what the caller has received of the response. */
+function createSizeFields({ request, attempt, eventCount }: EntryRequest) {
+    const { prompt } = request;
+    if (prompt === undefined) return {};
+    const { promptTokens, outputTokens, expectedOutputTokens } = prompt;
+    return { promptTokens, outputTokens, expectedOutputTokens, events: eventCount + (attempt?.eventCount ?? 0) };
+}
+
 /** Removes the request and logs its end. Has no effect on the caller's connection. */
 export function closeRequest(context: EntryContext, entry: EntryRequest, outcome: string, code?: string): void {
     context.requests.delete(entry.request.requestId);
@@ -140,6 +152,7 @@
         attempts: entry.attempts,
         firstByteMs: startedAt === undefined ? undefined : Math.round(startedAt - entry.arrivedAt),
         durationMs: Math.round(context.now - entry.arrivedAt),
+        ...createSizeFields(entry),
         configurationAgeMs: Math.round(context.view.getAgeMs("configuration", context.now)),
     });
 }
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -1,7 +1,11 @@
 /** Handles the start and end of attempts, timeouts, and callers that disconnect. */
 import { otherRouterRetryAfterMs } from "@rhubarbwheel/routing/computeRetryAfterMs";
 import type { PlacedAttemptResult, ReportedLoad } from "@rhubarbwheel/types/placement";
-import type { AttemptFinishedEvent, AttemptStartedEvent } from "@rhubarbwheel/types/placement-events";
+import type {
+    AttemptFinishedEvent,
+    AttemptsProgressedEvent,
+    AttemptStartedEvent,
+} from "@rhubarbwheel/types/placement-events";
 import { listSharedPartIds } from "./createPartQuarantine.js";
 import {
     closeRequest,
@@ -81,6 +85,13 @@
     sendAttemptNotice(context, entry, attempt, { load: event.load });
 }
 
+export function handleAttemptsProgressed(context: EntryContext, event: AttemptsProgressedEvent): void {
+    for (const progress of event.attempts) {
+        const attempt = findAttempt(context, progress)?.attempt;
+        if (attempt !== undefined) attempt.eventCount = progress.eventCount;
+    }
+}
+
 /** Whether the call may be retried after `result`. */
 function mayRetry(entry: EntryRequest, result: PlacedAttemptResult): boolean {
     const { kind, resumable } = entry.request;
@@ -123,6 +134,7 @@
         targetsAgeMs: Math.round(context.view.getAgeMs("targets", context.now)),
     });
     entry.excluded.push(target);
+    entry.eventCount += entry.attempt?.eventCount ?? 0;
     entry.attempt = undefined;
     if (!tryRetry(context, entry, event)) failAfterAttempt(context, entry, event);
 }
@@ -146,6 +158,7 @@
     if (found === undefined) return;
     const { entry, attempt } = found;
     const { result } = event;
+    attempt.eventCount = event.eventCount ?? attempt.eventCount;
     // The load is that of the response's head, and was already reported when the attempt started.
     const load = attempt.startedAt === undefined ? event.load : undefined;
     recordLoad(context, entry, attempt, load);
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -278,6 +278,7 @@
         target: target.target,
         sentAt: context.now,
         newTokens,
+        eventCount: 0,
         cancelled: false,
     };
     getOrCreatePool(context, request.service)?.model.assign(target, {
@@ -311,6 +312,7 @@
         waitMs: roundOptional(placement.waitMs, 0),
         cost: computeCost(prompt),
         newTokens,
+        runningRequests: placement.runningRequests,
         prefixSource,
         placedAfterMs: Math.round(context.now - entry.arrivedAt),
         targetsAgeMs: Math.round(context.view.getAgeMs("targets", context.now)),
--- a/packages/placement/test/rolloutCoordinator.test.ts
+++ b/packages/placement/test/rolloutCoordinator.test.ts
@@ -199,7 +199,7 @@
     for (const { result, afterMs } of results) {
         const request = createRequest("x", { service: "orders", route: "route", timeLeftMs: 1_500 });
         const target = rolloutTargets[4]!;
-        const choice = { target: target.target, waitMs: 0, newTokens: 0 };
+        const choice = { target: target.target, waitMs: 0, newTokens: 0, runningRequests: 0 };
         router.coordinator.recordPlacement(request, target, choice, 2_000);
         const { requestId, service } = request;
         const notice = { type: "attemptNotice", requestId, service, target: target.target } as const;
--- a/packages/telemetry/src/createPrometheusMetrics.ts
+++ b/packages/telemetry/src/createPrometheusMetrics.ts
@@ -3,6 +3,8 @@
 
 export interface PrometheusMetrics {
     readonly countOutcome: (service: string, outcome: string) => void;
+    /** Counts a model request by the number of tokens that its response was expected to have. */
+    readonly countSizedOutcome: (service: string, expectedOutputTokens: number, outcome: string) => void;
     readonly countAttempt: (service: string, result: string) => void;
     readonly countRefusal: (code: string) => void;
     readonly observeFirstByte: (service: string, ms: number) => void;
@@ -27,6 +29,13 @@
 /** Upper bounds in milliseconds. They include the latency targets that operators configure. */
 const latencyBuckets = [10, 25, 50, 100, 200, 300, 600, 800, 1_200, 2_500, 5_000, 15_000];
 
+/** Upper bounds of the classes of expected output tokens. */
+const outputTokenClasses = [32, 128, 256, 512, 1_024, 4_096];
+
+function formatOutputTokenClass(tokens: number): string {
+    return String(outputTokenClasses.find(bound => tokens <= bound) ?? "more");
+}
+
 export function createPrometheusMetrics(opts: PrometheusMetricsOptions): PrometheusMetrics {
     const registry = new Registry();
     registry.setDefaultLabels({ router: opts.router, failure_domain: opts.failureDomain });
@@ -37,6 +46,13 @@
         labelNames: ["service", "outcome"],
         registers,
     });
+    const sizedOutcomes = new Counter({
+        name: "rhubarbwheel_model_requests_total",
+        help:
+            "Model requests that ended, by the tokens that the response was expected to have at most, and by outcome.",
+        labelNames: ["service", "output_tokens", "outcome"],
+        registers,
+    });
     const attempts = new Counter({
         name: "rhubarbwheel_attempts_total",
         help: "Attempts that ended, by service and result.",
@@ -88,6 +104,8 @@
     }
     return {
         countOutcome: (service, outcome) => outcomes.inc({ service, outcome }),
+        countSizedOutcome: (service, expectedOutputTokens, outcome) =>
+            sizedOutcomes.inc({ service, output_tokens: formatOutputTokenClass(expectedOutputTokens), outcome }),
         countAttempt: (service, result) => attempts.inc({ service, result }),
         countRefusal: code => refusals.inc({ code }),
         observeFirstByte: (service, ms) => firstByte.observe({ service }, ms),
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -1,7 +1,7 @@
 /** Events and effects of a router that uses the platform's store and a placement coordinator per pool. */
 import type { LogEffect, RaiseEffect, StopEffect } from "./effects.js";
 import type { DrainRequestedEvent } from "./events.js";
-import type { RouteKind, RouterEntry, ViewEntries, ViewKind } from "./fleet.js";
+import type { RouteKind, RouterEntry, ViewKind } from "./fleet.js";
 import type {
     PlacedAttemptResult,
     PlacementMessage,
@@ -11,7 +11,14 @@
     TargetNotice,
 } from "./placement.js";
 import type { RolloutStatusWrittenEvent, WriteRolloutStatusEffect } from "./rollout.js";
-import type { StorePosition } from "./storePosition.js";
+import type {
+    ConfigurationConfirmedEvent,
+    RelayLostEvent,
+    RelayReportedEvent,
+    ViewChangedEvent,
+    ViewInterruptedEvent,
+    ViewListedEvent,
+} from "./view-events.js";
 
 /** Metadata of a call for the reducer; the forwarder keeps headers and body. */
 export interface RoutedRequest {
@@ -61,6 +68,19 @@
     readonly load?: ReportedLoad;
 }
 
+/** Events of streams have been sent to callers; dispatched at intervals, for all streams with new ones at once. */
+export interface AttemptsProgressedEvent extends TimedEvent {
+    readonly type: "attemptsProgressed";
+    readonly attempts: readonly AttemptProgress[];
+}
+
+export interface AttemptProgress {
+    readonly requestId: string;
+    readonly attempt: number;
+    /** Events of the stream that the attempt has sent to the caller. */
+    readonly eventCount: number;
+}
+
 /** The last event of each attempt, dispatched exactly once. */
 export interface AttemptFinishedEvent extends TimedEvent {
     readonly type: "attemptFinished";
@@ -70,6 +90,8 @@
     readonly result: PlacedAttemptResult;
     /** Whether any part of the response has been sent to the caller. */
     readonly responseStarted: boolean;
+    /** Events of a stream that the attempt has sent to the caller; omitted for other responses. */
+    readonly eventCount?: number;
     readonly load?: ReportedLoad;
     /** Whether the response exceeded a limit of this router, such as its number of pieces, headers or bytes. */
     readonly isCutOff?: boolean;
@@ -97,73 +119,6 @@
     readonly message: PlacementMessage;
 }
 
-/** Complete list of the store's entries of one kind. */
-export interface ViewListedEvent<K extends ViewKind = ViewKind> extends TimedEvent, StorePosition {
-    readonly type: "viewListed";
-    readonly kind: K;
-    readonly entries: readonly ViewEntries[K][];
-    /** Time as of which the list was current. */
-    readonly confirmedAt: number;
-    /** Router that relayed the list; omitted for a list from the store. */
-    readonly relay?: string;
-}
-
-export interface ViewChange<K extends ViewKind = ViewKind> {
-    readonly name: string;
-    /** Omitted if the entry was removed or cannot be decoded. */
-    readonly entry?: ViewEntries[K];
-}
-
-/** Changes since the last `viewListed` or `viewChanged` of the same kind, possibly none; of the same era. */
-export interface ViewChangedEvent<K extends ViewKind = ViewKind> extends TimedEvent, StorePosition {
-    readonly type: "viewChanged";
-    readonly kind: K;
-    readonly changes: readonly ViewChange<K>[];
-    readonly confirmedAt: number;
-    /** Router that relayed the changes; omitted for those from the store. */
-    readonly relay?: string;
-}
-
-/** Another router has the same configuration version; the store confirmed it no earlier than `confirmedAt`. */
-export interface ConfigurationConfirmedEvent extends TimedEvent {
-    readonly type: "configurationConfirmed";
-    readonly version: number;
-    readonly confirmedAt: number;
-}
-
-/**
- * What a failed request says of the store. `connection`: nothing, because a kept connection failed. `request`: the store
- * works, but this request was refused or its response is unusable. `store`: no response on a new connection, or an error.
- */
-export type StoreFailureCause = "connection" | "request" | "store";
-
-/** A list or watch request to the store failed. */
-export interface ViewInterruptedEvent extends TimedEvent {
-    readonly type: "viewInterrupted";
-    readonly kind: ViewKind;
-    readonly cause: StoreFailureCause;
-    /** Time at which the failed request was sent. */
-    readonly requestSentAt: number;
-    readonly reason: string;
-}
-
-/** A router that relays the store has replied to a request. */
-export interface RelayReportedEvent extends TimedEvent {
-    readonly type: "relayReported";
-    readonly router: string;
-    readonly incarnation: number;
-    /** Time as of which the store had confirmed each kind at that router; a kind it does not know is omitted. */
-    readonly confirmedAt: Readonly<Partial<Record<ViewKind, number>>>;
-}
-
-/** The connection to a router that relays the store could not be opened, or was closed. */
-export interface RelayLostEvent extends TimedEvent {
-    readonly type: "relayLost";
-    readonly router: string;
-    readonly incarnation: number;
-    readonly reason: string;
-}
-
 /** Result of `readKeptParts`: the prompt parts in the target's prefix cache. */
 export interface KeptPartsReadEvent extends TimedEvent {
     readonly type: "keptPartsRead";
@@ -191,6 +146,7 @@
     | RequestRoutedEvent
     | CallerGoneEvent
     | AttemptStartedEvent
+    | AttemptsProgressedEvent
     | AttemptFinishedEvent
     | TargetNoticedEvent
     | RouterMessageEvent
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -13,6 +13,8 @@
     readonly promptTokens: number;
     /** Maximum number of generated tokens. */
     readonly outputTokens: number;
+    /** Number of generated tokens that the caller expects; omitted if it names none. */
+    readonly expectedOutputTokens?: number;
     /** Parts of the prompt in order. */
     readonly parts: readonly PromptPart[];
 }
@@ -81,6 +83,8 @@
     readonly maxWaitMs?: number;
     /** Fraction of its share that the workspace had used. */
     readonly usedRatio?: number;
+    /** Requests in progress at the chosen target, without this one. */
+    readonly runningRequests?: number;
     readonly refusal?: RefusalReason;
     /** Time after which a refused caller should retry. */
     readonly retryAfterMs?: number;
--- a/packages/types/src/relay.ts
+++ b/packages/types/src/relay.ts
@@ -1,7 +1,7 @@
 /** Entries of the store on their way from router to router. Times are monotonic milliseconds of the receiving router. */
 import type { ViewEntries, ViewKind } from "./fleet.js";
-import type { ViewChange } from "./placement-events.js";
 import type { StorePosition } from "./storePosition.js";
+import type { ViewChange } from "./view-events.js";
 
 /** All entries of one kind. */
 export interface RelayedList extends StorePosition {
