Send no prompts to engines whose responses would miss their deadlines for it

Cause: requests are admitted and placed by the time to their first event. An engine that always has prompts waiting runs a chunk of prefill in each step, so that a token of each of its responses takes 30 ms instead of 6, and long ones cannot end in time. Class: admission by a part of the work only. Change: entry routers report the events of each response in progress with the in-flight attempts (no further messages), and its deadline and expected length. The model of an engine compares the time that the rest of each response takes without prefill with the time that is left; while one has less than half of it in reserve, the engine takes no further prompts. Responses that cannot be saved do not count. The pace without prefill is learned from the engines. Only pools that state the tokens of an event are affected.

--- a/packages/forwarding/src/createProgressReporter.ts
+++ b/packages/forwarding/src/createProgressReporter.ts
@@ -14,8 +14,8 @@
     readonly remove: (requestId: string) => void;
 }
 
-/** Minimum time between two reports; an event of a stream takes about as long under load. */
-const progressIntervalMs = 250;
+/** Minimum time between two reports, a fraction of the interval at which coordinators learn of them. */
+const progressIntervalMs = 100;
 
 export function createProgressReporter(opts: ProgressReporterOptions): ProgressReporter {
     const unreported = new Map<string, AttemptProgress>();
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -137,9 +137,12 @@
             workspace: optional(string),
             promptTokens: integer,
             outputTokens: integer,
+            expectedOutputTokens: optional(integer),
             newTokens: integer,
             ageMs: double,
+            timeLeftMs: optional(double),
             started: boolean,
+            eventCount: integer,
         })),
     }),
 };
--- a/packages/peer-protocol/test/placementCodec.test.ts
+++ b/packages/peer-protocol/test/placementCodec.test.ts
@@ -78,9 +78,12 @@
             workspace: undefined,
             promptTokens: 1,
             outputTokens: 2,
+            expectedOutputTokens: 1,
             newTokens: 0,
             ageMs: 10,
+            timeLeftMs: 14.5,
             started: true,
+            eventCount: 3,
         }],
     },
     {
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -22,6 +22,7 @@
 } from "@rhubarbwheel/types/placement-events";
 import { computeAttemptCost, computeCost, computeMaxWaitMs, computePriorPrefillRate } from "./admission.js";
 import { chooseCanary } from "./chooseCanary.js";
+import { convertReportedAttempt } from "./convertReportedAttempt.js";
 import { coordinatorLogEvents } from "./coordinatorLogEvents.js";
 import { createColdTargetGuard } from "./createColdTargetGuard.js";
 import type { ColdTargetGuardOptions } from "./createColdTargetGuard.js";
@@ -196,6 +197,9 @@
             workspace: request.workspace,
             promptTokens: request.prompt?.promptTokens ?? 0,
             outputTokens: request.prompt?.outputTokens ?? 0,
+            expectedOutputTokens: request.prompt?.expectedOutputTokens,
+            deadlineAt: now + request.timeLeftMs,
+            eventCount: 0,
             newTokens: choice.newTokens,
             parts: request.prompt?.parts,
             assignedAt: now,
@@ -258,21 +262,17 @@
     };
 
     const addReportedAttempt = (pool: CoordinatedPool, attempt: InFlightAttempt, now: number): void => {
-        const { requestId, target, ageMs, started, ...sizes } = attempt;
+        const { requestId, target, ageMs, workspace } = attempt;
         const entry = view.getTarget(target);
         if (entry === undefined) return;
-        const assignedAt = now - ageMs;
-        const startedAt = started ? now : undefined;
-        const expiresAt = now + inFlightExpiryMs;
-        const isCharged = pool.model.getAssignment(requestId) !== undefined || ageMs > shareWindowMs;
         const isKnown = pool.model.getAssignment(requestId) !== undefined;
-        pool.model.assign(entry, { requestId, target, ...sizes, assignedAt, startedAt, expiresAt });
+        const isCharged = isKnown || ageMs > shareWindowMs;
+        pool.model.assign(entry, convertReportedAttempt(attempt, now));
         // Older ones have used capacity that is available again.
         if (!isKnown && ageMs < inFlightReportIntervalMs) {
             effects.push(...coldTargetGuard.recordSend(entry, now));
             rateGranter.take(entry, now);
         }
-        const { workspace } = attempt;
         if (isCharged || workspace === undefined) return;
         // Its entry router placed it locally, or another router was the coordinator.
         const cost = computeAttemptCost(attempt);
@@ -286,6 +286,7 @@
         for (const attempt of message.holdings) {
             if (pool.model.getAssignment(attempt.requestId)?.target !== attempt.target)
                 addReportedAttempt(pool, attempt, now);
+            pool.model.recordProgress(attempt.requestId, attempt.eventCount, now);
             pool.model.renew(attempt.requestId, now);
         }
     };
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -8,6 +8,7 @@
     PromptSize,
     ReportedLoad,
 } from "@rhubarbwheel/types/placement";
+import type { Assignment } from "./assignment.js";
 import {
     type ChoiceRule,
     computeFailureCostMs,
@@ -18,8 +19,9 @@
     unreportedLoadRule,
 } from "./computeTargetCost.js";
 import { computeLoadSpread, type LoadSpread } from "./createLoadSpreadMeter.js";
+import { createQuietPaceEstimator } from "./createQuietPaceEstimator.js";
 import { createTargetModel } from "./createTargetModel.js";
-import type { Assignment, TargetModel } from "./createTargetModel.js";
+import type { TargetModel } from "./createTargetModel.js";
 import { crossDomainCostMs, inFlightExpiryMs, prefillWeight, transferSetupMs } from "./placementSettings.js";
 
 export interface PoolModelOptions {
@@ -78,6 +80,7 @@
     const models = new Map<string, { readonly model: TargetModel; readonly startedAt?: number; }>();
     const targetByRequest = new Map<string, string>();
     const rendezvous = createRendezvousChooser();
+    const quietPace = createQuietPaceEstimator();
     let lastAssignment = 0;
     /** Whether a target has reported the pace of its host. Other pools keep the rule that they had. */
     let hasPace = false;
@@ -92,6 +95,7 @@
             slots: Math.max(1, entry.slots),
             engine: spec.engine,
             priorPrefillRate,
+            quietPace,
             getNextAssignment: () => getRule().breaksTies ? ++lastAssignment : 0,
         });
         models.set(entry.target, { model, startedAt: entry.startedAtUnixMs });
@@ -184,7 +188,7 @@
         let minCost = Infinity;
         for (const [index, entry] of candidates.entries()) {
             const model = candidateModels[index]!;
-            if (model.isUnreachable(now)) continue;
+            if (model.isUnreachable(now) || model.isBehind(now)) continue;
             const waitMs = model.estimateWaitMs(now) * loadFactor;
             if (waitMs > maxWaitMs || !model.hasCapacity(prompt)) continue;
             const prefill = prompt === undefined ? undefined : estimatePrefill(model, prompt, source, now);
@@ -231,6 +235,9 @@
         },
         end,
         start: (requestId: string, now: number) => getModel(requestId)?.start(requestId, now),
+        /** Takes the number of events that the response to a request has. */
+        recordProgress: (requestId: string, eventCount: number, now: number) =>
+            getModel(requestId)?.recordProgress(requestId, eventCount, now),
         /** Takes the load that a target reported in a response. */
         recordLoad: (entry: TargetEntry, load: ReportedLoad, now: number, noticeLagMs: number) => {
             if (!rule.usesReports || load.paceRatio === undefined) return;
--- a/packages/placement/src/createTargetModel.ts
+++ b/packages/placement/src/createTargetModel.ts
@@ -1,9 +1,12 @@
 /** Model of the load of one target, which estimates the queueing time of another request there. */
 import type { EngineSpec } from "@rhubarbwheel/types/fleet";
 import type { PlacedAttemptResult, PromptPart, PromptSize, ReportedLoad } from "@rhubarbwheel/types/placement";
+import { type Assignment, countUntrackedTokens } from "./assignment.js";
+import { createDecodeModel } from "./createDecodeModel.js";
 import { createLoadEstimator, maxReportAgeMs } from "./createLoadEstimator.js";
 import { createPrefillRateEstimator } from "./createPrefillRateEstimator.js";
 import { createPrefixCacheModel } from "./createPrefixCacheModel.js";
+import type { QuietPaceEstimator } from "./createQuietPaceEstimator.js";
 import {
     averageOutputRatio,
     firstEventMs,
@@ -12,29 +15,13 @@
     priorServiceTimeMs,
 } from "./placementSettings.js";
 
-/** A request that is placed at a target and has not ended. */
-export interface Assignment {
-    readonly requestId: string;
-    readonly target: string;
-    readonly workspace?: string;
-    readonly promptTokens: number;
-    readonly outputTokens: number;
-    /** Prompt tokens that need prefill at the target. */
-    readonly newTokens: number;
-    readonly assignedAt: number;
-    /** Parts of the prompt; omitted if unknown to this router. */
-    readonly parts?: readonly PromptPart[];
-    startedAt?: number;
-    /** Time at which the assignment is removed unless a report mentions it. */
-    expiresAt: number;
-}
-
 export interface TargetModelOptions {
     /** Maximum number of concurrent requests. */
     readonly slots: number;
     readonly engine?: EngineSpec;
     /** Assumed prefill rate without observations, in tokens per millisecond. */
     readonly priorPrefillRate: number;
+    readonly quietPace: QuietPaceEstimator;
     /** Returns a number that increases with each assignment to any target of the pool. */
     readonly getNextAssignment: () => number;
 }
@@ -42,6 +29,8 @@
 export interface TargetModel {
     readonly assign: (assignment: Assignment) => void;
     readonly start: (requestId: string, now: number) => void;
+    /** Takes the number of events that the response to a request has. */
+    readonly recordProgress: (requestId: string, eventCount: number, now: number) => void;
     readonly end: (requestId: string, result: PlacedAttemptResult, latencyMs: number, now: number) => void;
     /**
      * Takes the load that the target reported in a response to this or another router. `noticeLagMs`: time after which
@@ -72,6 +61,8 @@
     readonly isUnreachable: (now: number) => boolean;
     /** Whether a response is overdue. */
     readonly isStalled: (now: number) => boolean;
+    /** Whether a response in progress can only meet its deadline if the engine prefills no further prompts for now. */
+    readonly isBehind: (now: number) => boolean;
     readonly hasCapacity: (prompt: PromptSize | undefined) => boolean;
     /** Moving average of failures, 0 to 1, which decays with time. */
     readonly getFailureRatio: (now: number) => number;
@@ -113,13 +104,6 @@
     return result !== "complete" && result !== "cancelled";
 }
 
-/** Prompt tokens that belong to no known part and are therefore not in the prefix cache model. */
-function countUntrackedTokens({ promptTokens, parts = [] }: Pick<Assignment, "promptTokens" | "parts">): number {
-    let trackedTokens = 0;
-    for (const { tokens } of parts) trackedTokens += tokens;
-    return Math.max(0, promptTokens - trackedTokens);
-}
-
 export function createTargetModel(opts: TargetModelOptions): TargetModel {
     const { engine } = opts;
     const assignments = new Map<string, Assignment>();
@@ -130,6 +114,9 @@
         slots: opts.slots,
         requestDecayMs: engine === undefined ? callDecayMs : streamDecayMs,
     });
+    const decode = engine?.tokensPerEvent === undefined
+        ? undefined
+        : createDecodeModel({ tokensPerEvent: engine.tokensPerEvent, quietPace: opts.quietPace });
     /** At the usual pace of the host, so that a change of the pace takes effect at once. */
     const prefillRate = createPrefillRateEstimator(opts.priorPrefillRate);
     /** Tokens that assigned requests without a first event need to prefill. */
@@ -147,6 +134,8 @@
     let outputTokens = 0;
     /** Time at which the engine started the prefill of the oldest request without a first event. */
     let prefillStartedAt = -Infinity;
+    /** Time at which a request was last without a first event. */
+    let lastPrefillAt = -Infinity;
     let serviceTimeMs = priorServiceTimeMs;
     let serviceTimeUpdatedAt = 0;
     let failureRatio = 0;
@@ -154,11 +143,17 @@
     let unreachableUntil = -Infinity;
     let unreachableMs = minUnreachableMs;
 
-    const remove = (requestId: string): Assignment | undefined => {
+    const removeUnstarted = (assignment: Assignment, now: number): void => {
+        if (!unstarted.delete(assignment.requestId)) return;
+        unstartedTokens -= assignment.newTokens;
+        lastPrefillAt = now;
+    };
+
+    const remove = (requestId: string, now: number): Assignment | undefined => {
         const assignment = assignments.get(requestId);
         if (assignment === undefined) return undefined;
         assignments.delete(requestId);
-        if (unstarted.delete(requestId)) unstartedTokens -= assignment.newTokens;
+        removeUnstarted(assignment, now);
         untrackedTokens -= countUntrackedTokens(assignment);
         outputTokens -= assignment.outputTokens;
         return assignment;
@@ -252,16 +247,20 @@
             const assignment = assignments.get(requestId);
             if (assignment === undefined || assignment.startedAt !== undefined) return;
             assignment.startedAt = now;
-            unstarted.delete(requestId);
-            unstartedTokens -= assignment.newTokens;
+            removeUnstarted(assignment, now);
             cache.setPrefilled(assignment.parts ?? []);
             const busySince = Math.max(prefillStartedAt, assignment.assignedAt + firstEventMs + noticeLagMs);
             const busyMs = Math.max(1, now - busySince) / load.getPaceRatio(now);
             if (assignment.newTokens > 0) prefillRate.record(assignment.newTokens, busyMs, now);
             prefillStartedAt = now;
         },
+        recordProgress: (requestId, eventCount, now) => {
+            const assignment = assignments.get(requestId);
+            const quietSince = unstarted.size === 0 ? lastPrefillAt : Infinity;
+            if (assignment !== undefined) decode?.recordProgress(assignment, eventCount, { quietSince, now });
+        },
         end: (requestId, result, latencyMs, now) => {
-            const assignment = remove(requestId);
+            const assignment = remove(requestId, now);
             if (assignment === undefined) return;
             if (hasReports) {
                 ended = ended.filter(({ endedAt }) => endedAt > now - maxReportAgeMs);
@@ -301,6 +300,7 @@
         countTransferableTokens: prompt => Math.min(prompt.promptTokens, cache.countPrefilledTokens(prompt.parts)),
         isUnreachable: now => now < unreachableUntil,
         isStalled: now => estimateOverdueMs(now) > 0,
+        isBehind: now => decode?.isBehind(assignments.values(), now) ?? false,
         hasCapacity: prompt => {
             if (engine === undefined || prompt === undefined) return true;
             if (assignments.size >= engine.maxBatchSize * maxBatchRatio) return false;
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -87,8 +87,11 @@
 
 export function handleAttemptsProgressed(context: EntryContext, event: AttemptsProgressedEvent): void {
     for (const progress of event.attempts) {
-        const attempt = findAttempt(context, progress)?.attempt;
-        if (attempt !== undefined) attempt.eventCount = progress.eventCount;
+        const found = findAttempt(context, progress);
+        if (found === undefined) continue;
+        found.attempt.eventCount = progress.eventCount;
+        const { requestId, service } = found.entry.request;
+        context.pools.get(service)?.model.recordProgress(requestId, progress.eventCount, context.now);
     }
 }
 
--- a/packages/placement/src/reportInFlightAttempts.ts
+++ b/packages/placement/src/reportInFlightAttempts.ts
@@ -5,7 +5,7 @@
 
 function createInFlightAttempt(
     context: EntryContext,
-    { request, attempt }: EntryRequest,
+    { request, attempt, deadlineAt }: EntryRequest,
 ): InFlightAttempt | undefined {
     if (attempt === undefined || attempt.cancelled) return undefined;
     return {
@@ -14,9 +14,12 @@
         workspace: request.workspace,
         promptTokens: request.prompt?.promptTokens ?? 0,
         outputTokens: request.prompt?.outputTokens ?? 0,
+        expectedOutputTokens: request.prompt?.expectedOutputTokens,
         newTokens: attempt.newTokens,
         ageMs: context.now - attempt.sentAt,
+        timeLeftMs: deadlineAt - context.now,
         started: attempt.startedAt !== undefined,
+        eventCount: attempt.eventCount,
     };
 }
 
--- a/packages/placement/test/admission.test.ts
+++ b/packages/placement/test/admission.test.ts
@@ -134,6 +134,7 @@
         newTokens: 12_000,
         ageMs: 5,
         started: false,
+        eventCount: 0,
     }));
     harness.send({ type: "holdings", service: "assistant", holdings }, 0);
     assert.is(harness.requestPlacement(createRequest("s"), 1).refusal, "overloaded");
@@ -152,6 +153,7 @@
         newTokens: 70_000,
         ageMs: 5,
         started: false,
+        eventCount: 0,
     }));
 }
 
--- a/packages/placement/test/coordinatorHarness.ts
+++ b/packages/placement/test/coordinatorHarness.ts
@@ -37,7 +37,7 @@
         request: PlacementRequest,
         target: string,
         now: number,
-        result?: "complete" | "unsent",
+        result?: "complete" | "unsent" | "cancelled",
     ): void => {
         const { requestId, service } = request;
         send({ type: "attemptNotice", requestId, service, target, latencyMs: 50, result }, now);
--- /dev/null
+++ b/packages/placement/test/createDecodeModel.test.ts
@@ -0,0 +1,59 @@
+/** Tests which responses keep an engine from taking further prompts. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createDecodeModel, estimateRemainingTokens, type GeneratedResponse } from "../src/createDecodeModel.js";
+import { createQuietPaceEstimator } from "../src/createQuietPaceEstimator.js";
+
+const tokensPerEvent = 10;
+
+function createResponse(more: Partial<GeneratedResponse> = {}): GeneratedResponse {
+    return { outputTokens: 1_000, deadlineAt: 10_000, startedAt: 0, eventCount: 0, ...more };
+}
+
+/** A model of an engine that takes 5 ms for a token without prefill. */
+function createModel() {
+    const quietPace = createQuietPaceEstimator();
+    quietPace.record(200, 1_000);
+    return { quietPace, model: createDecodeModel({ tokensPerEvent, quietPace }) };
+}
+
+test("a response is behind once the time that it needs without prefill, and half of it in reserve, is left", () => {
+    const { model } = createModel();
+    assert.not(model.isBehind([createResponse()], 2_000));
+    assert.ok(model.isBehind([createResponse()], 3_000));
+    assert.not(model.isBehind([createResponse({ eventCount: 50 })], 3_200));
+    assert.not(model.isBehind([createResponse({ expectedOutputTokens: 100 })], 3_400));
+});
+
+// Guards against an engine that stands still for a response which nothing can save.
+test("a response that misses its deadline in any case is not behind", () => {
+    const { model } = createModel();
+    assert.not(model.isBehind([createResponse()], 6_000));
+});
+
+test("a response that is longer than expected is assumed to go on for a quarter of its length", () => {
+    const sizes = { outputTokens: 1_000, expectedOutputTokens: 100 };
+    assert.equal([0, 100, 200, 900].map(generated => estimateRemainingTokens(sizes, generated)), [125, 25, 50, 100]);
+    assert.is(estimateRemainingTokens({ outputTokens: 1_000 }, 400), 600);
+});
+
+test("the pace is learned from intervals without prefill only", () => {
+    const { quietPace, model } = createModel();
+    const response = createResponse();
+    model.recordProgress(response, 10, { quietSince: Infinity, now: 5_000 });
+    model.recordProgress(response, 20, { quietSince: 5_500, now: 6_000 });
+    assert.is(quietPace.getTokenMs(), 5);
+    for (let report = 1; report <= 600; report++)
+        model.recordProgress(response, 20 + 5 * report, { quietSince: 5_500, now: 6_000 + 500 * report });
+    assert.ok(Math.abs(quietPace.getTokenMs() - 10) < 0.1, `${quietPace.getTokenMs()}`);
+});
+
+test("an older report changes nothing", () => {
+    const { model } = createModel();
+    const response = createResponse();
+    model.recordProgress(response, 10, { quietSince: 0, now: 500 });
+    model.recordProgress(response, 7, { quietSince: 0, now: 600 });
+    assert.is(response.eventCount, 10);
+});
+
+test.run();
--- a/packages/placement/test/createPoolModel.test.ts
+++ b/packages/placement/test/createPoolModel.test.ts
@@ -30,6 +30,8 @@
         parts: request.prompt?.parts,
         assignedAt: now,
         expiresAt: Infinity,
+        deadlineAt: Infinity,
+        eventCount: 0,
     });
     return choice;
 }
--- a/packages/placement/test/kvCacheModel.test.ts
+++ b/packages/placement/test/kvCacheModel.test.ts
@@ -3,6 +3,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createPrefixCacheModel } from "../src/createPrefixCacheModel.js";
+import { createQuietPaceEstimator } from "../src/createQuietPaceEstimator.js";
 import { createTargetModel } from "../src/createTargetModel.js";
 import { createRequest, enginePool } from "./placementFixtures.js";
 
@@ -11,14 +12,28 @@
 /** An engine with a tenth of the usual KV cache capacity: eight requests without shared parts fill it. */
 function createEngine() {
     const engine = { ...enginePool.engine!, kvCacheTokens: 100_000 };
-    const model = createTargetModel({ slots: 128, engine, priorPrefillRate: 100, getNextAssignment: () => 1 });
+    const model = createTargetModel({
+        slots: 128,
+        engine,
+        priorPrefillRate: 100,
+        quietPace: createQuietPaceEstimator(),
+        getNextAssignment: () => 1,
+    });
     let now = 0;
     const assign = (request: PlacementRequest): PlacementRequest => {
         const { requestId, prompt } = request;
         const { promptTokens = 0, outputTokens = 0, parts } = prompt ?? {};
         const newTokens = promptTokens - model.countCachedTokens(prompt!);
         const sizes = { promptTokens, outputTokens, newTokens, parts };
-        model.assign({ requestId, target: "target-1", ...sizes, assignedAt: ++now, expiresAt: Infinity });
+        model.assign({
+            requestId,
+            target: "target-1",
+            ...sizes,
+            assignedAt: ++now,
+            expiresAt: Infinity,
+            deadlineAt: Infinity,
+            eventCount: 0,
+        });
         return request;
     };
     const run = (request: PlacementRequest): PlacementRequest => {
--- a/packages/placement/test/playArrivals.ts
+++ b/packages/placement/test/playArrivals.ts
@@ -166,6 +166,8 @@
             parts,
             assignedAt: now,
             expiresAt: Infinity,
+            deadlineAt: Infinity,
+            eventCount: 0,
         };
         if (chooser.forgetsOwnChoices === true) schedule(now + delayMs, () => model.assign(entry, assignment));
         else model.assign(entry, assignment);
--- a/packages/types/src/fleet.ts
+++ b/packages/types/src/fleet.ts
@@ -40,6 +40,8 @@
     readonly maxBatchSize: number;
     /** KV cache capacity, shared by running requests and cached prompt prefixes. */
     readonly kvCacheTokens: number;
+    /** Number of tokens of one event of a stream; omitted if unknown. */
+    readonly tokensPerEvent?: number;
     /** Set if an engine can copy cached prompt prefixes from another engine instead of recomputing them. */
     readonly prefixTransfer?: PrefixTransferSpec;
 }
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -191,10 +191,15 @@
     readonly workspace?: string;
     readonly promptTokens: number;
     readonly outputTokens: number;
+    readonly expectedOutputTokens?: number;
     readonly newTokens: number;
     /** Time since the attempt was sent. */
     readonly ageMs: number;
+    /** Time until the deadline of the complete response; omitted by older routers. */
+    readonly timeLeftMs?: number;
     readonly started: boolean;
+    /** Events of a stream that the caller has received. */
+    readonly eventCount: number;
 }
 
 /** Entry router to coordinator: its in-flight attempts. An attempt that later reports omit has ended. */
