--- a/packages/forwarding/src/headerCodec.ts
+++ b/packages/forwarding/src/headerCodec.ts
@@ -15,6 +15,8 @@
     readonly prompt?: PromptSize;
     /** Id of the last event that the caller has received of a stream that it resumes. */
     readonly lastEventId?: string;
+    /** Id of the caller's call that brought the first event of that stream. */
+    readonly resumedCallerId?: string;
 }
 
 /** Data from the headers of a target's response. */
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -310,6 +310,8 @@
     logEntryEvent(context, "requestPlaced", {
         ...createRequestFields(entry),
         target: target.target,
+        version: target.version,
+        isResumed: request.takeUp !== undefined || entry.responseStarted,
         attempt: entry.attempts,
         coordinator: entry.coordinator,
         waitMs: roundOptional(placement.waitMs, 0),
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -11,6 +11,8 @@
         fields: [
             ...requestFields,
             "target",
+            "version",
+            "isResumed",
             "attempt",
             "coordinator",
             "waitMs",
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -37,6 +37,14 @@
     readonly timeLimitMs: number;
     readonly regions?: readonly string[];
     readonly prompt?: PromptSize;
+    /** Set if the caller takes up a stream of which an earlier call has brought it events. */
+    readonly takeUp?: TakeUp;
+}
+
+/** What a caller says about the stream that it takes up. */
+export interface TakeUp {
+    /** Id of the call that brought the first event; omitted if the caller does not name it. */
+    readonly callerId?: string;
 }
 
 export interface TimedEvent {
