Continue a stream only at the version of its service that began it

Cause: a take-up was placed like any other request, and a router's next attempt within a response at any other target; nobody knew which version had begun a stream. Class: a decision that needs a fact about earlier work, of which the deciding process kept nothing. A router records the version when a caller gets the first event, and while there are several versions tells routers in some failure domains, chosen by the id of the call. A take-up names that call; its router asks them, and places it at targets of that version only. If nobody remembers, the versions that can have begun it decide: a single one did. Versions that left are known from the routers' own history or from a record of the coordinator in the store, one write a change of versions. Otherwise the caller is told at once that the stream does not go on. Nothing is sent, and nothing read from the store, while there is one version.

--- a/packages/error/src/routerError.ts
+++ b/packages/error/src/routerError.ts
@@ -98,6 +98,16 @@
         "All targets of the service leave, pause or have taken as many requests as they accept.",
         "Retry after the time in Retry-After.",
     ],
+    STREAM_VERSION_UNKNOWN: [
+        503,
+        "It is not known which version of the service has begun the stream, so that it does not go on.",
+        "Begin a new stream, without the id of an event.",
+    ],
+    STREAM_VERSION_GONE: [
+        503,
+        "No target of the version that has begun the stream is left.",
+        "Begin a new stream, without the id of an event.",
+    ],
     CONFIGURATION_EMPTY: [503, "The router has no confirmed configuration yet.", "Retry at another router."],
     CONFIGURATION_STALE: [
         503,
--- a/packages/fleet-view/src/createFleetView.ts
+++ b/packages/fleet-view/src/createFleetView.ts
@@ -55,6 +55,8 @@
     /** Orders to roll out versions; omitted if this router does not follow them. */
     readonly rollouts?: RolloutQueries;
     readonly getTarget: (target: string) => TargetEntry | undefined;
+    /** All registered targets, whatever their state. */
+    readonly listTargets: () => readonly TargetEntry[];
     readonly getColdRemainingMs: (target: string, now: number) => number;
     /** Returns the same array until a router changes. */
     readonly listRouters: () => readonly RouterEntry[];
@@ -298,6 +300,7 @@
         isVersionAllowed,
         rollouts,
         getTarget: targets.get,
+        listTargets: targets.listAll,
         getColdRemainingMs: targets.getColdRemainingMs,
         listRouters: () => routerList,
         getAgeMs: (kind, now) => now - kinds[kind].confirmedAt,
--- a/packages/peer-protocol/src/placementCodec.ts
+++ b/packages/peer-protocol/src/placementCodec.ts
@@ -16,6 +16,9 @@
     QuarantinedPart,
     QuarantineNoticeMessage,
     ReportedLoad,
+    StreamNoticeMessage,
+    StreamQueryMessage,
+    StreamReplyMessage,
     TargetNoticeMessage,
 } from "@rhubarbwheel/types/placement";
 import { decodeWith, encodeWith, formatError } from "./peerCodec.js";
@@ -63,6 +66,7 @@
     excluded: list(string),
     quarantinedParts: optional(wrappedList(quarantinedPart)),
     route: optional(string),
+    version: optional(string),
 });
 
 const reportedLoad = struct<ReportedLoad>({
@@ -90,7 +94,9 @@
         maxWaitMs: optional(double),
         usedRatio: optional(double),
         runningRequests: optional(integer),
-        refusal: optional(stringEnum(["overloaded", "shareUsed", "noTarget", "partQuarantined", "limited"])),
+        refusal: optional(
+            stringEnum(["overloaded", "shareUsed", "noTarget", "partQuarantined", "limited", "versionGone"]),
+        ),
         retryAfterMs: optional(double),
         quarantinedParts: optional(wrappedList(quarantinedPart)),
     }),
@@ -123,6 +129,20 @@
         revision: integer,
         era: integer,
     }),
+    streamNotice: struct<WithoutType<StreamNoticeMessage>>({
+        service: string,
+        callerId: string,
+        version: optional(string),
+        timeLeftMs: double,
+    }),
+    streamQuery: struct<WithoutType<StreamQueryMessage>>({ requestId: string, service: string, callerId: string }),
+    streamReply: struct<WithoutType<StreamReplyMessage>>({
+        requestId: string,
+        isKnown: boolean,
+        version: optional(string),
+        seenVersions: list(string),
+        isComplete: boolean,
+    }),
     confirmationAsk: struct<WithoutType<ConfirmationRequestMessage>>({ sequence: integer }),
     confirmationReply: struct<WithoutType<ConfirmationReplyMessage>>({
         sequence: integer,
--- a/packages/peer-protocol/test/placementCodec.test.ts
+++ b/packages/peer-protocol/test/placementCodec.test.ts
@@ -27,6 +27,7 @@
 
 const messages: readonly PlacementMessage[] = [
     { type: "placementAsk", request },
+    { type: "placementAsk", request: { ...request, version: "v1" } },
     {
         type: "placementAsk",
         request: { ...request, workspace: undefined, prompt: undefined, regions: undefined, excluded: [] },
@@ -69,6 +70,18 @@
         latencyMs: 3.5,
         load: { running: 3, waiting: 0, slots: 6, paceRatio: 1.25, ageMs: 0.5 },
     },
+    { type: "streamNotice", service: "s", callerId: "c", version: "v1.1", timeLeftMs: 12_000.5 },
+    { type: "streamNotice", service: "s", callerId: "c", version: undefined, timeLeftMs: 0 },
+    { type: "streamQuery", requestId: "a", service: "s", callerId: "c" },
+    {
+        type: "streamReply",
+        requestId: "a",
+        isKnown: true,
+        version: "",
+        seenVersions: ["", "v2"],
+        isComplete: true,
+    },
+    { type: "placementReply", requestId: "a", service: "s", refusal: "versionGone" },
     {
         type: "holdings",
         service: "s",
--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -10,6 +10,8 @@
 } from "@rhubarbwheel/types/placement-events";
 import { type Coordinator, createCoordinatorSelector } from "./createCoordinatorSelector.js";
 import { createSendRateLimiter } from "./createSendRateLimiter.js";
+import { createStreamHolderChooser } from "./createStreamHolderChooser.js";
+import { createStreamVersions } from "./createStreamVersions.js";
 import {
     type EntryContext,
     type EntryRequest,
@@ -25,6 +27,15 @@
     handleAttemptStarted,
     handleCallerGone,
 } from "./handleAttemptEvents.js";
+import {
+    announceStreams,
+    checkPendingLookup,
+    handleServiceVersionsRead,
+    handleStreamNotice,
+    handleStreamQuery,
+    handleStreamReply,
+    startTakeUp,
+} from "./handleTakeUp.js";
 import { handleTargetNoticed } from "./handleTargetNotice.js";
 import {
     drainAcceptRatio,
@@ -55,6 +66,8 @@
         responseStarted: false,
         excluded: [],
         eventCount: 0,
+        isVersionUncertain: false,
+        isStreamAnnounced: false,
     };
     context.requests.set(request.requestId, entry);
     const { drainingSince } = context;
@@ -65,7 +78,8 @@
         return failRequest(context, entry, "DRAINING", otherRouterRetryAfterMs);
     }
     getOrCreatePool(context, request.service)?.retryBudget.recordRequest(now);
-    placeRequest(context, entry);
+    if (request.takeUp === undefined) placeRequest(context, entry);
+    else startTakeUp(context, entry);
 }
 
 function handleCoordinatorNotice(
@@ -86,6 +100,15 @@
     });
 }
 
+function handleMessage(context: EntryContext, event: RouterMessageEvent): void {
+    const { from, message } = event;
+    if (message.type === "placementReply") handleReply(context, event, message);
+    else if (message.type === "coordinatorNotice") handleCoordinatorNotice(context, event, message);
+    else if (message.type === "streamQuery") handleStreamQuery(context, event, message);
+    else if (message.type === "streamReply") handleStreamReply(context, from, message);
+    else if (message.type === "streamNotice") handleStreamNotice(context, message);
+}
+
 function handleEvent(context: EntryContext, event: PlacementEvent): void {
     if (event.type === "requestRouted") handleRequestRouted(context, event);
     else if (event.type === "attemptStarted") handleAttemptStarted(context, event);
@@ -95,9 +118,9 @@
     else if (event.type === "callerGone") handleCallerGone(context, event.requestId);
     else if (event.type === "routerMessage") {
         context.coordinators.recordMessage(event.from, event.now);
-        if (event.message.type === "placementReply") handleReply(context, event, event.message);
-        else if (event.message.type === "coordinatorNotice") handleCoordinatorNotice(context, event, event.message);
+        handleMessage(context, event);
     }
+    else if (event.type === "serviceVersionsRead") handleServiceVersionsRead(context, event);
     else if (event.type === "drainRequested" && context.drainingSince === undefined) {
         context.drainingSince = event.now;
         logEntryEvent(context, "entryDrainStarted", { requests: context.requests.size });
@@ -106,9 +129,10 @@
 
 /** Time at which the request needs a wake event. */
 function computeDueAt(entry: EntryRequest): number {
-    const { pendingPlacement } = entry;
+    const { pendingPlacement, pendingLookup } = entry;
     return Math.min(
         entry.deadlineAt,
+        pendingLookup?.timeoutAt ?? Infinity,
         pendingPlacement === undefined ? Infinity : Math.min(pendingPlacement.retryAt, pendingPlacement.timeoutAt),
     );
 }
@@ -124,6 +148,8 @@
             listRouters: view.listRouters,
             getListPosition: () => view.getPosition("routers"),
         }),
+        streamVersions: createStreamVersions(),
+        streamHolders: createStreamHolderChooser({ failureDomain: opts.failureDomain, listRouters: view.listRouters }),
         coldRateLimiter: createSendRateLimiter(),
         localRateLimiter: createSendRateLimiter(localRateWindowMs),
         noticeSentAt: new Map(),
@@ -136,6 +162,7 @@
     const handleDueRequests = (): void => {
         for (const entry of context.requests.values()) {
             if (context.now >= entry.deadlineAt) endTimedOut(context, entry);
+            else if (entry.pendingLookup !== undefined) checkPendingLookup(context, entry);
             else checkPendingPlacement(context, entry);
         }
     };
@@ -155,6 +182,7 @@
             if (event.now >= dueAt) handleDueRequests();
             if (event.now >= reportAt) {
                 reportInFlightAttempts(context, context.requests.values());
+                announceStreams(context);
                 reportAt = event.now + inFlightReportIntervalMs;
             }
             updateTimers();
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -12,7 +12,6 @@
     InFlightAttemptsMessage,
     PlacementReplyMessage,
     PlacementRequest,
-    RefusalReason,
 } from "@rhubarbwheel/types/placement";
 import type {
     KeptPartsReadEvent,
@@ -37,6 +36,8 @@
 import { createRefusalHistory } from "./createRefusalHistory.js";
 import type { CanarySelector } from "./createRolloutCoordinator.js";
 import type { TargetNotices } from "./createTargetNotices.js";
+import { hasVersion } from "./hasVersion.js";
+import type { AdmittedChoice, Refusal } from "./placementDecision.js";
 import { inFlightExpiryMs, inFlightReportIntervalMs, shareWindowMs } from "./placementSettings.js";
 
 export interface PlacementCoordinatorOptions {
@@ -69,14 +70,6 @@
 /** Minimum interval between two log events with the totals of a pool. */
 const totalsLogIntervalMs = 1_000;
 
-/** A choice, and the fraction of its share that the workspace had used. */
-type AdmittedChoice = Choice & Pick<PlacementReplyMessage, "usedRatio">;
-
-/** Reason for a refusal, and the figures behind it. */
-type Refusal = Pick<PlacementReplyMessage, "waitMs" | "maxWaitMs" | "usedRatio" | "retryAfterMs"> & {
-    readonly refusal: RefusalReason;
-};
-
 const expiryIntervalMs = 250;
 
 export function createPlacementCoordinator(opts: PlacementCoordinatorOptions): PlacementCoordinator {
@@ -132,7 +125,8 @@
         maxWaitMs: number,
         now: number,
     ): Choice | undefined => {
-        if (canaries === undefined) return undefined;
+        // A stream that goes on has been counted when it began.
+        if (canaries === undefined || request.version !== undefined) return undefined;
         const cost = computeCost(request.prompt);
         const createFilter = (targets: readonly TargetEntry[]) => {
             const isGranted = rateGranter.createFilter(pool.service, targets, cost, now);
@@ -148,11 +142,12 @@
         request: PlacementRequest,
         now: number,
     ): AdmittedChoice | Refusal => {
-        const usableTargets = view.listUsableTargets(pool.service, request.regions);
+        const listedTargets = view.listUsableTargets(pool.service, request.regions);
+        const usableTargets = listedTargets.filter(target => hasVersion(target, request.version));
         const wanted = usableTargets.filter(entry =>
             !request.excluded.includes(entry.target) && !targetNotices.isLeaving(entry)
         );
-        if (usableTargets.length === 0) return { refusal: "noTarget" };
+        if (usableTargets.length === 0) return { refusal: listedTargets.length === 0 ? "noTarget" : "versionGone" };
         const cost = computeCost(request.prompt);
         const isGranted = rateGranter.createFilter(pool.service, wanted, cost, now);
         // A transfer is no request, so a target that has taken as many as it accepts is a source.
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -1,6 +1,7 @@
 /** State of an entry router and helpers shared by its event handlers. */
 import type { FleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import type { LogEffect } from "@rhubarbwheel/types/effects";
+import type { RouterEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementReplyMessage, PlacementRequest } from "@rhubarbwheel/types/placement";
 import type { PlacementEffect, RoutedRequest } from "@rhubarbwheel/types/placement-events";
 import type { CoordinatorSelector } from "./createCoordinatorSelector.js";
@@ -10,6 +11,9 @@
 import type { ReportedUsage } from "./createReportedUsage.js";
 import type { RetryBudget, RetryPolicy } from "./createRetryBudget.js";
 import type { SendRateLimiter } from "./createSendRateLimiter.js";
+import type { ServiceVersions } from "./createServiceVersions.js";
+import type { StreamHolderChooser } from "./createStreamHolderChooser.js";
+import type { StreamVersions } from "./createStreamVersions.js";
 import type { TargetBreaker } from "./createTargetBreaker.js";
 import type { TargetNotices } from "./createTargetNotices.js";
 
@@ -26,6 +30,7 @@
     targetNoticed: 1716,
     targetBypassed: 1719,
     coordinatorClaimed: 1721,
+    takeUpRefused: 1723,
 } as const;
 
 export interface EntryRouterOptions {
@@ -43,6 +48,7 @@
     readonly quarantine: PartQuarantine;
     readonly targetNotices: TargetNotices;
     readonly targetBreaker: TargetBreaker;
+    readonly serviceVersions: Pick<ServiceVersions, "listSeen" | "isStale" | "getRecord" | "read">;
 }
 
 /** A placement request that awaits the reply of its coordinator. */
@@ -55,10 +61,25 @@
     timeoutAt: number;
 }
 
+/** A take-up that waits until it is known which version has begun the stream. */
+export interface PendingLookup {
+    /** Routers that have not replied. */
+    readonly waitingFor: Set<string>;
+    /** Versions that may have begun the stream. */
+    readonly versions: Set<string>;
+    /** Whether these are all. */
+    isComplete: boolean;
+    replyCount: number;
+    timeoutAt: number;
+}
+
 /** An attempt that has not ended. */
 export interface InFlightEntryAttempt {
     readonly number: number;
     readonly target: string;
+    /** Version and start of the target as listed when the attempt was sent. */
+    readonly version: string;
+    readonly targetStartedAtUnixMs?: number;
     readonly sentAt: number;
     readonly newTokens: number;
     startedAt?: number;
@@ -72,6 +93,13 @@
     readonly arrivedAt: number;
     readonly deadlineAt: number;
     pendingPlacement?: PendingPlacement;
+    pendingLookup?: PendingLookup;
+    /** Version that has begun the stream. Another one cannot continue it. */
+    version?: string;
+    /** Whether it is not certain which version has begun the stream. */
+    isVersionUncertain: boolean;
+    /** Whether the routers that remember the stream have been told of it. */
+    isStreamAnnounced: boolean;
     attempt?: InFlightEntryAttempt;
     /** Number of attempts made, and the number of the last one. */
     attempts: number;
@@ -103,6 +131,10 @@
     readonly requests: Map<string, EntryRequest>;
     readonly pools: Map<string, EntryPool>;
     readonly coordinators: CoordinatorSelector;
+    readonly streamVersions: StreamVersions;
+    readonly streamHolders: StreamHolderChooser;
+    /** Routers that were listed when the streams in progress were last announced. */
+    announcedTo?: readonly RouterEntry[];
     readonly coldRateLimiter: SendRateLimiter;
     /** Sends to targets with a rate limit that no coordinator has granted. */
     readonly localRateLimiter: SendRateLimiter;
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -18,6 +18,7 @@
     logEntryEvent,
 } from "./entryState.js";
 import { getOrCreatePool } from "./getOrCreatePool.js";
+import { isResumableStream, recordStream } from "./handleTakeUp.js";
 import { placeRequest } from "./placeRequest.js";
 
 /** Minimum time left for a retry; with less, the response would come too late for the caller. */
@@ -80,6 +81,7 @@
     const { entry, attempt } = found;
     attempt.startedAt = context.now;
     entry.responseStarted = true;
+    recordStream(context, entry);
     recordLoad(context, entry, attempt, event.load);
     context.pools.get(entry.request.service)?.model.start(event.requestId, context.now);
     sendAttemptNotice(context, entry, attempt, { load: event.load });
@@ -97,12 +99,11 @@
 
 /** Whether the call may be retried after `result`. */
 function mayRetry(entry: EntryRequest, result: PlacedAttemptResult): boolean {
-    const { kind, resumable } = entry.request;
-    const isResumable = kind === "stream" && resumable;
+    const isResumable = isResumableStream(entry);
     // Another target cannot continue any other response.
-    if (entry.responseStarted) return isResumable;
+    if (entry.responseStarted) return isResumable && !entry.isVersionUncertain;
     if (result === "unsent" || result === "misdirected" || result === "rejected") return true;
-    return kind === "idempotent" || isResumable;
+    return entry.request.kind === "idempotent" || isResumable;
 }
 
 function tryRetry(context: EntryContext, entry: EntryRequest, event: AttemptFinishedEvent): boolean {
--- /dev/null
+++ b/packages/placement/src/handleTakeUp.ts
@@ -0,0 +1,194 @@
+/**
+ * Finds the version that has begun a stream which a caller takes up. A stream goes on only at targets of that version; one
+ * whose version is unknown does not go on, and its caller is told so at once.
+ */
+import { finalRetryAfterMs } from "@rhubarbwheel/routing/computeRetryAfterMs";
+import type { StreamNoticeMessage, StreamQueryMessage, StreamReplyMessage } from "@rhubarbwheel/types/placement";
+import type { RouterMessageEvent, ServiceVersionsReadEvent } from "@rhubarbwheel/types/placement-events";
+import {
+    createRequestFields,
+    type EntryContext,
+    type EntryRequest,
+    failRequest,
+    logEntryEvent,
+    type PendingLookup,
+} from "./entryState.js";
+import { placeRequest } from "./placeRequest.js";
+
+/** Timeout for the replies of other routers, and for the record of the store: many round trips. */
+const lookupTimeoutMs = 100;
+
+export function isResumableStream({ request }: EntryRequest): boolean {
+    return request.kind === "stream" && request.resumable;
+}
+
+/** Id under which routers remember the stream: that of the call that brought its first event. */
+function getStreamId({ request }: EntryRequest): string {
+    return request.takeUp?.callerId ?? request.callerId;
+}
+
+function refuseTakeUp(context: EntryContext, entry: EntryRequest, reason: string): void {
+    entry.pendingLookup = undefined;
+    const resumes = entry.request.takeUp?.callerId;
+    logEntryEvent(context, "takeUpRefused", { ...createRequestFields(entry), resumes, reason });
+    failRequest(context, entry, "STREAM_VERSION_UNKNOWN", finalRetryAfterMs);
+}
+
+function continueStream(context: EntryContext, entry: EntryRequest, version: string): void {
+    entry.pendingLookup = undefined;
+    entry.version = version;
+    placeRequest(context, entry);
+}
+
+/** Decides by the versions that may have begun the stream: a single one must have. */
+function decideByVersions(context: EntryContext, entry: EntryRequest, versions: ReadonlySet<string>): void {
+    const [version, ...others] = versions;
+    if (version !== undefined && others.length === 0) return continueStream(context, entry, version);
+    refuseTakeUp(context, entry, `begun by one of ${versions.size} versions`);
+}
+
+/** Called when no router remembers the stream. */
+function handleForgottenStream(context: EntryContext, entry: EntryRequest, lookup: PendingLookup): void {
+    const { service } = entry.request;
+    if (lookup.isComplete || lookup.versions.size > 1) return decideByVersions(context, entry, lookup.versions);
+    if (lookup.replyCount === 0 && context.serviceVersions.isStale(context.now))
+        return refuseTakeUp(context, entry, "the list of targets is too old");
+    const record = context.serviceVersions.getRecord(service, context.now);
+    if (record === "unavailable") return refuseTakeUp(context, entry, "the record of versions is not available");
+    if (record !== "unread") return decideByVersions(context, entry, new Set([...lookup.versions, ...record]));
+    lookup.timeoutAt = context.now + lookupTimeoutMs;
+    context.effects.push(...context.serviceVersions.read(service));
+}
+
+export function startTakeUp(context: EntryContext, entry: EntryRequest): void {
+    const { requestId, service } = entry.request;
+    const { serviceVersions, now } = context;
+    const streamId = getStreamId(entry);
+    const known = context.streamVersions.find(streamId, service, now);
+    if (known?.version !== undefined) return continueStream(context, entry, known.version);
+    if (known !== undefined) return refuseTakeUp(context, entry, "its version is not certain");
+    const seen = serviceVersions.listSeen(service, now);
+    const versions = new Set(seen.versions);
+    const isStale = serviceVersions.isStale(now);
+    if (seen.isComplete && !isStale && versions.size === 1) return decideByVersions(context, entry, versions);
+    const holders = context.streamHolders.choose(streamId).filter(({ router }) => router !== context.router);
+    const lookup: PendingLookup = {
+        waitingFor: new Set(holders.map(({ router }) => router)),
+        versions,
+        isComplete: seen.isComplete && !isStale,
+        replyCount: 0,
+        timeoutAt: now + lookupTimeoutMs,
+    };
+    entry.pendingLookup = lookup;
+    const message = { type: "streamQuery", requestId, service, callerId: streamId } as const;
+    for (const { router, address } of holders)
+        context.effects.push({ type: "sendToRouter", router, address, message });
+    if (holders.length === 0) handleForgottenStream(context, entry, lookup);
+}
+
+export function checkPendingLookup(context: EntryContext, entry: EntryRequest): void {
+    const { pendingLookup } = entry;
+    if (pendingLookup === undefined || context.now < pendingLookup.timeoutAt) return;
+    if (pendingLookup.waitingFor.size === 0)
+        return refuseTakeUp(context, entry, "the record of versions is not available");
+    pendingLookup.waitingFor.clear();
+    handleForgottenStream(context, entry, pendingLookup);
+}
+
+export function handleStreamReply(context: EntryContext, from: string, reply: StreamReplyMessage): void {
+    const entry = context.requests.get(reply.requestId);
+    const lookup = entry?.pendingLookup;
+    if (entry === undefined || lookup?.waitingFor.delete(from) !== true) return;
+    if (reply.isKnown) {
+        if (reply.version === undefined) return refuseTakeUp(context, entry, "its version is not certain");
+        return continueStream(context, entry, reply.version);
+    }
+    lookup.replyCount += 1;
+    lookup.isComplete ||= reply.isComplete;
+    for (const version of reply.seenVersions) lookup.versions.add(version);
+    if (lookup.waitingFor.size === 0) handleForgottenStream(context, entry, lookup);
+}
+
+export function handleServiceVersionsRead(context: EntryContext, { service }: ServiceVersionsReadEvent): void {
+    for (const entry of context.requests.values()) {
+        const { pendingLookup } = entry;
+        if (pendingLookup === undefined || entry.request.service !== service) continue;
+        if (pendingLookup.waitingFor.size > 0) continue;
+        const record = context.serviceVersions.getRecord(service, context.now);
+        if (typeof record === "string") refuseTakeUp(context, entry, "the record of versions is not available");
+        else decideByVersions(context, entry, new Set([...pendingLookup.versions, ...record]));
+    }
+}
+
+export function handleStreamQuery(
+    context: EntryContext,
+    { from, address }: RouterMessageEvent,
+    { requestId, service, callerId }: StreamQueryMessage,
+): void {
+    const known = context.streamVersions.find(callerId, service, context.now);
+    const seen = context.serviceVersions.listSeen(service, context.now);
+    const message = {
+        type: "streamReply",
+        requestId,
+        isKnown: known !== undefined,
+        version: known?.version,
+        seenVersions: seen.versions,
+        isComplete: seen.isComplete && !context.serviceVersions.isStale(context.now),
+    } as const;
+    context.effects.push({ type: "sendToRouter", router: from, address, message });
+}
+
+export function handleStreamNotice(context: EntryContext, notice: StreamNoticeMessage): void {
+    const { service, callerId, version, timeLeftMs } = notice;
+    context.streamVersions.record(callerId, { service, version, expiresAt: context.now + timeLeftMs }, context.now);
+}
+
+/** Time after its deadline for which a stream is remembered; the caller's clock started before the router's. */
+const afterDeadlineMs = 2_000;
+
+/** Tells the routers that remember the stream; needed only while there are several versions. */
+function announceStream(context: EntryContext, entry: EntryRequest): void {
+    const { service } = entry.request;
+    if (entry.isStreamAnnounced || context.serviceVersions.listSeen(service, context.now).versions.length < 2) return;
+    entry.isStreamAnnounced = true;
+    const callerId = getStreamId(entry);
+    const version = entry.isVersionUncertain ? undefined : entry.version;
+    const timeLeftMs = entry.deadlineAt + afterDeadlineMs - context.now;
+    const message = { type: "streamNotice", service, callerId, version, timeLeftMs } as const;
+    for (const { router, address } of context.streamHolders.choose(callerId)) {
+        if (router !== context.router)
+            context.effects.push({ type: "sendToRouter", router, address, message });
+    }
+}
+
+/** Remembers the version of a stream whose first event the caller has received. */
+export function recordStream(context: EntryContext, entry: EntryRequest): void {
+    const { attempt } = entry;
+    if (attempt === undefined || !isResumableStream(entry)) return;
+    const listed = context.view.getTarget(attempt.target);
+    // Another process may have taken the name of the target since the attempt was sent.
+    entry.isVersionUncertain ||= listed !== undefined
+        && ((listed.version ?? "") !== attempt.version
+            || listed.startedAtUnixMs !== attempt.targetStartedAtUnixMs);
+    entry.version ??= attempt.version;
+    const { service } = entry.request;
+    const version = entry.isVersionUncertain ? undefined : entry.version;
+    const expiresAt = entry.deadlineAt + afterDeadlineMs;
+    context.streamVersions.record(getStreamId(entry), { service, version, expiresAt }, context.now);
+    announceStream(context, entry);
+}
+
+/**
+ * Announces the streams that began before there were several versions, and all of them again once another router is
+ * listed: one that has restarted remembers nothing.
+ */
+export function announceStreams(context: EntryContext): void {
+    const routers = context.view.listRouters();
+    const areSameRouters = routers === context.announcedTo;
+    context.announcedTo = routers;
+    for (const entry of context.requests.values()) {
+        if (!entry.responseStarted || !isResumableStream(entry)) continue;
+        if (!areSameRouters) entry.isStreamAnnounced = false;
+        announceStream(context, entry);
+    }
+}
--- a/packages/placement/src/placeRequest.ts
+++ b/packages/placement/src/placeRequest.ts
@@ -1,6 +1,10 @@
 /** Places requests on targets: by the coordinator of the pool, or locally if it does not reply in time. */
 import { getRunningPhase } from "@rhubarbwheel/fleet-view/rolloutOrders";
-import { computeRetryAfterMs, otherRouterRetryAfterMs } from "@rhubarbwheel/routing/computeRetryAfterMs";
+import {
+    computeRetryAfterMs,
+    finalRetryAfterMs,
+    otherRouterRetryAfterMs,
+} from "@rhubarbwheel/routing/computeRetryAfterMs";
 import type { TargetEntry } from "@rhubarbwheel/types/fleet";
 import type { PlacementReplyMessage, PlacementRequest, RefusalReason } from "@rhubarbwheel/types/placement";
 import type { RouterMessageEvent } from "@rhubarbwheel/types/placement-events";
@@ -18,8 +22,11 @@
 } from "./entryState.js";
 import { getOrCreatePool } from "./getOrCreatePool.js";
 import { computePauseMs, hasLocalRate, isWanted, takeLocalRate } from "./handleTargetNotice.js";
+import { hasVersion } from "./hasVersion.js";
 import { lateReplyWaitRatio, placementRetryMs, placementTimeoutMs } from "./placementSettings.js";
 import { reportInFlightAttempts } from "./reportInFlightAttempts.js";
+import { roundOptional } from "./roundOptional.js";
+import { startAttempt } from "./startAttempt.js";
 
 /** Error codes of refused requests. All are retryable: a target may become available soon. */
 const refusalCodes = {
@@ -28,6 +35,7 @@
     noTarget: "NO_TARGET",
     partQuarantined: "PROMPT_QUARANTINED",
     limited: "TARGETS_LIMITED",
+    versionGone: "STREAM_VERSION_GONE",
 } as const;
 
 /** Maximum number of routers that are assumed to add as much load as this one during local placement. */
@@ -64,6 +72,7 @@
         failureDomain: context.failureDomain,
         excluded: [...entry.excluded, ...avoided.map(({ target }) => target)],
         quarantinedParts: quarantinedParts.length === 0 ? undefined : quarantinedParts,
+        version: entry.version,
         ...(isRollingOut(context, service) ? { route: entry.request.route } : {}),
     };
 }
@@ -94,7 +103,10 @@
 
 /** Sends a placement request to the coordinator, or places the request locally if there is none. */
 export function placeRequest(context: EntryContext, entry: EntryRequest): void {
-    const usableTargets = context.view.listUsableTargets(entry.request.service, entry.request.regions);
+    const listedTargets = context.view.listUsableTargets(entry.request.service, entry.request.regions);
+    const usableTargets = listedTargets.filter(target => hasVersion(target, entry.version));
+    if (usableTargets.length === 0 && listedTargets.length > 0)
+        return handleRefusal(context, entry, { refusal: "versionGone", retryAfterMs: finalRetryAfterMs });
     const unwanted = usableTargets.filter(target => !isWanted(context, target));
     if (unwanted.length > 0 && unwanted.length === usableTargets.length) {
         return handleRefusal(context, entry, {
@@ -160,7 +172,8 @@
     reason: string,
 ): void {
     const pool = getOrCreatePool(context, request.service);
-    const usableTargets = context.view.listUsableTargets(request.service, request.regions);
+    const usableTargets = context.view.listUsableTargets(request.service, request.regions)
+        .filter(target => hasVersion(target, request.version));
     const candidates = usableTargets.filter(target =>
         !request.excluded.includes(target.target) && isWanted(context, target) && maySendTo(context, target)
         && hasLocalRate(context, target)
@@ -229,7 +242,8 @@
     if (target === undefined) return handleRefusal(context, entry, placement);
     const targetEntry = context.view.getTarget(target);
     // The coordinator's view of the targets may be older than this router's.
-    const mayUse = targetEntry !== undefined && context.view.isUsable(target) && isWanted(context, targetEntry);
+    const mayUse = targetEntry !== undefined && context.view.isUsable(target) && isWanted(context, targetEntry)
+        && hasVersion(targetEntry, entry.version);
     if (!mayUse || !tryTakeColdSend(context, targetEntry)) {
         if (entry.excluded.includes(target)) return handleRefusal(context, entry, { refusal: "noTarget" });
         entry.excluded.push(target);
@@ -246,10 +260,6 @@
     return context.coldRateLimiter.tryTake(target.target, computeColdLimitShare(context, target), context.now);
 }
 
-function roundOptional(value: number | undefined, digits: number): number | undefined {
-    return value === undefined ? undefined : Number(value.toFixed(digits));
-}
-
 function handleRefusal(context: EntryContext, entry: EntryRequest, placement: Placement): void {
     const refusal = placement.refusal ?? "noTarget";
     logEntryEvent(context, "requestRefused", {
@@ -266,60 +276,3 @@
     if (entry.mayHaveRun || entry.responseStarted) return failRequest(context, entry, "TARGET_BROKEN");
     failRequest(context, entry, refusalCodes[refusal], placement.retryAfterMs ?? otherRouterRetryAfterMs);
 }
-
-function startAttempt(context: EntryContext, entry: EntryRequest, target: TargetEntry, placement: Placement): void {
-    const { request } = entry;
-    const { requestId, workspace, prompt } = request;
-    const { prefixSource } = placement;
-    entry.attempts += 1;
-    const newTokens = placement.newTokens ?? prompt?.promptTokens ?? 0;
-    entry.attempt = {
-        number: entry.attempts,
-        target: target.target,
-        sentAt: context.now,
-        newTokens,
-        eventCount: 0,
-        cancelled: false,
-    };
-    getOrCreatePool(context, request.service)?.model.assign(target, {
-        requestId,
-        target: target.target,
-        workspace,
-        promptTokens: prompt?.promptTokens ?? 0,
-        outputTokens: prompt?.outputTokens ?? 0,
-        expectedOutputTokens: prompt?.expectedOutputTokens,
-        deadlineAt: entry.deadlineAt,
-        eventCount: 0,
-        newTokens,
-        parts: prompt?.parts,
-        assignedAt: context.now,
-        expiresAt: Infinity,
-    });
-    context.effects.push({
-        type: "startAttempt",
-        requestId,
-        attempt: entry.attempts,
-        target: target.target,
-        targetStartedAtUnixMs: target.startedAtUnixMs,
-        address: target.address,
-        prefixSourceAddress: prefixSource === undefined ? undefined : context.view.getTarget(prefixSource)?.address,
-        workspace,
-        timeLimitMs: computeTimeLeftMs(context, entry),
-        mayReuseConnection: request.kind === "idempotent" || request.resumable,
-    });
-    logEntryEvent(context, "requestPlaced", {
-        ...createRequestFields(entry),
-        target: target.target,
-        version: target.version,
-        isResumed: request.takeUp !== undefined || entry.responseStarted,
-        attempt: entry.attempts,
-        coordinator: entry.coordinator,
-        waitMs: roundOptional(placement.waitMs, 0),
-        cost: computeCost(prompt),
-        newTokens,
-        runningRequests: placement.runningRequests,
-        prefixSource,
-        placedAfterMs: Math.round(context.now - entry.arrivedAt),
-        targetsAgeMs: Math.round(context.view.getAgeMs("targets", context.now)),
-    });
-}
--- a/packages/placement/test/entryHarness.ts
+++ b/packages/placement/test/entryHarness.ts
@@ -9,6 +9,7 @@
 import { createCoordinatorSelector } from "../src/createCoordinatorSelector.js";
 import { createEntryRouter } from "../src/createEntryRouter.js";
 import { createPartQuarantine } from "../src/createPartQuarantine.js";
+import { createServiceVersions } from "../src/createServiceVersions.js";
 import { createTargetBreaker } from "../src/createTargetBreaker.js";
 import { createTargetNotices } from "../src/createTargetNotices.js";
 import { createViewFixture } from "./viewFixture.js";
@@ -38,6 +39,7 @@
 ) {
     const { view, loadAll } = createViewFixture(opts);
     const targetNotices = createTargetNotices();
+    const serviceVersions = createServiceVersions({ view, isFirstByRank: () => false });
     const entry = createEntryRouter({
         router: opts.router ?? "r1",
         failureDomain: "a",
@@ -49,10 +51,12 @@
         quarantine: createPartQuarantine(),
         targetNotices,
         targetBreaker: createTargetBreaker(),
+        serviceVersions,
     });
     const reduce = (event: PlacementEvent): readonly PlacementEffect[] => {
         view.reduce(event);
-        return entry.reduce(event);
+        const effects = serviceVersions.reduce(event);
+        return [...effects, ...entry.reduce(event)];
     };
     loadAll(reduce);
 
--- a/packages/reducer/src/createPlacementReducer.ts
+++ b/packages/reducer/src/createPlacementReducer.ts
@@ -13,6 +13,7 @@
 import { createQuarantineTracker } from "@rhubarbwheel/placement/createQuarantineTracker";
 import { createRolloutCoordinator } from "@rhubarbwheel/placement/createRolloutCoordinator";
 import type { RolloutCoordinatorOptions } from "@rhubarbwheel/placement/createRolloutCoordinator";
+import { createServiceVersions } from "@rhubarbwheel/placement/createServiceVersions";
 import { createTargetBreaker } from "@rhubarbwheel/placement/createTargetBreaker";
 import { createTargetNotices } from "@rhubarbwheel/placement/createTargetNotices";
 import { createTargetNoticeTracker } from "@rhubarbwheel/placement/createTargetNoticeTracker";
@@ -25,7 +26,10 @@
     /** Incarnation of this router's process, as in its entry of the store. */
     readonly incarnation: number;
     readonly view: FleetViewOptions;
-    readonly entry: Omit<EntryRouterOptions, "view" | "random" | "quarantine" | "targetNotices" | "targetBreaker">;
+    readonly entry: Omit<
+        EntryRouterOptions,
+        "view" | "random" | "quarantine" | "targetNotices" | "targetBreaker" | "serviceVersions"
+    >;
     readonly relay: Pick<RelaySelectorOptions, "getMaxAgeMs">;
     /** Set if this router follows orders to roll out versions. */
     readonly rollouts?: VersionFilterOptions & Pick<RolloutCoordinatorOptions, "getBounds" | "getWallClockTime">;
@@ -74,9 +78,14 @@
     });
     const { countAssigned } = coordinator;
     const quarantineTracker = createQuarantineTracker({ router, view, quarantine, countAssigned });
+    const serviceVersions = createServiceVersions({
+        view,
+        isFirstByRank: service => entry.findFirstCoordinator(service)?.router === router,
+    });
     const entry = createEntryRouter({
         ...opts.entry,
         view,
+        serviceVersions,
         quarantine,
         targetNotices,
         targetBreaker,
@@ -93,6 +102,8 @@
         // Follows the coordinator, which has then removed the attempts that have ended.
         quarantineTracker,
         ...(rolloutCoordinator === undefined ? [] : [rolloutCoordinator]),
+        // Precedes the entry router, which decides by the versions.
+        serviceVersions,
         entry,
         announcer,
     ];
--- /dev/null
+++ b/packages/reducer/test/streamVersions.test.ts
@@ -0,0 +1,212 @@
+/** Streams that are taken up while targets of several versions of a service are registered. */
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createStreamFleet, createTarget, type StreamCall, type StreamFleet } from "./createStreamFleet.js";
+
+const oldTargets = ["t1", "t2", "t3"].map(name => createTarget(name, "v1"));
+const newTargets = ["u1", "u2", "u3"].map(name => createTarget(name, "v2"));
+
+/** Time after which a take-up has been answered, if its stream goes on. */
+const answerMs = 500;
+
+function beginStreams(fleet: StreamFleet, count = 60): readonly StreamCall[] {
+    const routers = fleet.listRouters();
+    const calls = Array.from({ length: count }, (_, index) => fleet.call(routers[index % routers.length]!));
+    fleet.advance(answerMs);
+    return calls;
+}
+
+/** Takes up each stream at another router that lives. */
+function takeUp(fleet: StreamFleet, calls: readonly StreamCall[]): readonly StreamCall[] {
+    const routers = fleet.listRouters();
+    const takeUps = calls.map(({ router, resumes, callerId }, index) => {
+        const others = routers.filter(other => other !== router);
+        return fleet.call(others[index % others.length] ?? router, resumes ?? callerId);
+    });
+    fleet.advance(answerMs);
+    return takeUps;
+}
+
+/** Kills all routers at once; they start again after `outageMs`. */
+function restartAll(fleet: StreamFleet, outageMs = 100, onKilled: () => void = () => undefined): void {
+    const routers = fleet.listRouters();
+    routers.forEach(fleet.kill);
+    fleet.advance(outageMs);
+    onKilled();
+    routers.forEach(fleet.restart);
+}
+
+function countJoined(calls: readonly StreamCall[], takeUps: readonly StreamCall[]): number {
+    return takeUps.filter(({ versions }, index) => versions.some(version => version !== calls[index]!.versions[0]))
+        .length;
+}
+
+function computeShareOfContinued(takeUps: readonly StreamCall[]): number {
+    return takeUps.filter(({ versions }) => versions.length > 0).length / takeUps.length;
+}
+
+function assertRefusedAtOnce(takeUps: readonly StreamCall[], code: string): void {
+    for (const { failure, versions } of takeUps) {
+        assert.equal(versions, []);
+        assert.is(failure?.code, code);
+        assert.ok((failure?.afterMs ?? Infinity) <= 250, `${failure?.afterMs} ms`);
+    }
+}
+
+// Guards against streams that hold events of two versions: callers took up streams at any target.
+test("a stream goes on at its version, whichever router it is taken up at", () => {
+    const fleet = createStreamFleet({ targets: [...oldTargets, ...newTargets] });
+    fleet.advance(1_000);
+    const calls = beginStreams(fleet);
+    for (const call of calls) fleet.disconnect(call);
+    const takeUps = takeUp(fleet, calls);
+    assert.is(countJoined(calls, takeUps), 0);
+    assert.is(computeShareOfContinued(takeUps), 1);
+});
+
+test("a stream goes on at its version after its router and the coordinator were killed", () => {
+    const fleet = createStreamFleet({ targets: [...oldTargets, ...newTargets] });
+    fleet.advance(1_000);
+    const calls = beginStreams(fleet);
+    const coordinator = fleet.findCoordinator();
+    const killed = [coordinator, fleet.listRouters().find(router => router !== coordinator)!];
+    killed.forEach(fleet.kill);
+    const broken = calls.filter(({ router }) => killed.includes(router));
+    const takeUps = takeUp(fleet, broken);
+    assert.is(countJoined(broken, takeUps), 0);
+    assert.ok(computeShareOfContinued(takeUps) >= 0.75, `${computeShareOfContinued(takeUps)}`);
+});
+
+test("a later try names the call that brought the first event, after each router has restarted in turn", () => {
+    const fleet = createStreamFleet({ targets: [...oldTargets, ...newTargets] });
+    fleet.advance(1_000);
+    const calls = beginStreams(fleet);
+    let latest = calls;
+    for (const router of fleet.listRouters()) {
+        fleet.restart(router);
+        fleet.advance(600);
+        const broken = latest.filter(call => call.router === router);
+        const takeUps = takeUp(fleet, broken);
+        assert.is(countJoined(broken, takeUps), 0);
+        assert.ok(computeShareOfContinued(takeUps) >= 0.75, `${router}: ${computeShareOfContinued(takeUps)}`);
+        latest = latest.map(call => takeUps[broken.indexOf(call)] ?? call).filter(({ versions }) =>
+            versions.length > 0
+        );
+    }
+});
+
+test("a stream goes on at its version in a failure domain that is cut off", () => {
+    const fleet = createStreamFleet({ targets: [...oldTargets, ...newTargets], routerCount: 12 });
+    fleet.advance(1_000);
+    const calls = beginStreams(fleet);
+    fleet.cutDomain("b");
+    fleet.kill("r1");
+    const broken = calls.filter(({ router }) => router === "r1");
+    const takeUps = broken.map(({ callerId }) => fleet.call("r4", callerId));
+    fleet.advance(answerMs);
+    assert.is(countJoined(broken, takeUps), 0);
+    // Placement without the coordinator has a lower limit, so only those that were placed count.
+    assert.ok(takeUps.every(({ failure }) => failure?.code !== "STREAM_VERSION_UNKNOWN"));
+});
+
+// Guards against streams joined after all routers were killed: what they remembered is lost.
+test("a stream of an unknown version does not go on after all routers were killed", () => {
+    const fleet = createStreamFleet({ targets: [...oldTargets, ...newTargets] });
+    fleet.advance(1_000);
+    const calls = beginStreams(fleet);
+    restartAll(fleet);
+    assertRefusedAtOnce(takeUp(fleet, calls), "STREAM_VERSION_UNKNOWN");
+});
+
+for (const outageMs of [100, 2_600]) {
+    test(`no stream is joined if its version has left while all routers were down for ${outageMs} ms`, () => {
+        const fleet = createStreamFleet({ targets: oldTargets });
+        fleet.advance(1_000);
+        const calls = beginStreams(fleet);
+        restartAll(fleet, outageMs, () => fleet.setTargets(newTargets));
+        const takeUps = takeUp(fleet, calls);
+        assert.is(countJoined(calls, takeUps), 0);
+        assertRefusedAtOnce(takeUps, "STREAM_VERSION_UNKNOWN");
+        // Once no stream of the version can be in progress, the record names the other one only.
+        fleet.advance(25_000);
+        const later = beginStreams(fleet);
+        restartAll(fleet);
+        assert.is(computeShareOfContinued(takeUp(fleet, later)), 1);
+    });
+}
+
+test("streams go on after all routers were killed if the service has one version", () => {
+    const fleet = createStreamFleet({ targets: oldTargets });
+    fleet.advance(1_000);
+    const calls = beginStreams(fleet);
+    restartAll(fleet);
+    const takeUps = takeUp(fleet, calls);
+    assert.is(countJoined(calls, takeUps), 0);
+    assert.is(computeShareOfContinued(takeUps), 1);
+});
+
+test("without the store no stream is joined after all routers were killed", () => {
+    const fleet = createStreamFleet({ targets: oldTargets });
+    fleet.advance(1_000);
+    const calls = beginStreams(fleet);
+    fleet.setStoreDown(true);
+    restartAll(fleet);
+    assertRefusedAtOnce(takeUp(fleet, calls), "STREAM_VERSION_UNKNOWN");
+});
+
+test("a stream whose version has no targets left is refused at once", () => {
+    const fleet = createStreamFleet({ targets: [...oldTargets, ...newTargets] });
+    fleet.advance(1_000);
+    const calls = beginStreams(fleet);
+    const ofOldVersion = calls.filter(({ versions }) => versions[0] === "v1");
+    for (const call of ofOldVersion) fleet.disconnect(call);
+    fleet.setTargets(newTargets);
+    assertRefusedAtOnce(takeUp(fleet, ofOldVersion), "STREAM_VERSION_GONE");
+});
+
+// Guards against events of two versions within one response: the next attempt went to any other target.
+test("the next attempt of a response that has begun goes to its version, or the response is broken off", () => {
+    const fleet = createStreamFleet({ targets: [...oldTargets, newTargets[0]!] });
+    fleet.advance(1_000);
+    const calls = beginStreams(fleet);
+    calls.forEach(fleet.breakOff);
+    fleet.advance(answerMs);
+    const ofOldVersion = calls.filter(({ versions }) => versions[0] === "v1");
+    const ofNewVersion = calls.filter(({ versions }) => versions[0] === "v2");
+    assert.ok(ofOldVersion.length > 0 && ofNewVersion.length > 0);
+    for (const { versions } of ofOldVersion) assert.equal(versions, ["v1", "v1"]);
+    for (const { versions, isBroken } of ofNewVersion) {
+        assert.equal(versions, ["v2"]);
+        assert.ok(isBroken);
+    }
+});
+
+// Guards against the version of an entry that lags behind the process: its stream must not go on anywhere.
+test("a stream does not go on if its target has started again as another version meanwhile", () => {
+    const fleet = createStreamFleet({ targets: [{ ...oldTargets[0]!, startedAtUnixMs: 1 }, newTargets[0]!] });
+    fleet.advance(1_000);
+    const calls = Array.from({ length: 20 }, () => fleet.call("r1"));
+    fleet.advance(50);
+    fleet.setTargets([{ ...oldTargets[0]!, startedAtUnixMs: 2, version: "v2" }, newTargets[0]!]);
+    fleet.advance(answerMs);
+    const uncertain = calls.slice(0, 20);
+    for (const call of uncertain) fleet.disconnect(call);
+    const takeUps = takeUp(fleet, uncertain);
+    const placedAtRestarted = takeUps.filter(({ failure }) => failure?.code === "STREAM_VERSION_UNKNOWN");
+    assert.ok(placedAtRestarted.length > 0);
+    assert.is(countJoined(uncertain, takeUps), 0);
+});
+
+test("a service with one version costs no messages, and no calls to the store after the start", () => {
+    const fleet = createStreamFleet({ targets: oldTargets });
+    fleet.advance(1_000);
+    const callsOfStart = fleet.countStoreCalls();
+    fleet.advance(24_000);
+    const calls = beginStreams(fleet);
+    fleet.kill("r1");
+    takeUp(fleet, calls.filter(({ router }) => router === "r1"));
+    assert.is(fleet.countStreamMessages(), 0);
+    assert.is(fleet.countStoreCalls(), callsOfStart);
+});
+
+test.run();
--- a/packages/routing/src/computeRetryAfterMs.ts
+++ b/packages/routing/src/computeRetryAfterMs.ts
@@ -3,6 +3,9 @@
 /** Retry delay if another router may be able to serve the caller. */
 export const otherRouterRetryAfterMs = 200;
 
+/** Retry delay if waiting does not help, so that the caller learns at once that it has to send another call instead. */
+export const finalRetryAfterMs = 0;
+
 /** Fraction of its remaining time after which a refused caller should retry; callers wait for at most a third. */
 const retryAfterRatio = 0.3;
 
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -182,6 +182,25 @@
         message: "This router has become the first by rank for a pool, and tells all others.",
         fields: ["service", "routers"],
     },
+    1723: {
+        name: "takeUpRefused",
+        level: "info",
+        message:
+            "A stream does not go on, because its version is unknown or has no targets left; the caller may begin anew.",
+        fields: [...requestFields, "resumes", "version", "reason"],
+    },
+    1724: {
+        name: "serviceVersionsRecorded",
+        level: "info",
+        message: "The versions of a service that streams in progress may have are recorded in the store.",
+        fields: ["service", "versions"],
+    },
+    1725: {
+        name: "serviceVersionsUnrecorded",
+        level: "warn",
+        message: "The versions of a service could not be recorded in the store; they are written again.",
+        fields: ["service", "versions", "reason"],
+    },
     1730: {
         name: "rolloutOrderChanged",
         level: "info",
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -143,6 +143,25 @@
     readonly coldForMs: number;
 }
 
+/** Result of `readServiceVersions`. */
+export interface ServiceVersionsReadEvent extends TimedEvent {
+    readonly type: "serviceVersionsRead";
+    readonly service: string;
+    readonly result: "ok" | "notFound" | "unavailable";
+    /** Versions that streams in progress may have, if there is a record. */
+    readonly versions?: readonly string[];
+    readonly reason?: string;
+}
+
+/** Result of `writeServiceVersions`. */
+export interface ServiceVersionsWrittenEvent extends TimedEvent {
+    readonly type: "serviceVersionsWritten";
+    readonly service: string;
+    readonly versions: readonly string[];
+    readonly result: "ok" | "unavailable";
+    readonly reason?: string;
+}
+
 /** Monotonic and wall clock have diverged: the host was suspended, or the wall clock was set. */
 export interface ClockJumpedEvent extends TimedEvent {
     readonly type: "clockJumped";
@@ -168,6 +187,8 @@
     | KeptPartsReadEvent
     | TargetHealthReadEvent
     | RolloutStatusWrittenEvent
+    | ServiceVersionsReadEvent
+    | ServiceVersionsWrittenEvent
     | DrainRequestedEvent;
 
 export interface StartAttemptEffect {
@@ -231,6 +252,19 @@
     readonly path: string;
 }
 
+/** Reads from the store which versions of a service streams in progress may have. */
+export interface ReadServiceVersionsEffect {
+    readonly type: "readServiceVersions";
+    readonly service: string;
+}
+
+/** Records them in the store. */
+export interface WriteServiceVersionsEffect {
+    readonly type: "writeServiceVersions";
+    readonly service: string;
+    readonly versions: readonly string[];
+}
+
 /** Registers this router in the store again. */
 export interface AnnounceRouterEffect {
     readonly type: "announceRouter";
@@ -272,6 +306,8 @@
     | ReadKeptPartsEffect
     | ReadTargetHealthEffect
     | WriteRolloutStatusEffect
+    | ReadServiceVersionsEffect
+    | WriteServiceVersionsEffect
     | AnnounceRouterEffect
     | RemoveRouterEffect
     | ConnectRelaysEffect
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -53,6 +53,8 @@
     readonly excluded: readonly string[];
     /** Parts of the prompt that are or were quarantined, as known to the entry router. */
     readonly quarantinedParts?: readonly QuarantinedPart[];
+    /** Version of the service that has begun the stream, which may go on only there; any if omitted. */
+    readonly version?: string;
     /** Name of the route; only while an order to roll out a version of the service is running. */
     readonly route?: string;
 }
@@ -63,8 +65,8 @@
     readonly request: PlacementRequest;
 }
 
-/** `limited`: all targets leave, want no requests for some time, or have taken as many as they accept. */
-export type RefusalReason = "overloaded" | "shareUsed" | "noTarget" | "partQuarantined" | "limited";
+/** `versionGone`: no target of the version that has begun the stream is left. `limited`: all targets leave, want no requests for some time, or have taken as many as they accept. */
+export type RefusalReason = "overloaded" | "shareUsed" | "noTarget" | "partQuarantined" | "limited" | "versionGone";
 
 /** Coordinator to entry router: the chosen target, or a refusal. */
 export interface PlacementReplyMessage {
@@ -209,7 +211,43 @@
     readonly holdings: readonly InFlightAttempt[];
 }
 
+/** Entry router to the routers that remember the stream: the version that has begun it. */
+export interface StreamNoticeMessage {
+    readonly type: "streamNotice";
+    readonly service: string;
+    /** Id of the call that brought the first event. */
+    readonly callerId: string;
+    /** Omitted if it is not certain. */
+    readonly version?: string;
+    /** Time for which callers may take the stream up. */
+    readonly timeLeftMs: number;
+}
+
+/** Entry router to the routers that may remember a stream that a caller takes up. */
+export interface StreamQueryMessage {
+    readonly type: "streamQuery";
+    readonly requestId: string;
+    readonly service: string;
+    readonly callerId: string;
+}
+
+export interface StreamReplyMessage {
+    readonly type: "streamReply";
+    readonly requestId: string;
+    /** Whether the router remembers the stream. */
+    readonly isKnown: boolean;
+    /** Version that has begun the stream; omitted if it is not certain. */
+    readonly version?: string;
+    /** Versions that may have begun any stream of the service which is taken up now, as far as the router has seen them. */
+    readonly seenVersions: readonly string[];
+    /** Whether these are all. */
+    readonly isComplete: boolean;
+}
+
 export type PlacementMessage =
+    | StreamNoticeMessage
+    | StreamQueryMessage
+    | StreamReplyMessage
     | PlacementRequestMessage
     | PlacementReplyMessage
     | AttemptNoticeMessage
