Tell other routers of all streams that may be taken up once a second version appears

In streamVersions.test.ts: streams refused in an outage of the store although nothing could have changed, and 30 of 60 joined at a router whose failure domain was cut off. Cause: only streams in progress were announced, at the next report, so that one that broke off around the change of versions was unknown elsewhere; and a list of targets counted as current or not by its age alone. Change: a router announces all streams that it relayed and that are not complete, as soon as a version or a router is listed. An old list of targets is used if a router of another failure domain has replied.

--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -67,7 +67,6 @@
         excluded: [],
         eventCount: 0,
         isVersionUncertain: false,
-        isStreamAnnounced: false,
     };
     context.requests.set(request.requestId, entry);
     const { drainingSince } = context;
@@ -120,6 +119,7 @@
         context.coordinators.recordMessage(event.from, event.now);
         handleMessage(context, event);
     }
+    else if (isListChange(event)) announceStreams(context);
     else if (event.type === "serviceVersionsRead") handleServiceVersionsRead(context, event);
     else if (event.type === "drainRequested" && context.drainingSince === undefined) {
         context.drainingSince = event.now;
@@ -127,6 +127,12 @@
     }
 }
 
+/** Whether another version may have appeared, or another router. */
+function isListChange(event: PlacementEvent): boolean {
+    return (event.type === "viewListed" || event.type === "viewChanged")
+        && (event.kind === "targets" || event.kind === "routers");
+}
+
 /** Time at which the request needs a wake event. */
 function computeDueAt(entry: EntryRequest): number {
     const { pendingPlacement, pendingLookup } = entry;
@@ -182,7 +188,6 @@
             if (event.now >= dueAt) handleDueRequests();
             if (event.now >= reportAt) {
                 reportInFlightAttempts(context, context.requests.values());
-                announceStreams(context);
                 reportAt = event.now + inFlightReportIntervalMs;
             }
             updateTimers();
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -69,7 +69,8 @@
     readonly versions: Set<string>;
     /** Whether these are all. */
     isComplete: boolean;
-    replyCount: number;
+    /** Whether a router of another failure domain has replied. */
+    isConfirmed: boolean;
     timeoutAt: number;
 }
 
@@ -98,8 +99,6 @@
     version?: string;
     /** Whether it is not certain which version has begun the stream. */
     isVersionUncertain: boolean;
-    /** Whether the routers that remember the stream have been told of it. */
-    isStreamAnnounced: boolean;
     attempt?: InFlightEntryAttempt;
     /** Number of attempts made, and the number of the last one. */
     attempts: number;
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -18,7 +18,7 @@
     logEntryEvent,
 } from "./entryState.js";
 import { getOrCreatePool } from "./getOrCreatePool.js";
-import { isResumableStream, recordStream } from "./handleTakeUp.js";
+import { isResumableStream, recordCompleteStream, recordStream } from "./handleTakeUp.js";
 import { placeRequest } from "./placeRequest.js";
 
 /** Minimum time left for a retry; with less, the response would come too late for the caller. */
@@ -180,7 +180,10 @@
     if (result !== "unsent" && result !== "misdirected") entry.countedAttempts += 1;
     if (result === "failed" || result === "broken") entry.mayHaveRun = true;
     if (attempt.cancelled) return closeRequest(context, entry, "cancelled");
-    if (result === "complete") return closeRequest(context, entry, "complete");
+    if (result === "complete") {
+        recordCompleteStream(context, entry);
+        return closeRequest(context, entry, "complete");
+    }
     handleAttemptFailure(context, entry, event);
 }
 
--- a/packages/placement/src/handleTakeUp.ts
+++ b/packages/placement/src/handleTakeUp.ts
@@ -50,9 +50,10 @@
 /** Called when no router remembers the stream. */
 function handleForgottenStream(context: EntryContext, entry: EntryRequest, lookup: PendingLookup): void {
     const { service } = entry.request;
-    if (lookup.isComplete || lookup.versions.size > 1) return decideByVersions(context, entry, lookup.versions);
-    if (lookup.replyCount === 0 && context.serviceVersions.isStale(context.now))
+    // In an outage of the store no version appears, but a router that is cut off does not learn of one that has.
+    if (!lookup.isConfirmed && context.serviceVersions.isStale(context.now))
         return refuseTakeUp(context, entry, "the list of targets is too old");
+    if (lookup.isComplete || lookup.versions.size > 1) return decideByVersions(context, entry, lookup.versions);
     const record = context.serviceVersions.getRecord(service, context.now);
     if (record === "unavailable") return refuseTakeUp(context, entry, "the record of versions is not available");
     if (record !== "unread") return decideByVersions(context, entry, new Set([...lookup.versions, ...record]));
@@ -69,14 +70,14 @@
     if (known !== undefined) return refuseTakeUp(context, entry, "its version is not certain");
     const seen = serviceVersions.listSeen(service, now);
     const versions = new Set(seen.versions);
-    const isStale = serviceVersions.isStale(now);
-    if (seen.isComplete && !isStale && versions.size === 1) return decideByVersions(context, entry, versions);
+    const isFresh = !serviceVersions.isStale(now);
+    if (seen.isComplete && isFresh && versions.size === 1) return decideByVersions(context, entry, versions);
     const holders = context.streamHolders.choose(streamId).filter(({ router }) => router !== context.router);
     const lookup: PendingLookup = {
         waitingFor: new Set(holders.map(({ router }) => router)),
         versions,
-        isComplete: seen.isComplete && !isStale,
-        replyCount: 0,
+        isComplete: seen.isComplete,
+        isConfirmed: false,
         timeoutAt: now + lookupTimeoutMs,
     };
     entry.pendingLookup = lookup;
@@ -95,6 +96,12 @@
     handleForgottenStream(context, entry, pendingLookup);
 }
 
+/** Whether a router is in another failure domain than this one, which may be cut off as a whole. */
+function isRemote(context: EntryContext, router: string): boolean {
+    const entry = context.view.listRouters().find(other => other.router === router);
+    return entry !== undefined && entry.failureDomain !== context.failureDomain;
+}
+
 export function handleStreamReply(context: EntryContext, from: string, reply: StreamReplyMessage): void {
     const entry = context.requests.get(reply.requestId);
     const lookup = entry?.pendingLookup;
@@ -103,7 +110,7 @@
         if (reply.version === undefined) return refuseTakeUp(context, entry, "its version is not certain");
         return continueStream(context, entry, reply.version);
     }
-    lookup.replyCount += 1;
+    lookup.isConfirmed ||= isRemote(context, from);
     lookup.isComplete ||= reply.isComplete;
     for (const version of reply.seenVersions) lookup.versions.add(version);
     if (lookup.waitingFor.size === 0) handleForgottenStream(context, entry, lookup);
@@ -133,7 +140,7 @@
         isKnown: known !== undefined,
         version: known?.version,
         seenVersions: seen.versions,
-        isComplete: seen.isComplete && !context.serviceVersions.isStale(context.now),
+        isComplete: seen.isComplete,
     } as const;
     context.effects.push({ type: "sendToRouter", router: from, address, message });
 }
@@ -146,18 +153,23 @@
 /** Time after its deadline for which a stream is remembered; the caller's clock started before the router's. */
 const afterDeadlineMs = 2_000;
 
-/** Tells the routers that remember the stream; needed only while there are several versions. */
-function announceStream(context: EntryContext, entry: EntryRequest): void {
-    const { service } = entry.request;
-    if (entry.isStreamAnnounced || context.serviceVersions.listSeen(service, context.now).versions.length < 2) return;
-    entry.isStreamAnnounced = true;
-    const callerId = getStreamId(entry);
-    const version = entry.isVersionUncertain ? undefined : entry.version;
-    const timeLeftMs = entry.deadlineAt + afterDeadlineMs - context.now;
-    const message = { type: "streamNotice", service, callerId, version, timeLeftMs } as const;
-    for (const { router, address } of context.streamHolders.choose(callerId)) {
-        if (router !== context.router)
-            context.effects.push({ type: "sendToRouter", router, address, message });
+/**
+ * Tells the routers that remember them of the streams that this router has relayed and that callers may take up; needed only
+ * while there are several versions. All are announced again once other routers are listed: one that has restarted remembers
+ * nothing.
+ */
+export function announceStreams(context: EntryContext): void {
+    const { streamVersions, serviceVersions, now } = context;
+    const routers = context.view.listRouters();
+    if (routers !== context.announcedTo) streamVersions.resetAnnounced();
+    context.announcedTo = routers;
+    const isNeeded = (service: string): boolean => serviceVersions.listSeen(service, now).versions.length > 1;
+    for (const { callerId, service, version, expiresAt } of streamVersions.takeUnannounced(isNeeded, now)) {
+        const message = { type: "streamNotice", service, callerId, version, timeLeftMs: expiresAt - now } as const;
+        for (const { router, address } of context.streamHolders.choose(callerId)) {
+            if (router !== context.router)
+                context.effects.push({ type: "sendToRouter", router, address, message });
+        }
     }
 }
 
@@ -174,21 +186,10 @@
     const { service } = entry.request;
     const version = entry.isVersionUncertain ? undefined : entry.version;
     const expiresAt = entry.deadlineAt + afterDeadlineMs;
-    context.streamVersions.record(getStreamId(entry), { service, version, expiresAt }, context.now);
-    announceStream(context, entry);
+    context.streamVersions.recordOwn({ callerId: getStreamId(entry), service, version, expiresAt }, context.now);
+    announceStreams(context);
 }
 
-/**
- * Announces the streams that began before there were several versions, and all of them again once another router is
- * listed: one that has restarted remembers nothing.
- */
-export function announceStreams(context: EntryContext): void {
-    const routers = context.view.listRouters();
-    const areSameRouters = routers === context.announcedTo;
-    context.announcedTo = routers;
-    for (const entry of context.requests.values()) {
-        if (!entry.responseStarted || !isResumableStream(entry)) continue;
-        if (!areSameRouters) entry.isStreamAnnounced = false;
-        announceStream(context, entry);
-    }
+export function recordCompleteStream(context: EntryContext, entry: EntryRequest): void {
+    if (isResumableStream(entry)) context.streamVersions.completeOwn(getStreamId(entry));
 }
--- a/packages/reducer/test/createStreamFleet.ts
+++ b/packages/reducer/test/createStreamFleet.ts
@@ -220,7 +220,7 @@
             for (const [router, reducer] of reducers)
                 if (now >= reducer.getWakeAt()) reduce(router, { type: "wake", now });
             // The store confirms its lists while nothing changes.
-            if (now % 500 === 0) listAll("targets");
+            if (now % 500 === 0 && !isStoreDown) listAll("targets");
         }
     };
 
--- a/packages/reducer/test/streamVersions.test.ts
+++ b/packages/reducer/test/streamVersions.test.ts
@@ -154,6 +154,31 @@
     assertRefusedAtOnce(takeUp(fleet, calls), "STREAM_VERSION_UNKNOWN");
 });
 
+// Guards against streams that nobody continues in an outage of the store, although nothing can have changed.
+test("streams go on while the store is down if the service has one version", () => {
+    const fleet = createStreamFleet({ targets: oldTargets });
+    fleet.advance(25_000);
+    const calls = beginStreams(fleet);
+    fleet.setStoreDown(true);
+    fleet.advance(4_000);
+    fleet.kill("r1");
+    const broken = calls.filter(({ router }) => router === "r1");
+    assert.is(computeShareOfContinued(takeUp(fleet, broken)), 1);
+});
+
+test("a router that the store and the others turn away joins no streams", () => {
+    const fleet = createStreamFleet({ targets: oldTargets, routerCount: 12 });
+    fleet.advance(25_000);
+    fleet.cutDomain("b");
+    fleet.setTargets([...oldTargets, ...newTargets]);
+    fleet.advance(4_000);
+    const calls = Array.from({ length: 60 }, () => fleet.call("r2"));
+    fleet.advance(answerMs);
+    const takeUps = calls.map(({ callerId }) => fleet.call("r1", callerId));
+    fleet.advance(answerMs);
+    assert.is(countJoined(calls, takeUps), 0);
+});
+
 test("a stream whose version has no targets left is refused at once", () => {
     const fleet = createStreamFleet({ targets: [...oldTargets, ...newTargets] });
     fleet.advance(1_000);
