--- a/packages/fair-share/test/resumeStreams.test.ts
+++ b/packages/fair-share/test/resumeStreams.test.ts
@@ -52,6 +52,15 @@
     });
 }
 
+// Guards against a stream with events of two processes, which may be of two versions.
+test("a broken stream is resumed at its own target only", () => {
+    const fixture = createFixture();
+    interruptStream(fixture);
+    const effects = fixture.announce({ generation: 2, startId: "a" }, 0);
+    const targets = effects.flatMap(effect => effect.type === "sendToTarget" ? [effect.target] : []);
+    assert.equal(targets, ["t1"]);
+});
+
 test("a broken stream without an announcement of its target ends after the timeout", () => {
     const fixture = createFixture();
     interruptStream(fixture);
