Ask engines which streams they still run after all routers have lost power

Callers would see: streams refused that an engine still runs. Cause: after a loss of all routers amid two versions nobody remembered a stream, although its engine knew it. Change: the first router by rank reads the engines' reports once when it starts and the record names several versions, and tells the stream holders which version runs each call. An engine that has started again, or a report that cannot be read, changes nothing (1726).

--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -30,6 +30,7 @@
 import {
     announceStreams,
     checkPendingLookup,
+    handleRunningCallsRead,
     handleServiceVersionsRead,
     handleStreamNotice,
     handleStreamQuery,
@@ -120,6 +121,7 @@
         handleMessage(context, event);
     }
     else if (isListChange(event)) announceStreams(context);
+    else if (event.type === "runningCallsRead") handleRunningCallsRead(context, event);
     else if (event.type === "serviceVersionsRead") handleServiceVersionsRead(context, event);
     else if (event.type === "drainRequested" && context.drainingSince === undefined) {
         context.drainingSince = event.now;
--- a/packages/placement/src/createServiceVersions.ts
+++ b/packages/placement/src/createServiceVersions.ts
@@ -5,17 +5,16 @@
  */
 import type { FleetView } from "@rhubarbwheel/fleet-view/createFleetView";
 import { createVersionHistory } from "@rhubarbwheel/fleet-view/createVersionHistory";
-import type {
-    PlacementEffect,
-    PlacementSlice,
-    ServiceVersionsReadEvent,
-    ServiceVersionsWrittenEvent,
-} from "@rhubarbwheel/types/placement-events";
+import type { PlacementEffect, PlacementSlice } from "@rhubarbwheel/types/placement-events";
+import type { ServiceVersionsReadEvent, ServiceVersionsWrittenEvent } from "@rhubarbwheel/types/service-versions";
 import { computeStreamWindowMs } from "./computeStreamWindowMs.js";
 import { coordinatorLogEvents } from "./coordinatorLogEvents.js";
 
 export interface ServiceVersionsOptions {
-    readonly view: Pick<FleetView, "getConfiguration" | "listServices" | "listTargets" | "getAgeMs" | "getEra">;
+    readonly view: Pick<
+        FleetView,
+        "getConfiguration" | "getPool" | "listServices" | "listTargets" | "getAgeMs" | "getEra"
+    >;
     /** Whether this router is the first by rank for the service. */
     readonly isFirstByRank: (service: string) => boolean;
 }
@@ -29,6 +28,8 @@
 
 export interface ServiceVersions extends PlacementSlice {
     readonly listSeen: (service: string, now: number) => SeenVersions;
+    /** Time for which a stream of the service can be taken up; 0 if it has no resumable ones. */
+    readonly getWindowMs: (service: string) => number;
     /** Whether the list of targets is so old that it may lack a version. */
     readonly isStale: (now: number) => boolean;
     /** Versions in the record of the store. `unread`: it has to be read. `unavailable`: it could not be read recently. */
@@ -42,6 +43,8 @@
     versions?: readonly string[];
     isReading: boolean;
     isWriting: boolean;
+    /** Whether the engines were asked what they run. */
+    hasReadRunning: boolean;
     /** Time until which a read or write that has failed is not repeated. */
     retryAt: number;
 }
@@ -69,7 +72,7 @@
     const getOrCreateRecord = (service: string): ServiceRecord => {
         const existing = records.get(service);
         if (existing !== undefined) return existing;
-        const record = { isReading: false, isWriting: false, retryAt: -Infinity };
+        const record = { isReading: false, isWriting: false, hasReadRunning: false, retryAt: -Infinity };
         records.set(service, record);
         return record;
     };
@@ -86,6 +89,18 @@
         return { versions: history.list(service, windowMs, now), isComplete: history.covers(windowMs, now) };
     };
 
+    /**
+     * Asks the engines what they run. After all routers have lost power, their streams go on at the engines for some time,
+     * and nobody else knows which version began them.
+     */
+    const readRunningCalls = (service: string, record: ServiceRecord): readonly PlacementEffect[] => {
+        if (record.hasReadRunning || view.getPool(service)?.engine === undefined) return [];
+        record.hasReadRunning = true;
+        return view.listTargets()
+            .filter(target => target.service === service)
+            .map(({ target, address }) => ({ type: "readRunningCalls", service, target, address }));
+    };
+
     const checkRecord = (service: string, now: number): readonly PlacementEffect[] => {
         if (getWindowMs(service) === undefined || !opts.isFirstByRank(service)) return [];
         const record = getOrCreateRecord(service);
@@ -93,9 +108,10 @@
         if (record.versions === undefined) return read(service);
         const seen = listSeen(service, now);
         const versions = [...new Set([...seen.versions, ...seen.isComplete ? [] : record.versions])].sort();
-        if (versions.length === 0 || isSameSet(versions, record.versions)) return [];
+        const reads = versions.length > 1 && !seen.isComplete ? readRunningCalls(service, record) : [];
+        if (versions.length === 0 || isSameSet(versions, record.versions)) return reads;
         record.isWriting = true;
-        return [{ type: "writeServiceVersions", service, versions }];
+        return [...reads, { type: "writeServiceVersions", service, versions }];
     };
 
     const checkRecords = (now: number): readonly PlacementEffect[] => {
@@ -148,6 +164,7 @@
         },
         getWakeAt: () => checkAt,
         listSeen,
+        getWindowMs: service => getWindowMs(service) ?? 0,
         isStale: now => view.getAgeMs("targets", now) > maxTargetsAgeMs,
         getRecord: (service, now) => {
             const { versions, retryAt = -Infinity } = records.get(service) ?? {};
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -48,7 +48,7 @@
     readonly quarantine: PartQuarantine;
     readonly targetNotices: TargetNotices;
     readonly targetBreaker: TargetBreaker;
-    readonly serviceVersions: Pick<ServiceVersions, "listSeen" | "isStale" | "getRecord" | "read">;
+    readonly serviceVersions: Pick<ServiceVersions, "listSeen" | "getWindowMs" | "isStale" | "getRecord" | "read">;
 }
 
 /** A placement request that awaits the reply of its coordinator. */
--- a/packages/placement/src/handleTakeUp.ts
+++ b/packages/placement/src/handleTakeUp.ts
@@ -2,9 +2,11 @@
  * Finds the version that has begun a stream which a caller takes up. A stream goes on only at targets of that version; one
  * whose version is unknown does not go on, and its caller is told so at once.
  */
+import { getVersion } from "@rhubarbwheel/fleet-view/createVersionFilter";
 import { finalRetryAfterMs } from "@rhubarbwheel/routing/computeRetryAfterMs";
 import type { StreamNoticeMessage, StreamQueryMessage, StreamReplyMessage } from "@rhubarbwheel/types/placement";
-import type { RouterMessageEvent, ServiceVersionsReadEvent } from "@rhubarbwheel/types/placement-events";
+import type { RouterMessageEvent } from "@rhubarbwheel/types/placement-events";
+import type { RunningCallsReadEvent, ServiceVersionsReadEvent } from "@rhubarbwheel/types/service-versions";
 import {
     createRequestFields,
     type EntryContext,
@@ -180,7 +182,7 @@
     const listed = context.view.getTarget(attempt.target);
     // Another process may have taken the name of the target since the attempt was sent.
     entry.isVersionUncertain ||= listed !== undefined
-        && ((listed.version ?? "") !== attempt.version
+        && (getVersion(listed) !== attempt.version
             || listed.startedAtUnixMs !== attempt.targetStartedAtUnixMs);
     entry.version ??= attempt.version;
     const { service } = entry.request;
@@ -190,6 +192,20 @@
     announceStreams(context);
 }
 
+/** Remembers the streams that an engine still runs for routers that have lost power. */
+export function handleRunningCallsRead(context: EntryContext, event: RunningCallsReadEvent): void {
+    const { service, target, startedAtUnixMs, callerIds, now } = event;
+    const listed = context.view.getTarget(target);
+    // Another process may have taken the name of the target.
+    if (listed === undefined || listed.startedAtUnixMs !== (startedAtUnixMs ?? listed.startedAtUnixMs)) return;
+    const expiresAt = now + context.serviceVersions.getWindowMs(service);
+    for (const callerId of callerIds) {
+        if (context.streamVersions.find(callerId, service, now) !== undefined) continue;
+        context.streamVersions.recordOwn({ callerId, service, version: getVersion(listed), expiresAt }, now);
+    }
+    announceStreams(context);
+}
+
 export function recordCompleteStream(context: EntryContext, entry: EntryRequest): void {
     if (isResumableStream(entry)) context.streamVersions.completeOwn(getStreamId(entry));
 }
--- a/packages/reducer/test/createStreamFleet.ts
+++ b/packages/reducer/test/createStreamFleet.ts
@@ -50,6 +50,9 @@
     const calls = new Map<string, StreamCall>();
     const records = new Map<string, readonly string[]>();
     const cutDomains = new Set<string>();
+    /** Target of the last attempt of each request. */
+    const placements = new Map<string, string>();
+    let areRunning = false;
     let targets = opts.targets;
     let scheduled: { readonly at: number; readonly run: () => void; }[] = [];
     let now = 0;
@@ -88,6 +91,9 @@
             now,
         });
 
+    const listRunning = (target: string): readonly string[] =>
+        [...placements].filter(([, placed]) => placed === target).map(([requestId]) => calls.get(requestId)!.callerId);
+
     const attemptNumbers = new Map<string, number>();
 
     const runEffect = (router: string, effect: PlacementEffect): void => {
@@ -100,6 +106,7 @@
         }
         else if (effect.type === "startAttempt") {
             attemptNumbers.set(effect.requestId, effect.attempt);
+            placements.set(effect.requestId, effect.target);
             const call = calls.get(effect.requestId);
             if (call !== undefined) streamEvents(call, effect);
         }
@@ -120,6 +127,14 @@
                 reduce(router, { type: "serviceVersionsRead", service: effect.service, result, versions, now });
             });
         }
+        else if (effect.type === "readRunningCalls") {
+            const { service: ofService, target } = effect;
+            const callerIds = areRunning ? listRunning(target) : [];
+            schedule(
+                storeMs,
+                () => reduce(router, { type: "runningCallsRead", service: ofService, target, callerIds, now }),
+            );
+        }
         else if (effect.type === "writeServiceVersions") {
             storeCalls += 1;
             const { versions } = effect;
@@ -244,6 +259,10 @@
         setStoreDown: (isDown: boolean): void => {
             isStoreDown = isDown;
         },
+        /** Whether targets go on with the calls of routers that end, as after a loss of power. */
+        setRunning: (isRunning: boolean): void => {
+            areRunning = isRunning;
+        },
         cutDomain: (failureDomain: string): void => void cutDomains.add(failureDomain),
         countStoreCalls: () => storeCalls,
         countStreamMessages: () => streamMessages,
--- a/packages/reducer/test/streamVersions.test.ts
+++ b/packages/reducer/test/streamVersions.test.ts
@@ -118,6 +118,20 @@
     assertRefusedAtOnce(takeUp(fleet, calls), "STREAM_VERSION_UNKNOWN");
 });
 
+// Guards against take-ups that are all refused although engines know the streams: routers that lost power did not close
+// their connections.
+test("streams that engines still run go on after all routers have lost power", () => {
+    const fleet = createStreamFleet({ targets: [...oldTargets, ...newTargets] });
+    fleet.advance(1_000);
+    const calls = beginStreams(fleet);
+    fleet.setRunning(true);
+    restartAll(fleet, 800);
+    fleet.advance(1_000);
+    const takeUps = takeUp(fleet, calls);
+    assert.is(countJoined(calls, takeUps), 0);
+    assert.is(computeShareOfContinued(takeUps), 1);
+});
+
 for (const outageMs of [100, 2_600]) {
     test(`no stream is joined if its version has left while all routers were down for ${outageMs} ms`, () => {
         const fleet = createStreamFleet({ targets: oldTargets });
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -201,6 +201,12 @@
         message: "The versions of a service could not be recorded in the store; they are written again.",
         fields: ["service", "versions", "reason"],
     },
+    1726: {
+        name: "runningCallsUnknown",
+        level: "info",
+        message: "The calls that an engine runs could not be read; the streams among them do not go on.",
+        fields: ["service", "target", "problem"],
+    },
     1730: {
         name: "rolloutOrderChanged",
         level: "info",
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -11,6 +11,14 @@
     TargetNotice,
 } from "./placement.js";
 import type { RolloutStatusWrittenEvent, WriteRolloutStatusEffect } from "./rollout.js";
+import type {
+    ReadRunningCallsEffect,
+    ReadServiceVersionsEffect,
+    RunningCallsReadEvent,
+    ServiceVersionsReadEvent,
+    ServiceVersionsWrittenEvent,
+    WriteServiceVersionsEffect,
+} from "./service-versions.js";
 import type {
     ConfigurationConfirmedEvent,
     RelayLostEvent,
@@ -143,25 +151,6 @@
     readonly coldForMs: number;
 }
 
-/** Result of `readServiceVersions`. */
-export interface ServiceVersionsReadEvent extends TimedEvent {
-    readonly type: "serviceVersionsRead";
-    readonly service: string;
-    readonly result: "ok" | "notFound" | "unavailable";
-    /** Versions that streams in progress may have, if there is a record. */
-    readonly versions?: readonly string[];
-    readonly reason?: string;
-}
-
-/** Result of `writeServiceVersions`. */
-export interface ServiceVersionsWrittenEvent extends TimedEvent {
-    readonly type: "serviceVersionsWritten";
-    readonly service: string;
-    readonly versions: readonly string[];
-    readonly result: "ok" | "unavailable";
-    readonly reason?: string;
-}
-
 /** Monotonic and wall clock have diverged: the host was suspended, or the wall clock was set. */
 export interface ClockJumpedEvent extends TimedEvent {
     readonly type: "clockJumped";
@@ -189,6 +178,7 @@
     | RolloutStatusWrittenEvent
     | ServiceVersionsReadEvent
     | ServiceVersionsWrittenEvent
+    | RunningCallsReadEvent
     | DrainRequestedEvent;
 
 export interface StartAttemptEffect {
@@ -252,19 +242,6 @@
     readonly path: string;
 }
 
-/** Reads from the store which versions of a service streams in progress may have. */
-export interface ReadServiceVersionsEffect {
-    readonly type: "readServiceVersions";
-    readonly service: string;
-}
-
-/** Records them in the store. */
-export interface WriteServiceVersionsEffect {
-    readonly type: "writeServiceVersions";
-    readonly service: string;
-    readonly versions: readonly string[];
-}
-
 /** Registers this router in the store again. */
 export interface AnnounceRouterEffect {
     readonly type: "announceRouter";
@@ -308,6 +285,7 @@
     | WriteRolloutStatusEffect
     | ReadServiceVersionsEffect
     | WriteServiceVersionsEffect
+    | ReadRunningCallsEffect
     | AnnounceRouterEffect
     | RemoveRouterEffect
     | ConnectRelaysEffect
