Admit streams that go on whatever share their workspace has used

Cause: a take-up was admitted like a new request, behind the share that its workspace had been charged for when the stream began, and with the shorter queue of a late retry. Change: the coordinator admits a request that may run at one version only, because it continues a stream, up to the full queueing time. Two log events are emitted by name, and the test of the progress reporter follows its interval.

--- a/packages/forwarding/test/createProgressReporter.test.ts
+++ b/packages/forwarding/test/createProgressReporter.test.ts
@@ -18,11 +18,11 @@
 test("the events of all streams are reported together, at most once per interval", () => {
     const { clock, reports, reporter } = createHarness();
     for (let eventCount = 1; eventCount <= 6; eventCount++) {
-        clock.now = eventCount * 100;
+        clock.now = eventCount * 40;
         reporter.record({ requestId: "a", attempt: 1, eventCount });
         reporter.record({ requestId: "b", attempt: 1, eventCount: 2 * eventCount });
     }
-    assert.equal(reports, ["100: a:1", "400: b:6 a:4"]);
+    assert.equal(reports, ["40: a:1", "160: b:6 a:4"]);
 });
 
 test("an attempt that has ended is not reported", () => {
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -163,7 +163,9 @@
         }
         const isLateRetry = (refusalHistory.getWaitedMs(request, now) ?? 0) > request.latencyTargetMs;
         const prefillMs = (request.prompt?.promptTokens ?? 0) / pool.priorPrefillRate;
-        const maxWaitMs = computeMaxWaitMs(view, pool.service, { usedRatio, isLateRetry, prefillMs });
+        // A stream that goes on was admitted when it began, and its workspace was charged for it.
+        const usage = request.version === undefined ? { usedRatio, isLateRetry } : { usedRatio: 0, isLateRetry: false };
+        const maxWaitMs = computeMaxWaitMs(view, pool.service, { ...usage, prefillMs });
         const usualChoice = pool.model.choose(request, { candidates, prefixSources, now, maxWaitMs });
         // Requests that cannot be placed must not add to the number of canaries.
         const choice = usualChoice === undefined
--- a/packages/placement/src/createServiceVersions.ts
+++ b/packages/placement/src/createServiceVersions.ts
@@ -134,12 +134,10 @@
         record.isWriting = false;
         if (result === "ok") record.versions = versions;
         else record.retryAt = now + checkIntervalMs;
-        const name = result === "ok" ? "serviceVersionsRecorded" : "serviceVersionsUnrecorded";
-        return [{
-            type: "log",
-            event: coordinatorLogEvents[name],
-            fields: { service, versions: versions.join(","), reason },
-        }];
+        const fields = { service, versions: versions.join(",") };
+        return result === "ok"
+            ? [{ type: "log", event: coordinatorLogEvents.serviceVersionsRecorded, fields }]
+            : [{ type: "log", event: coordinatorLogEvents.serviceVersionsUnrecorded, fields: { ...fields, reason } }];
     };
 
     /** An older copy of the store may lack what was recorded since. */
