Name the continuation of a stream by a caller a resumption

Cause: take-up is a word of the users' pages; the term of the field is to resume, which the product has for streams already. Result: the tests of placement, reducer, daemon and telemetry pass as before.

--- a/packages/fleet-view/src/createVersionHistory.ts
+++ b/packages/fleet-view/src/createVersionHistory.ts
@@ -8,7 +8,7 @@
     /** Versions that had targets at any time in the last `windowMs`. */
     readonly list: (service: string, windowMs: number, now: number) => readonly string[];
     /** Whether the history goes back `windowMs`. */
-    readonly covers: (windowMs: number, now: number) => boolean;
+    readonly isComplete: (windowMs: number, now: number) => boolean;
 }
 
 /** Time for which a version that has left is remembered; longer than any stream lasts. */
@@ -46,6 +46,6 @@
             [...lastSeen.get(service) ?? []].filter(([, seenAt]) => now - seenAt <= windowMs).map(([version]) =>
                 version
             ),
-        covers: (windowMs, now) => now - knownSince >= windowMs,
+        isComplete: (windowMs, now) => now - knownSince >= windowMs,
     };
 }
--- a/packages/forwarding/src/createForwarder.ts
+++ b/packages/forwarding/src/createForwarder.ts
@@ -137,7 +137,7 @@
                 timeLimitMs: Math.min(route.timeoutMs, metadata.deadlineMs ?? Infinity) - elapsedMs,
                 regions,
                 prompt: metadata.prompt,
-                takeUp: metadata.lastEventId === undefined || route.kind !== "stream" || !route.resumable
+                resumption: metadata.lastEventId === undefined || route.kind !== "stream" || !route.resumable
                     ? undefined
                     : { callerId: metadata.resumedCallerId },
             },
--- a/packages/placement/src/computeStreamWindowMs.ts
+++ b/packages/placement/src/computeStreamWindowMs.ts
@@ -1,4 +1,4 @@
-/** Time for which streams of a service can be taken up after another version has appeared or left. */
+/** Time for which streams of a service can be resumed after another version has appeared or left. */
 import type { FleetConfiguration } from "@rhubarbwheel/types/fleet";
 
 /** Addition to the longest timeout of a stream: a caller's last try begins before it, and clocks and lists lag. */
--- a/packages/placement/src/createEntryRouter.ts
+++ b/packages/placement/src/createEntryRouter.ts
@@ -35,8 +35,8 @@
     handleStreamNotice,
     handleStreamQuery,
     handleStreamReply,
-    startTakeUp,
-} from "./handleTakeUp.js";
+    startResumption,
+} from "./handleResumption.js";
 import { handleTargetNoticed } from "./handleTargetNotice.js";
 import {
     drainAcceptRatio,
@@ -78,8 +78,8 @@
         return failRequest(context, entry, "DRAINING", otherRouterRetryAfterMs);
     }
     getOrCreatePool(context, request.service)?.retryBudget.recordRequest(now);
-    if (request.takeUp === undefined) placeRequest(context, entry);
-    else startTakeUp(context, entry);
+    if (request.resumption === undefined) placeRequest(context, entry);
+    else startResumption(context, entry);
 }
 
 function handleCoordinatorNotice(
--- a/packages/placement/src/createServiceVersions.ts
+++ b/packages/placement/src/createServiceVersions.ts
@@ -1,5 +1,5 @@
 /**
- * Slice that knows which versions of a service may have begun a stream that a caller takes up. The versions that have left
+ * Slice that knows which versions of a service may have begun a stream that a caller resumes. The versions that have left
  * are remembered in memory; a router that has started since reads them from the store, where the coordinator of the service
  * records them.
  */
@@ -19,7 +19,7 @@
     readonly isFirstByRank: (service: string) => boolean;
 }
 
-/** Versions that may have begun a stream which a caller takes up now, as far as a router has seen them. */
+/** Versions that may have begun a stream which a caller resumes now, as far as a router has seen them. */
 export interface SeenVersions {
     readonly versions: readonly string[];
     /** Whether the router has seen all changes since the first of these streams began. */
@@ -28,7 +28,7 @@
 
 export interface ServiceVersions extends PlacementSlice {
     readonly listSeen: (service: string, now: number) => SeenVersions;
-    /** Time for which a stream of the service can be taken up; 0 if it has no resumable ones. */
+    /** Time for which a stream of the service can be resumed; 0 if it has no resumable ones. */
     readonly getWindowMs: (service: string) => number;
     /** Whether the list of targets is so old that it may lack a version. */
     readonly isStale: (now: number) => boolean;
@@ -86,7 +86,7 @@
 
     const listSeen = (service: string, now: number): SeenVersions => {
         const windowMs = getWindowMs(service) ?? 0;
-        return { versions: history.list(service, windowMs, now), isComplete: history.covers(windowMs, now) };
+        return { versions: history.list(service, windowMs, now), isComplete: history.isComplete(windowMs, now) };
     };
 
     /**
--- a/packages/placement/src/createStreamVersions.ts
+++ b/packages/placement/src/createStreamVersions.ts
@@ -7,7 +7,7 @@
     readonly service: string;
     /** Omitted if routers do not agree, or the target may have changed its version meanwhile. */
     readonly version?: string;
-    /** Time after which no caller takes the stream up. */
+    /** Time after which no caller resumes the stream. */
     readonly expiresAt: number;
 }
 
@@ -22,7 +22,7 @@
     /** Records a stream that this router relays; the routers that remember it have to be told. */
     readonly recordOwn: (stream: OwnStream, now: number) => void;
     /** Other routers are not told of a stream any more that its caller has completely. */
-    readonly completeOwn: (callerId: string) => void;
+    readonly endOwn: (callerId: string) => void;
     readonly find: (callerId: string, service: string, now: number) => StreamVersion | undefined;
     /** Takes the own streams of which other routers have not been told, as far as `isNeeded` holds for their service. */
     readonly takeUnannounced: (isNeeded: (service: string) => boolean, now: number) => readonly OwnStream[];
@@ -39,7 +39,7 @@
     const unannounced = new Set<string>();
     const announced = new Set<string>();
 
-    const completeOwn = (callerId: string): void => {
+    const endOwn = (callerId: string): void => {
         unannounced.delete(callerId);
         announced.delete(callerId);
     };
@@ -48,7 +48,7 @@
         for (const [callerId, { expiresAt }] of streams) {
             if (expiresAt > now && streams.size <= maxRememberedStreams) return;
             streams.delete(callerId);
-            completeOwn(callerId);
+            endOwn(callerId);
         }
     };
 
@@ -67,7 +67,7 @@
             announced.delete(callerId);
             unannounced.add(callerId);
         },
-        completeOwn,
+        endOwn,
         find: (callerId, service, now) => {
             const stream = streams.get(callerId);
             return stream === undefined || stream.service !== service || stream.expiresAt <= now ? undefined : stream;
--- a/packages/placement/src/entryState.ts
+++ b/packages/placement/src/entryState.ts
@@ -30,7 +30,7 @@
     targetNoticed: 1716,
     targetBypassed: 1719,
     coordinatorClaimed: 1721,
-    takeUpRefused: 1723,
+    resumptionRefused: 1723,
 } as const;
 
 export interface EntryRouterOptions {
@@ -61,7 +61,7 @@
     timeoutAt: number;
 }
 
-/** A take-up that waits until it is known which version has begun the stream. */
+/** A resumption that waits until it is known which version has begun the stream. */
 export interface PendingLookup {
     /** Routers that have not replied. */
     readonly waitingFor: Set<string>;
--- a/packages/placement/src/handleAttemptEvents.ts
+++ b/packages/placement/src/handleAttemptEvents.ts
@@ -18,7 +18,7 @@
     logEntryEvent,
 } from "./entryState.js";
 import { getOrCreatePool } from "./getOrCreatePool.js";
-import { isResumableStream, recordCompleteStream, recordStream } from "./handleTakeUp.js";
+import { isResumableStream, recordCompleteStream, recordStream } from "./handleResumption.js";
 import { placeRequest } from "./placeRequest.js";
 
 /** Minimum time left for a retry; with less, the response would come too late for the caller. */
--- a/packages/placement/src/handleTakeUp.ts
+++ b/packages/placement/src/handleResumption.ts
@@ -1,5 +1,5 @@
 /**
- * Finds the version that has begun a stream which a caller takes up. A stream goes on only at targets of that version; one
+ * Finds the version that has begun a stream which a caller resumes. A stream goes on only at targets of that version; one
  * whose version is unknown does not go on, and its caller is told so at once.
  */
 import { getVersion } from "@rhubarbwheel/fleet-view/createVersionFilter";
@@ -26,17 +26,17 @@
 
 /** Id under which routers remember the stream: that of the call that brought its first event. */
 function getStreamId({ request }: EntryRequest): string {
-    return request.takeUp?.callerId ?? request.callerId;
+    return request.resumption?.callerId ?? request.callerId;
 }
 
-function refuseTakeUp(context: EntryContext, entry: EntryRequest, reason: string): void {
+function refuseResumption(context: EntryContext, entry: EntryRequest, reason: string): void {
     entry.pendingLookup = undefined;
-    const resumes = entry.request.takeUp?.callerId;
-    logEntryEvent(context, "takeUpRefused", { ...createRequestFields(entry), resumes, reason });
+    const resumes = entry.request.resumption?.callerId;
+    logEntryEvent(context, "resumptionRefused", { ...createRequestFields(entry), resumes, reason });
     failRequest(context, entry, "STREAM_VERSION_UNKNOWN", finalRetryAfterMs);
 }
 
-function continueStream(context: EntryContext, entry: EntryRequest, version: string): void {
+function placeStream(context: EntryContext, entry: EntryRequest, version: string): void {
     entry.pendingLookup = undefined;
     entry.version = version;
     placeRequest(context, entry);
@@ -45,8 +45,8 @@
 /** Decides by the versions that may have begun the stream: a single one must have. */
 function decideByVersions(context: EntryContext, entry: EntryRequest, versions: ReadonlySet<string>): void {
     const [version, ...others] = versions;
-    if (version !== undefined && others.length === 0) return continueStream(context, entry, version);
-    refuseTakeUp(context, entry, `begun by one of ${versions.size} versions`);
+    if (version !== undefined && others.length === 0) return placeStream(context, entry, version);
+    refuseResumption(context, entry, `begun by one of ${versions.size} versions`);
 }
 
 /** Called when no router remembers the stream. */
@@ -54,22 +54,22 @@
     const { service } = entry.request;
     // In an outage of the store no version appears, but a router that is cut off does not learn of one that has.
     if (!lookup.isConfirmed && context.serviceVersions.isStale(context.now))
-        return refuseTakeUp(context, entry, "the list of targets is too old");
+        return refuseResumption(context, entry, "the list of targets is too old");
     if (lookup.isComplete || lookup.versions.size > 1) return decideByVersions(context, entry, lookup.versions);
     const record = context.serviceVersions.getRecord(service, context.now);
-    if (record === "unavailable") return refuseTakeUp(context, entry, "the record of versions is not available");
+    if (record === "unavailable") return refuseResumption(context, entry, "the record of versions is not available");
     if (record !== "unread") return decideByVersions(context, entry, new Set([...lookup.versions, ...record]));
     lookup.timeoutAt = context.now + lookupTimeoutMs;
     context.effects.push(...context.serviceVersions.read(service));
 }
 
-export function startTakeUp(context: EntryContext, entry: EntryRequest): void {
+export function startResumption(context: EntryContext, entry: EntryRequest): void {
     const { requestId, service } = entry.request;
     const { serviceVersions, now } = context;
     const streamId = getStreamId(entry);
     const known = context.streamVersions.find(streamId, service, now);
-    if (known?.version !== undefined) return continueStream(context, entry, known.version);
-    if (known !== undefined) return refuseTakeUp(context, entry, "its version is not certain");
+    if (known?.version !== undefined) return placeStream(context, entry, known.version);
+    if (known !== undefined) return refuseResumption(context, entry, "its version is not certain");
     const seen = serviceVersions.listSeen(service, now);
     const versions = new Set(seen.versions);
     const isFresh = !serviceVersions.isStale(now);
@@ -93,7 +93,7 @@
     const { pendingLookup } = entry;
     if (pendingLookup === undefined || context.now < pendingLookup.timeoutAt) return;
     if (pendingLookup.waitingFor.size === 0)
-        return refuseTakeUp(context, entry, "the record of versions is not available");
+        return refuseResumption(context, entry, "the record of versions is not available");
     pendingLookup.waitingFor.clear();
     handleForgottenStream(context, entry, pendingLookup);
 }
@@ -109,8 +109,8 @@
     const lookup = entry?.pendingLookup;
     if (entry === undefined || lookup?.waitingFor.delete(from) !== true) return;
     if (reply.isKnown) {
-        if (reply.version === undefined) return refuseTakeUp(context, entry, "its version is not certain");
-        return continueStream(context, entry, reply.version);
+        if (reply.version === undefined) return refuseResumption(context, entry, "its version is not certain");
+        return placeStream(context, entry, reply.version);
     }
     lookup.isConfirmed ||= isRemote(context, from);
     lookup.isComplete ||= reply.isComplete;
@@ -124,7 +124,7 @@
         if (pendingLookup === undefined || entry.request.service !== service) continue;
         if (pendingLookup.waitingFor.size > 0) continue;
         const record = context.serviceVersions.getRecord(service, context.now);
-        if (typeof record === "string") refuseTakeUp(context, entry, "the record of versions is not available");
+        if (typeof record === "string") refuseResumption(context, entry, "the record of versions is not available");
         else decideByVersions(context, entry, new Set([...pendingLookup.versions, ...record]));
     }
 }
@@ -156,7 +156,7 @@
 const afterDeadlineMs = 2_000;
 
 /**
- * Tells the routers that remember them of the streams that this router has relayed and that callers may take up; needed only
+ * Tells the routers that remember them of the streams that this router has relayed and that callers may resume; needed only
  * while there are several versions. All are announced again once other routers are listed: one that has restarted remembers
  * nothing.
  */
@@ -207,5 +207,5 @@
 }
 
 export function recordCompleteStream(context: EntryContext, entry: EntryRequest): void {
-    if (isResumableStream(entry)) context.streamVersions.completeOwn(getStreamId(entry));
+    if (isResumableStream(entry)) context.streamVersions.endOwn(getStreamId(entry));
 }
--- a/packages/placement/src/startAttempt.ts
+++ b/packages/placement/src/startAttempt.ts
@@ -64,7 +64,7 @@
         ...createRequestFields(entry),
         target: target.target,
         version: target.version,
-        isResumed: request.takeUp !== undefined || entry.responseStarted,
+        isResumed: request.resumption !== undefined || entry.responseStarted,
         attempt: entry.attempts,
         coordinator: entry.coordinator,
         waitMs: roundOptional(placement.waitMs, 0),
--- a/packages/placement/test/admission.test.ts
+++ b/packages/placement/test/admission.test.ts
@@ -53,24 +53,24 @@
     assert.ok(placed.heavy < requested.heavy / 2, `${placed.heavy} of ${requested.heavy}`);
 });
 
-// Guards against streams that break off for good under overload, while new ones begin: their take-ups waited behind the
+// Guards against streams that break off for good under overload, while new ones begin: their resumptions waited behind the
 // share of their workspace, which had been charged for them.
 test("streams of a workspace beyond its share go on", () => {
     const versioned = targets.map(target => ({ ...target, version: "v1" }));
     const { requestPlacement } = createLoadHarness(560_000, versioned);
-    const counts = { takeUps: 0, continued: 0, begun: 0, refused: 0 };
+    const counts = { resumptions: 0, continued: 0, begun: 0, refused: 0 };
     for (let now = 0; now < 10_000; now += 5) {
         const workspace = now % 500 === 0 ? "small" : "heavy";
         if (workspace === "heavy" && now > 4_000 && now % 200 === 5) {
-            counts.takeUps += 1;
-            const request = createRequest(`taken-up-${now}`, { workspace, version: "v1" });
+            counts.resumptions += 1;
+            const request = createRequest(`resumed-${now}`, { workspace, version: "v1" });
             if (requestPlacement(workspace, now, request).reply.target !== undefined) counts.continued += 1;
         }
         else if (requestPlacement(workspace, now).reply.target === undefined) counts.refused += 1;
         else counts.begun += 1;
     }
     assert.ok(counts.refused > counts.begun, JSON.stringify(counts));
-    assert.is(counts.continued, counts.takeUps, JSON.stringify(counts));
+    assert.is(counts.continued, counts.resumptions, JSON.stringify(counts));
 });
 
 // Guards against a workspace that gets far less than its share: the share was computed from a configured throughput that
--- a/packages/reducer/test/createStreamFleet.ts
+++ b/packages/reducer/test/createStreamFleet.ts
@@ -1,4 +1,4 @@
-/** Routers on simulated time, targets of several versions, and callers that take up streams that broke off. */
+/** Routers on simulated time, targets of several versions, and callers that resume streams that broke off. */
 import type { RouterEntry, TargetEntry, ViewKind } from "@rhubarbwheel/types/fleet";
 import type { PlacementEffect, PlacementEvent, StartAttemptEffect } from "@rhubarbwheel/types/placement-events";
 import { createPlacementReducer } from "../src/createPlacementReducer.js";
@@ -287,7 +287,7 @@
                     latencyTargetMs: 800,
                     timeLimitMs: timeoutMs,
                     prompt: { promptTokens: 100, outputTokens: 600, parts: [] },
-                    ...(resumes === undefined ? {} : { takeUp: { callerId: resumes } }),
+                    ...(resumes === undefined ? {} : { resumption: { callerId: resumes } }),
                 },
                 now,
             });
--- a/packages/reducer/test/streamVersions.test.ts
+++ b/packages/reducer/test/streamVersions.test.ts
@@ -1,4 +1,4 @@
-/** Streams that are taken up while targets of several versions of a service are registered. */
+/** Streams that are resumed while targets of several versions of a service are registered. */
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createStreamFleet, createTarget, type StreamCall, type StreamFleet } from "./createStreamFleet.js";
@@ -6,7 +6,7 @@
 const oldTargets = ["t1", "t2", "t3"].map(name => createTarget(name, "v1"));
 const newTargets = ["u1", "u2", "u3"].map(name => createTarget(name, "v2"));
 
-/** Time after which a take-up has been answered, if its stream goes on. */
+/** Time after which a resumption has been answered, if its stream goes on. */
 const answerMs = 500;
 
 function beginStreams(fleet: StreamFleet, count = 60): readonly StreamCall[] {
@@ -16,15 +16,15 @@
     return calls;
 }
 
-/** Takes up each stream at another router that lives. */
-function takeUp(fleet: StreamFleet, calls: readonly StreamCall[]): readonly StreamCall[] {
+/** Resumes each stream at another router that lives. */
+function resumeStreams(fleet: StreamFleet, calls: readonly StreamCall[]): readonly StreamCall[] {
     const routers = fleet.listRouters();
-    const takeUps = calls.map(({ router, resumes, callerId }, index) => {
+    const resumptions = calls.map(({ router, resumes, callerId }, index) => {
         const others = routers.filter(other => other !== router);
         return fleet.call(others[index % others.length] ?? router, resumes ?? callerId);
     });
     fleet.advance(answerMs);
-    return takeUps;
+    return resumptions;
 }
 
 /** Kills all routers at once; they start again after `outageMs`. */
@@ -36,32 +36,32 @@
     routers.forEach(fleet.restart);
 }
 
-function countJoined(calls: readonly StreamCall[], takeUps: readonly StreamCall[]): number {
-    return takeUps.filter(({ versions }, index) => versions.some(version => version !== calls[index]!.versions[0]))
+function countJoined(calls: readonly StreamCall[], resumptions: readonly StreamCall[]): number {
+    return resumptions.filter(({ versions }, index) => versions.some(version => version !== calls[index]!.versions[0]))
         .length;
 }
 
-function computeShareOfContinued(takeUps: readonly StreamCall[]): number {
-    return takeUps.filter(({ versions }) => versions.length > 0).length / takeUps.length;
+function computeShareOfContinued(resumptions: readonly StreamCall[]): number {
+    return resumptions.filter(({ versions }) => versions.length > 0).length / resumptions.length;
 }
 
-function assertRefusedAtOnce(takeUps: readonly StreamCall[], code: string): void {
-    for (const { failure, versions } of takeUps) {
+function assertRefusedAtOnce(resumptions: readonly StreamCall[], code: string): void {
+    for (const { failure, versions } of resumptions) {
         assert.equal(versions, []);
         assert.is(failure?.code, code);
         assert.ok((failure?.afterMs ?? Infinity) <= 250, `${failure?.afterMs} ms`);
     }
 }
 
-// Guards against streams that hold events of two versions: callers took up streams at any target.
-test("a stream goes on at its version, whichever router it is taken up at", () => {
+// Guards against streams that hold events of two versions: callers resumed streams at any target.
+test("a stream goes on at its version, whichever router it is resumed at", () => {
     const fleet = createStreamFleet({ targets: [...oldTargets, ...newTargets] });
     fleet.advance(1_000);
     const calls = beginStreams(fleet);
     for (const call of calls) fleet.disconnect(call);
-    const takeUps = takeUp(fleet, calls);
-    assert.is(countJoined(calls, takeUps), 0);
-    assert.is(computeShareOfContinued(takeUps), 1);
+    const resumptions = resumeStreams(fleet, calls);
+    assert.is(countJoined(calls, resumptions), 0);
+    assert.is(computeShareOfContinued(resumptions), 1);
 });
 
 test("a stream goes on at its version after its router and the coordinator were killed", () => {
@@ -72,9 +72,9 @@
     const killed = [coordinator, fleet.listRouters().find(router => router !== coordinator)!];
     killed.forEach(fleet.kill);
     const broken = calls.filter(({ router }) => killed.includes(router));
-    const takeUps = takeUp(fleet, broken);
-    assert.is(countJoined(broken, takeUps), 0);
-    assert.ok(computeShareOfContinued(takeUps) >= 0.75, `${computeShareOfContinued(takeUps)}`);
+    const resumptions = resumeStreams(fleet, broken);
+    assert.is(countJoined(broken, resumptions), 0);
+    assert.ok(computeShareOfContinued(resumptions) >= 0.75, `${computeShareOfContinued(resumptions)}`);
 });
 
 test("a later try names the call that brought the first event, after each router has restarted in turn", () => {
@@ -86,10 +86,10 @@
         fleet.restart(router);
         fleet.advance(600);
         const broken = latest.filter(call => call.router === router);
-        const takeUps = takeUp(fleet, broken);
-        assert.is(countJoined(broken, takeUps), 0);
-        assert.ok(computeShareOfContinued(takeUps) >= 0.75, `${router}: ${computeShareOfContinued(takeUps)}`);
-        latest = latest.map(call => takeUps[broken.indexOf(call)] ?? call).filter(({ versions }) =>
+        const resumptions = resumeStreams(fleet, broken);
+        assert.is(countJoined(broken, resumptions), 0);
+        assert.ok(computeShareOfContinued(resumptions) >= 0.75, `${router}: ${computeShareOfContinued(resumptions)}`);
+        latest = latest.map(call => resumptions[broken.indexOf(call)] ?? call).filter(({ versions }) =>
             versions.length > 0
         );
     }
@@ -102,11 +102,11 @@
     fleet.cutDomain("b");
     fleet.kill("r1");
     const broken = calls.filter(({ router }) => router === "r1");
-    const takeUps = broken.map(({ callerId }) => fleet.call("r4", callerId));
+    const resumptions = broken.map(({ callerId }) => fleet.call("r4", callerId));
     fleet.advance(answerMs);
-    assert.is(countJoined(broken, takeUps), 0);
+    assert.is(countJoined(broken, resumptions), 0);
     // Placement without the coordinator has a lower limit, so only those that were placed count.
-    assert.ok(takeUps.every(({ failure }) => failure?.code !== "STREAM_VERSION_UNKNOWN"));
+    assert.ok(resumptions.every(({ failure }) => failure?.code !== "STREAM_VERSION_UNKNOWN"));
 });
 
 // Guards against streams joined after all routers were killed: what they remembered is lost.
@@ -115,10 +115,10 @@
     fleet.advance(1_000);
     const calls = beginStreams(fleet);
     restartAll(fleet);
-    assertRefusedAtOnce(takeUp(fleet, calls), "STREAM_VERSION_UNKNOWN");
+    assertRefusedAtOnce(resumeStreams(fleet, calls), "STREAM_VERSION_UNKNOWN");
 });
 
-// Guards against take-ups that are all refused although engines know the streams: routers that lost power did not close
+// Guards against resumptions that are all refused although engines know the streams: routers that lost power did not close
 // their connections.
 test("streams that engines still run go on after all routers have lost power", () => {
     const fleet = createStreamFleet({ targets: [...oldTargets, ...newTargets] });
@@ -127,9 +127,9 @@
     fleet.setRunning(true);
     restartAll(fleet, 800);
     fleet.advance(1_000);
-    const takeUps = takeUp(fleet, calls);
-    assert.is(countJoined(calls, takeUps), 0);
-    assert.is(computeShareOfContinued(takeUps), 1);
+    const resumptions = resumeStreams(fleet, calls);
+    assert.is(countJoined(calls, resumptions), 0);
+    assert.is(computeShareOfContinued(resumptions), 1);
 });
 
 for (const outageMs of [100, 2_600]) {
@@ -138,14 +138,14 @@
         fleet.advance(1_000);
         const calls = beginStreams(fleet);
         restartAll(fleet, outageMs, () => fleet.setTargets(newTargets));
-        const takeUps = takeUp(fleet, calls);
-        assert.is(countJoined(calls, takeUps), 0);
-        assertRefusedAtOnce(takeUps, "STREAM_VERSION_UNKNOWN");
+        const resumptions = resumeStreams(fleet, calls);
+        assert.is(countJoined(calls, resumptions), 0);
+        assertRefusedAtOnce(resumptions, "STREAM_VERSION_UNKNOWN");
         // Once no stream of the version can be in progress, the record names the other one only.
         fleet.advance(25_000);
         const later = beginStreams(fleet);
         restartAll(fleet);
-        assert.is(computeShareOfContinued(takeUp(fleet, later)), 1);
+        assert.is(computeShareOfContinued(resumeStreams(fleet, later)), 1);
     });
 }
 
@@ -154,9 +154,9 @@
     fleet.advance(1_000);
     const calls = beginStreams(fleet);
     restartAll(fleet);
-    const takeUps = takeUp(fleet, calls);
-    assert.is(countJoined(calls, takeUps), 0);
-    assert.is(computeShareOfContinued(takeUps), 1);
+    const resumptions = resumeStreams(fleet, calls);
+    assert.is(countJoined(calls, resumptions), 0);
+    assert.is(computeShareOfContinued(resumptions), 1);
 });
 
 test("without the store no stream is joined after all routers were killed", () => {
@@ -165,7 +165,7 @@
     const calls = beginStreams(fleet);
     fleet.setStoreDown(true);
     restartAll(fleet);
-    assertRefusedAtOnce(takeUp(fleet, calls), "STREAM_VERSION_UNKNOWN");
+    assertRefusedAtOnce(resumeStreams(fleet, calls), "STREAM_VERSION_UNKNOWN");
 });
 
 // Guards against streams that nobody continues in an outage of the store, although nothing can have changed.
@@ -177,7 +177,7 @@
     fleet.advance(4_000);
     fleet.kill("r1");
     const broken = calls.filter(({ router }) => router === "r1");
-    assert.is(computeShareOfContinued(takeUp(fleet, broken)), 1);
+    assert.is(computeShareOfContinued(resumeStreams(fleet, broken)), 1);
 });
 
 test("a router that the store and the others turn away joins no streams", () => {
@@ -188,9 +188,9 @@
     fleet.advance(4_000);
     const calls = Array.from({ length: 60 }, () => fleet.call("r2"));
     fleet.advance(answerMs);
-    const takeUps = calls.map(({ callerId }) => fleet.call("r1", callerId));
+    const resumptions = calls.map(({ callerId }) => fleet.call("r1", callerId));
     fleet.advance(answerMs);
-    assert.is(countJoined(calls, takeUps), 0);
+    assert.is(countJoined(calls, resumptions), 0);
 });
 
 test("a stream whose version has no targets left is refused at once", () => {
@@ -200,7 +200,7 @@
     const ofOldVersion = calls.filter(({ versions }) => versions[0] === "v1");
     for (const call of ofOldVersion) fleet.disconnect(call);
     fleet.setTargets(newTargets);
-    assertRefusedAtOnce(takeUp(fleet, ofOldVersion), "STREAM_VERSION_GONE");
+    assertRefusedAtOnce(resumeStreams(fleet, ofOldVersion), "STREAM_VERSION_GONE");
 });
 
 // Guards against events of two versions within one response: the next attempt went to any other target.
@@ -230,10 +230,10 @@
     fleet.advance(answerMs);
     const uncertain = calls.slice(0, 20);
     for (const call of uncertain) fleet.disconnect(call);
-    const takeUps = takeUp(fleet, uncertain);
-    const placedAtRestarted = takeUps.filter(({ failure }) => failure?.code === "STREAM_VERSION_UNKNOWN");
+    const resumptions = resumeStreams(fleet, uncertain);
+    const placedAtRestarted = resumptions.filter(({ failure }) => failure?.code === "STREAM_VERSION_UNKNOWN");
     assert.ok(placedAtRestarted.length > 0);
-    assert.is(countJoined(uncertain, takeUps), 0);
+    assert.is(countJoined(uncertain, resumptions), 0);
 });
 
 test("a service with one version costs no messages, and no calls to the store after the start", () => {
@@ -243,7 +243,7 @@
     fleet.advance(24_000);
     const calls = beginStreams(fleet);
     fleet.kill("r1");
-    takeUp(fleet, calls.filter(({ router }) => router === "r1"));
+    resumeStreams(fleet, calls.filter(({ router }) => router === "r1"));
     assert.is(fleet.countStreamMessages(), 0);
     assert.is(fleet.countStoreCalls(), callsOfStart);
 });
--- a/packages/telemetry/src/events/placedRequestEvents.ts
+++ b/packages/telemetry/src/events/placedRequestEvents.ts
@@ -183,7 +183,7 @@
         fields: ["service", "routers"],
     },
     1723: {
-        name: "takeUpRefused",
+        name: "resumptionRefused",
         level: "info",
         message:
             "A stream does not go on, because its version is unknown or has no targets left; the caller may begin anew.",
--- a/packages/types/src/placement-events.ts
+++ b/packages/types/src/placement-events.ts
@@ -45,12 +45,12 @@
     readonly timeLimitMs: number;
     readonly regions?: readonly string[];
     readonly prompt?: PromptSize;
-    /** Set if the caller takes up a stream of which an earlier call has brought it events. */
-    readonly takeUp?: TakeUp;
+    /** Set if the caller resumes a stream of which an earlier call has brought it events. */
+    readonly resumption?: StreamResumption;
 }
 
-/** What a caller says about the stream that it takes up. */
-export interface TakeUp {
+/** What a caller says about the stream that it resumes. */
+export interface StreamResumption {
     /** Id of the call that brought the first event; omitted if the caller does not name it. */
     readonly callerId?: string;
 }
--- a/packages/types/src/placement.ts
+++ b/packages/types/src/placement.ts
@@ -219,11 +219,11 @@
     readonly callerId: string;
     /** Omitted if it is not certain. */
     readonly version?: string;
-    /** Time for which callers may take the stream up. */
+    /** Time for which callers may resume the stream. */
     readonly timeLeftMs: number;
 }
 
-/** Entry router to the routers that may remember a stream that a caller takes up. */
+/** Entry router to the routers that may remember a stream that a caller resumes. */
 export interface StreamQueryMessage {
     readonly type: "streamQuery";
     readonly requestId: string;
@@ -238,7 +238,7 @@
     readonly isKnown: boolean;
     /** Version that has begun the stream; omitted if it is not certain. */
     readonly version?: string;
-    /** Versions that may have begun any stream of the service which is taken up now, as far as the router has seen them. */
+    /** Versions that may have begun any stream of the service which is resumed now, as far as the router has seen them. */
     readonly seenVersions: readonly string[];
     /** Whether these are all. */
     readonly isComplete: boolean;
