Share the reducer of tests on simulated time

Cause: createStreamFleet.ts repeated the reducer of staleRouterLists.test.ts. Change: createTestReducer.ts; no assertion changes.

--- a/packages/reducer/test/createStreamFleet.ts
+++ b/packages/reducer/test/createStreamFleet.ts
@@ -1,7 +1,7 @@
 /** Routers on simulated time, targets of several versions, and callers that resume streams that broke off. */
 import type { RouterEntry, TargetEntry, ViewKind } from "@rhubarbwheel/types/fleet";
 import type { PlacementEffect, PlacementEvent, StartAttemptEffect } from "@rhubarbwheel/types/placement-events";
-import { createPlacementReducer } from "../src/createPlacementReducer.js";
+import { createTestReducer } from "./createTestReducer.js";
 
 export const service = "assistant";
 
@@ -46,7 +46,7 @@
 
 export function createStreamFleet(opts: StreamFleetOptions) {
     const entries = new Map<string, RouterEntry>();
-    const reducers = new Map<string, ReturnType<typeof createPlacementReducer>>();
+    const reducers = new Map<string, ReturnType<typeof createTestReducer>>();
     const calls = new Map<string, StreamCall>();
     const records = new Map<string, readonly string[]>();
     const cutDomains = new Set<string>();
@@ -171,26 +171,6 @@
         }
     };
 
-    const createReducer = (entry: RouterEntry) =>
-        createPlacementReducer({
-            incarnation: entry.incarnation,
-            view: {
-                getMaxCredentialAgeMs: () => 60_000,
-                entryRestoreMs: 1_900,
-                maxLapseMs: 60_000,
-                getRegion: () => undefined,
-            },
-            entry: {
-                router: entry.router,
-                failureDomain: entry.failureDomain,
-                getRetryPolicy: () => ({ ratio: 0.2, reserve: 1_000, windowMs: 10_000 }),
-                computeColdLimit: perSecond => perSecond,
-                getShutdownGraceMs: () => 8_000,
-            },
-            relay: { getMaxAgeMs: () => 60_000 },
-            random: () => 0.5,
-        });
-
     const start = (index: number): void => {
         const router = `r${index}`;
         const entry: RouterEntry = {
@@ -200,7 +180,7 @@
             failureDomain: failureDomains[index % failureDomains.length]!,
         };
         entries.set(router, entry);
-        reducers.set(router, createReducer(entry));
+        reducers.set(router, createTestReducer(entry, { retryReserve: 1_000 }));
         const engine = { maxBatchSize: 128, kvCacheTokens: 1_000_000, tokensPerEvent: 10 };
         list(router, "configuration", [{
             version: 1,
--- a/packages/reducer/test/staleRouterLists.test.ts
+++ b/packages/reducer/test/staleRouterLists.test.ts
@@ -3,7 +3,7 @@
 import type { PlacementEffect, PlacementEvent } from "@rhubarbwheel/types/placement-events";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { createPlacementReducer } from "../src/createPlacementReducer.js";
+import { createTestReducer } from "./createTestReducer.js";
 
 const service = "orders";
 const target = "target-1";
@@ -28,29 +28,8 @@
     cores: 3 ** index,
 }));
 
-function createReducer(router: string) {
-    return createPlacementReducer({
-        incarnation: 1,
-        view: {
-            getMaxCredentialAgeMs: () => 60_000,
-            entryRestoreMs: 1_900,
-            maxLapseMs: 60_000,
-            getRegion: () => undefined,
-        },
-        entry: {
-            router,
-            failureDomain: "a",
-            getRetryPolicy: () => ({ ratio: 0.2, reserve: 100, windowMs: 10_000 }),
-            computeColdLimit: perSecond => perSecond,
-            getShutdownGraceMs: () => 8_000,
-        },
-        relay: { getMaxAgeMs: () => 60_000 },
-        random: () => 0.5,
-    });
-}
-
 function createFleet() {
-    const reducers = new Map<string, ReturnType<typeof createReducer>>();
+    const reducers = new Map<string, ReturnType<typeof createTestReducer>>();
     const arrivals: number[] = [];
     let scheduled: { readonly at: number; readonly run: () => void; }[] = [];
     let now = 0;
@@ -105,7 +84,7 @@
         arrivals,
         /** Starts a router that knows all entries of the store but those of routers. */
         start: (router: string): void => {
-            reducers.set(router, createReducer(router));
+            reducers.set(router, createTestReducer({ router, incarnation: 1, failureDomain: "a" }));
             list(router, "configuration", [{
                 version: 1,
                 routes: [],
