Count the events of responses less often

Cause: the forwarder reported the events of its streams to the reducer ten times a second, of which coordinators learn twice. Change: a report each 450 ms. An interval without new events is not one of fast tokens, so that it goes on until there are some.

--- a/packages/forwarding/src/createProgressReporter.ts
+++ b/packages/forwarding/src/createProgressReporter.ts
@@ -14,8 +14,8 @@
     readonly remove: (requestId: string) => void;
 }
 
-/** Minimum time between two reports, a fraction of the interval at which coordinators learn of them. */
-const progressIntervalMs = 100;
+/** Minimum time between two reports; coordinators learn of them every 500 ms. */
+const progressIntervalMs = 450;
 
 export function createProgressReporter(opts: ProgressReporterOptions): ProgressReporter {
     const unreported = new Map<string, AttemptProgress>();
--- a/packages/forwarding/test/createProgressReporter.test.ts
+++ b/packages/forwarding/test/createProgressReporter.test.ts
@@ -18,11 +18,11 @@
 test("the events of all streams are reported together, at most once per interval", () => {
     const { clock, reports, reporter } = createHarness();
     for (let eventCount = 1; eventCount <= 6; eventCount++) {
-        clock.now = eventCount * 40;
+        clock.now = eventCount * 150;
         reporter.record({ requestId: "a", attempt: 1, eventCount });
         reporter.record({ requestId: "b", attempt: 1, eventCount: 2 * eventCount });
     }
-    assert.equal(reports, ["40: a:1", "160: b:6 a:4"]);
+    assert.equal(reports, ["150: a:1", "600: b:6 a:4"]);
 });
 
 test("an attempt that has ended is not reported", () => {
@@ -30,9 +30,9 @@
     reporter.record({ requestId: "a", attempt: 1, eventCount: 1 });
     reporter.record({ requestId: "b", attempt: 1, eventCount: 1 });
     reporter.remove("b");
-    clock.now = 300;
+    clock.now = 500;
     reporter.record({ requestId: "a", attempt: 1, eventCount: 2 });
-    assert.equal(reports, ["0: a:1", "300: a:2"]);
+    assert.equal(reports, ["0: a:1", "500: a:2"]);
 });
 
 test.run();
--- a/packages/placement/src/createDecodeModel.ts
+++ b/packages/placement/src/createDecodeModel.ts
@@ -76,12 +76,12 @@
     return {
         recordProgress: (response, eventCount, { quietSince, now }) => {
             const since = response.progressedAt ?? response.startedAt;
-            // The time before the first event is spent in the queue.
-            if (since === undefined || eventCount < response.eventCount) return;
+            // The time before the first event is spent in the queue. Without new events the interval goes on.
+            if (since === undefined || eventCount <= response.eventCount) return;
             const newTokens = (eventCount - response.eventCount) * tokensPerEvent;
             response.eventCount = eventCount;
             response.progressedAt = now;
-            if (since >= quietSince && newTokens > 0) quietPace.record(newTokens, now - since);
+            if (since >= quietSince) quietPace.record(newTokens, now - since);
         },
         isBehind: (responses, now) => {
             if (now - checkedAt < checkIntervalMs) return wasBehind;
--- a/packages/placement/test/createDecodeModel.test.ts
+++ b/packages/placement/test/createDecodeModel.test.ts
@@ -48,6 +48,16 @@
     assert.ok(Math.abs(quietPace.getTokenMs() - 10) < 0.1, `${quietPace.getTokenMs()}`);
 });
 
+// Guards against a pace that is too short: reports come more often than the forwarder counts events.
+test("reports without new events do not change the pace", () => {
+    const quietPace = createQuietPaceEstimator();
+    const model = createDecodeModel({ tokensPerEvent, quietPace });
+    const response = createResponse();
+    for (let report = 1; report <= 40; report++)
+        model.recordProgress(response, 5 * Math.floor(report / 2), { quietSince: -1, now: 250 * report });
+    assert.ok(Math.abs(quietPace.getTokenMs() - 10) < 0.001, `${quietPace.getTokenMs()}`);
+});
+
 test("an older report changes nothing", () => {
     const { model } = createModel();
     const response = createResponse();
