Spare engines sooner for workspaces beyond their share

Cause: when an engine takes prompts again after it was spared for long responses, its queue is empty, so that the limit of the queue does not set workspaces beyond their share back: what has reserve goes to whoever asks first. Change: the reserve that responses must have rises from 0.35 to 0.525 with the share used, and is 0.7 beyond it.

--- a/packages/placement/src/admission.ts
+++ b/packages/placement/src/admission.ts
@@ -3,12 +3,14 @@
 import type { FleetConfiguration } from "@rhubarbwheel/types/fleet";
 import type { PromptSize } from "@rhubarbwheel/types/placement";
 import {
+    defaultMinReserveRatio,
     firstEventMs,
     fullBatchQueueMs,
     fullShareRatio,
     lateRetryRatio,
     maxFullBatchQueueRatio,
     maxQueueingRatio,
+    overShareMinReserveRatio,
     overShareRatio,
 } from "./placementSettings.js";
 
@@ -88,3 +90,11 @@
     const waitMs = usedRatio > 1 ? overShareMs : maxWaitMs - usedRatio * (maxWaitMs - fullShareMs);
     return waitMs * (isLateRetry ? lateRetryRatio : 1);
 }
+
+/** Minimum reserve of the responses at an engine for a request of a workspace that has used this fraction of its share. */
+export function computeMinReserveRatio(usedRatio: number): number {
+    const usedShare = Math.min(1, usedRatio);
+    return usedRatio > 1
+        ? overShareMinReserveRatio
+        : defaultMinReserveRatio + usedShare * (overShareMinReserveRatio - defaultMinReserveRatio) / 2;
+}
--- a/packages/placement/src/createDecodeModel.ts
+++ b/packages/placement/src/createDecodeModel.ts
@@ -27,18 +27,16 @@
         progress: { readonly quietSince: number; readonly now: number; },
     ) => void;
     /**
-     * Whether a response can only meet its deadline if the engine prefills no further prompts for now. One that would miss
-     * it all the same does not count.
+     * Time that responses have in reserve before their deadlines if the engine prefills no further prompts, as a fraction of
+     * the time that the rest of them takes: the lowest of all. A response that would miss its deadline all the same does
+     * not count. Infinity if there is none.
      */
-    readonly isBehind: (responses: Iterable<GeneratedResponse>, now: number) => boolean;
+    readonly getReserveRatio: (responses: Iterable<GeneratedResponse>, now: number) => number;
 }
 
-/** Interval at which the schedule of all responses is compared with the pace. */
+/** Interval at which the reserve of all responses is computed. */
 const checkIntervalMs = 100;
 
-/** Time that a response must have in reserve, as a fraction of the time that the rest of it takes. */
-const reserveRatio = 0.35;
-
 /** Tokens of a response beyond the number that its caller expected, as a fraction of that number. */
 const expectedMarginRatio = 0.25;
 
@@ -64,13 +62,13 @@
 
 export function createDecodeModel({ tokensPerEvent, quietPace }: DecodeModelOptions): DecodeModel {
     let checkedAt = -Infinity;
-    let wasBehind = false;
+    let reserveRatio = Infinity;
 
-    const isLate = (response: GeneratedResponse, now: number): boolean => {
+    const computeReserveRatio = (response: GeneratedResponse, now: number): number => {
         const remainingTokens = estimateRemainingTokens(response, response.eventCount * tokensPerEvent);
         const remainingMs = remainingTokens * quietPace.getTokenMs();
         const timeLeftMs = response.deadlineAt - now;
-        return remainingMs <= timeLeftMs && remainingMs * (1 + reserveRatio) > timeLeftMs;
+        return remainingMs === 0 || remainingMs > timeLeftMs ? Infinity : timeLeftMs / remainingMs - 1;
     };
 
     return {
@@ -83,16 +81,12 @@
             response.progressedAt = now;
             if (since >= quietSince) quietPace.record(newTokens, now - since);
         },
-        isBehind: (responses, now) => {
-            if (now - checkedAt < checkIntervalMs) return wasBehind;
+        getReserveRatio: (responses, now) => {
+            if (now - checkedAt < checkIntervalMs) return reserveRatio;
             checkedAt = now;
-            wasBehind = false;
-            for (const response of responses) {
-                if (!isLate(response, now)) continue;
-                wasBehind = true;
-                break;
-            }
-            return wasBehind;
+            reserveRatio = Infinity;
+            for (const response of responses) reserveRatio = Math.min(reserveRatio, computeReserveRatio(response, now));
+            return reserveRatio;
         },
     };
 }
--- a/packages/placement/src/createPlacementCoordinator.ts
+++ b/packages/placement/src/createPlacementCoordinator.ts
@@ -19,10 +19,15 @@
     PlacementSlice,
     RouterMessageEvent,
 } from "@rhubarbwheel/types/placement-events";
-import { computeAttemptCost, computeCost, computeMaxWaitMs, computePriorPrefillRate } from "./admission.js";
+import {
+    computeAttemptCost,
+    computeCost,
+    computeMaxWaitMs,
+    computeMinReserveRatio,
+    computePriorPrefillRate,
+} from "./admission.js";
 import { chooseCanary } from "./chooseCanary.js";
 import { convertReportedAttempt } from "./convertReportedAttempt.js";
-import { coordinatorLogEvents } from "./coordinatorLogEvents.js";
 import { createColdTargetGuard } from "./createColdTargetGuard.js";
 import type { ColdTargetGuardOptions } from "./createColdTargetGuard.js";
 import { createFairShareTracker } from "./createFairShareTracker.js";
@@ -35,6 +40,7 @@
 import { createRateGranter } from "./createRateGranter.js";
 import { createRefusalHistory } from "./createRefusalHistory.js";
 import type { CanarySelector } from "./createRolloutCoordinator.js";
+import { createSharesContendedEffect } from "./createSharesContendedEffect.js";
 import type { TargetNotices } from "./createTargetNotices.js";
 import { hasVersion } from "./hasVersion.js";
 import type { AdmittedChoice, Refusal } from "./placementDecision.js";
@@ -108,15 +114,7 @@
     const logTotals = (pool: CoordinatedPool, now: number): void => {
         if (now < pool.logTotalsAt) return;
         pool.logTotalsAt = now + totalsLogIntervalMs;
-        const { level, admitted, demand, workspaces } = pool.fairShares.getTotals(now);
-        const fields = {
-            service: pool.service,
-            level: Math.round(level),
-            admitted: Math.round(admitted),
-            demand: Math.round(demand),
-            workspaces,
-        };
-        effects.push({ type: "log", event: coordinatorLogEvents.sharesContended, fields });
+        effects.push(createSharesContendedEffect(pool.service, pool.fairShares.getTotals(now)));
     };
 
     const findCanary = (
@@ -166,7 +164,8 @@
         // A stream that goes on was admitted when it began, and its workspace was charged for it.
         const usage = request.version === undefined ? { usedRatio, isLateRetry } : { usedRatio: 0, isLateRetry: false };
         const maxWaitMs = computeMaxWaitMs(view, pool.service, { ...usage, prefillMs });
-        const usualChoice = pool.model.choose(request, { candidates, prefixSources, now, maxWaitMs });
+        const limits = { maxWaitMs, minReserveRatio: computeMinReserveRatio(usage.usedRatio) };
+        const usualChoice = pool.model.choose(request, { candidates, prefixSources, now, ...limits });
         // Requests that cannot be placed must not add to the number of canaries.
         const choice = usualChoice === undefined
             ? undefined
--- a/packages/placement/src/createPoolModel.ts
+++ b/packages/placement/src/createPoolModel.ts
@@ -22,7 +22,13 @@
 import { createQuietPaceEstimator } from "./createQuietPaceEstimator.js";
 import { createTargetModel } from "./createTargetModel.js";
 import type { TargetModel } from "./createTargetModel.js";
-import { crossDomainCostMs, inFlightExpiryMs, prefillWeight, transferSetupMs } from "./placementSettings.js";
+import {
+    crossDomainCostMs,
+    defaultMinReserveRatio,
+    inFlightExpiryMs,
+    prefillWeight,
+    transferSetupMs,
+} from "./placementSettings.js";
 
 export interface PoolModelOptions {
     readonly spec: PoolSpec;
@@ -50,6 +56,8 @@
     readonly now: number;
     /** Maximum queueing time of the request at the target. */
     readonly maxWaitMs: number;
+    /** Minimum reserve of the responses in progress at the target; that of a workspace which has used nothing if omitted. */
+    readonly minReserveRatio?: number;
     /** Multiplier of the estimated queueing time, if this router knows only a part of the load. */
     readonly loadFactor?: number;
 }
@@ -173,7 +181,7 @@
     };
 
     const choose = (request: PlacementRequest, choiceOpts: ChoiceOptions): Choice | undefined => {
-        const { candidates, now, maxWaitMs, loadFactor = 1 } = choiceOpts;
+        const { candidates, now, maxWaitMs, minReserveRatio = defaultMinReserveRatio, loadFactor = 1 } = choiceOpts;
         const { prompt } = request;
         const candidateModels = candidates.map(getOrCreateModel);
         const meanFailureRatio = computeMeanFailureRatio(candidateModels, now);
@@ -188,7 +196,7 @@
         let minCost = Infinity;
         for (const [index, entry] of candidates.entries()) {
             const model = candidateModels[index]!;
-            if (model.isUnreachable(now) || model.isBehind(now)) continue;
+            if (model.isUnreachable(now) || model.getReserveRatio(now) < minReserveRatio) continue;
             const waitMs = model.estimateWaitMs(now) * loadFactor;
             if (waitMs > maxWaitMs || !model.hasCapacity(prompt)) continue;
             const prefill = prompt === undefined ? undefined : estimatePrefill(model, prompt, source, now);
--- a/packages/placement/src/createTargetModel.ts
+++ b/packages/placement/src/createTargetModel.ts
@@ -61,8 +61,8 @@
     readonly isUnreachable: (now: number) => boolean;
     /** Whether a response is overdue. */
     readonly isStalled: (now: number) => boolean;
-    /** Whether a response in progress can only meet its deadline if the engine prefills no further prompts for now. */
-    readonly isBehind: (now: number) => boolean;
+    /** Lowest reserve of the responses in progress, as a fraction of the time that the rest of them takes. */
+    readonly getReserveRatio: (now: number) => number;
     readonly hasCapacity: (prompt: PromptSize | undefined) => boolean;
     /** Moving average of failures, 0 to 1, which decays with time. */
     readonly getFailureRatio: (now: number) => number;
@@ -300,7 +300,7 @@
         countTransferableTokens: prompt => Math.min(prompt.promptTokens, cache.countPrefilledTokens(prompt.parts)),
         isUnreachable: now => now < unreachableUntil,
         isStalled: now => estimateOverdueMs(now) > 0,
-        isBehind: now => decode?.isBehind(assignments.values(), now) ?? false,
+        getReserveRatio: now => decode?.getReserveRatio(assignments.values(), now) ?? Infinity,
         hasCapacity: prompt => {
             if (engine === undefined || prompt === undefined) return true;
             if (assignments.size >= engine.maxBatchSize * maxBatchRatio) return false;
--- a/packages/placement/src/placementSettings.ts
+++ b/packages/placement/src/placementSettings.ts
@@ -127,3 +127,12 @@
 
 /** Maximum fraction of the grace period for the same; what is accepted last needs the rest to finish. */
 export const drainAcceptRatio = 0.25;
+
+/**
+ * Time that the responses in progress at an engine must have in reserve for it to take another prompt, as a fraction of the
+ * time that the rest of them takes.
+ */
+export const defaultMinReserveRatio = 0.35;
+
+/** The same for workspaces beyond their share, so that the rest is reserved for those that have used little of theirs. */
+export const overShareMinReserveRatio = 0.7;
--- a/packages/placement/test/createDecodeModel.test.ts
+++ b/packages/placement/test/createDecodeModel.test.ts
@@ -17,18 +17,22 @@
     return { quietPace, model: createDecodeModel({ tokensPerEvent, quietPace }) };
 }
 
-test("a response is behind once the time that it needs without prefill, and 0.35 of it in reserve, is left", () => {
+test("the reserve is the time beyond the one that the rest of the response takes without prefill", () => {
     const { model } = createModel();
-    assert.not(model.isBehind([createResponse()], 3_200));
-    assert.ok(model.isBehind([createResponse()], 3_300));
-    assert.not(model.isBehind([createResponse({ eventCount: 50 })], 3_500));
-    assert.not(model.isBehind([createResponse({ expectedOutputTokens: 100 })], 3_700));
+    const responses = [
+        createResponse(),
+        createResponse({ eventCount: 50 }),
+        createResponse({ expectedOutputTokens: 100 }),
+    ];
+    const ratios = responses.map((response, index) => model.getReserveRatio([response], 2_000 + index * 100));
+    assert.equal(ratios.map(ratio => ratio.toFixed(2)), ["0.60", "2.16", "11.48"]);
+    assert.is(model.getReserveRatio(responses, 2_500), 0.5);
 });
 
 // Guards against an engine that stands still for a response which nothing can save.
-test("a response that misses its deadline in any case is not behind", () => {
+test("a response that misses its deadline in any case does not count", () => {
     const { model } = createModel();
-    assert.not(model.isBehind([createResponse()], 6_000));
+    assert.is(model.getReserveRatio([createResponse()], 6_000), Infinity);
 });
 
 test("a response that is longer than expected is assumed to go on for a quarter of its length", () => {
--- a/packages/placement/test/longResponses.test.ts
+++ b/packages/placement/test/longResponses.test.ts
@@ -23,6 +23,8 @@
 interface Outcome {
     readonly tokens: number;
     readonly isComplete: boolean;
+    readonly workspace: string;
+    readonly isRefused: boolean;
 }
 
 interface SimulationOptions {
@@ -30,9 +32,12 @@
     /** Mean time between two requests to the pool. */
     readonly meanIntervalMs: number;
     readonly hasExpectedLength: boolean;
+    /** Workspace of the request with this index; by default one of five by turns. */
+    readonly getWorkspace?: (index: number) => string;
 }
 
-function runSimulation({ seed, meanIntervalMs, hasExpectedLength }: SimulationOptions): readonly Outcome[] {
+function runSimulation(opts: SimulationOptions): readonly Outcome[] {
+    const { seed, meanIntervalMs, hasExpectedLength, getWorkspace = index => `w${index % 5}` } = opts;
     const targets = createTargets(8, { failureDomain: "a", slots: 64 });
     const harness = createCoordinatorHarness({ pool, targets, latencyTargetMs: 500, tokensPerSecond: 256_000 });
     const generator = xoroshiro128plus(seed);
@@ -44,7 +49,7 @@
         createDecodingEngine({
             onStarted: ({ request }, at) => harness.sendNotice(request, target, at),
             onEnded: ({ request, tokens }, isComplete, at) => {
-                outcomes.push({ tokens, isComplete });
+                outcomes.push({ tokens, isComplete, workspace: request.workspace ?? "", isRefused: false });
                 harness.sendNotice(request, target, at, isComplete ? "complete" : "cancelled");
             },
         }),
@@ -71,8 +76,9 @@
         const tokens = Math.round(Math.min(maxOutputTokens, Math.max(1, 150 * Math.exp(1.1 * sampleNormal()))));
         const promptTokens = Math.round(500 + (random() < 0.3 ? 9_000 : 1_500) * random());
         const expectedOutputTokens = Math.max(1, Math.round(tokens * Math.exp(0.5 * sampleNormal())));
+        const workspace = getWorkspace(index);
         const request = createRequest(`s${index}`, {
-            workspace: `w${index % 5}`,
+            workspace,
             prompt: {
                 promptTokens,
                 outputTokens: maxOutputTokens,
@@ -83,7 +89,7 @@
             timeLeftMs: timeoutMs,
         });
         const { target } = harness.requestPlacement(request, now);
-        if (target === undefined) return void outcomes.push({ tokens, isComplete: false });
+        if (target === undefined) return void outcomes.push({ tokens, isComplete: false, workspace, isRefused: true });
         const response: RunningResponse = {
             request,
             deadlineAt: now + timeoutMs,
@@ -138,6 +144,21 @@
     }
 }
 
+// Guards against FAIR: engines that take prompts again for a moment took those of the workspaces that sent most.
+test("workspaces that have used little of their share are admitted while engines are spared for long responses", () => {
+    for (const seed of [1, 2, 3]) {
+        const outcomes = runSimulation({
+            seed,
+            meanIntervalMs: 7,
+            hasExpectedLength: true,
+            getWorkspace: index => index % 10 === 0 ? `small-${index % 30}` : "heavy",
+        });
+        const small = outcomes.filter(({ workspace }) => workspace !== "heavy");
+        const refusedRatio = small.filter(({ isRefused }) => isRefused).length / small.length;
+        assert.ok(refusedRatio < 0.1, `seed ${seed}: ${refusedRatio}`);
+    }
+});
+
 test("no request is refused for long responses while the capacity covers the demand", () => {
     const { all } = computeRatios({ seed: 4, meanIntervalMs: 25, hasExpectedLength: true });
     assert.ok(all >= 0.98, `${all}`);
